--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! load and experiment tool of flamingostand.
+
+fn main() {}
--- /dev/null
+++ b/crates/codegen/src/lib.rs
@@ -0,0 +1,58 @@
+//! generates the wire and settings types from the JSON Schema.
+
+use std::path::Path;
+
+use anyhow::Context;
+use schemars::schema::RootSchema;
+use serde_json::Value;
+use typify::TypeSpace;
+use typify::TypeSpaceSettings;
+
+/// constraints that the schema check enforces on input, and that the generated types leave out.
+const CONSTRAINTS: [&str; 7] =
+    ["pattern", "minLength", "maxLength", "minItems", "maxItems", "maximum", "additionalProperties"];
+
+/// path of the schema below the workspace root.
+pub const SCHEMA_PATH: &str = "schemas/wire.json";
+
+/// path of the committed generated code below the workspace root.
+pub const GENERATED_PATH: &str = "src/schema/generated.rs";
+
+/// returns the generated source for the schema found below `root`.
+pub fn generate(root: &Path) -> anyhow::Result<String> {
+    let path = root.join(SCHEMA_PATH);
+    let text = std::fs::read_to_string(&path).with_context(|| format!("read {}", path.display()))?;
+    let mut value: Value = serde_json::from_str(&text).context("parse the schema")?;
+    strip_constraints(&mut value);
+    let schema: RootSchema = serde_json::from_value(value).context("read the schema")?;
+    let mut settings = TypeSpaceSettings::default();
+    settings.with_derive("PartialEq".to_owned());
+    let mut space = TypeSpace::new(&settings);
+    space.add_root_schema(schema).context("convert the schema")?;
+    let file = syn::parse2::<syn::File>(space.to_stream()).context("parse the generated tokens")?;
+    let header = "// Generated from schemas/wire.json by `cargo run -p flamingo-codegen`; do not edit.\n\n";
+    Ok(format!("{header}{}", prettyplease::unparse(&file)))
+}
+
+/// removes what would turn plain strings and numbers into wrapper types.
+///
+/// Unknown fields pass too: a newer instance may send fields that an older one does not know.
+fn strip_constraints(value: &mut Value) {
+    match value {
+        Value::Object(map) => {
+            map.retain(|key, _| !CONSTRAINTS.contains(&key.as_str()));
+            if map.get("type").is_some_and(|kind| kind == "integer") {
+                map.insert("minimum".to_owned(), Value::from(0));
+            }
+            for child in map.values_mut() {
+                strip_constraints(child);
+            }
+        }
+        Value::Array(items) => {
+            for item in items {
+                strip_constraints(item);
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! small stand-ins for outside systems.
--- /dev/null
+++ b/src/bin/flamingoctl.rs
@@ -0,0 +1,3 @@
+//! thin program.
+
+fn main() {}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! the configuration in force: what all accepted releases add up to.
+
+mod configuration;
+
+pub use configuration::Configuration;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! flamingostand: a scheduler for agent programs that many teams share.
+//!
+//! The library holds everything; the programs `flamingostand` and `flamingoctl` are thin.
+//! Decisions are plain state machines; sockets, clocks and random sources stay at the edges.
+
+pub mod clock;
+pub mod config;
+pub mod dispatch;
+pub mod finding;
+pub mod ids;
+pub mod member;
+pub mod membership;
+pub mod owner;
+pub mod platform;
+pub mod release;
+pub mod rendezvous;
+pub mod schema;
+pub mod slots;
+pub mod timeline;
--- /dev/null
+++ b/src/rendezvous/mod.rs
@@ -0,0 +1,6 @@
+//! rendezvous hashing: every instance ranks the same members for a key in the same order.
+
+mod rank;
+
+pub use rank::first;
+pub use rank::ranked;
--- /dev/null
+++ b/src/schema/generated.rs
@@ -0,0 +1,2203 @@
+// Generated from schemas/wire.json by `cargo run -p flamingo-codegen`; do not edit.
+
+///a release note in force from its version on
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AcceptedRelease {
+    ///when it was accepted
+    pub accepted_unix_ms: u64,
+    ///digest of the note; a repeat is recognised by it
+    pub mark: ::std::string::String,
+    pub note: ReleaseNote,
+    ///who accepted it
+    pub operator: ::std::string::String,
+    ///version that the note makes
+    pub version: u64,
+}
+///an agent program that a workspace runs
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AgentProgramEntry {
+    ///most tokens one run may spend, sub-agents included
+    pub budget_tokens: u64,
+    ///most time one run may take
+    #[serde(default = "defaults::default_u64::<u64, 86400000>")]
+    pub deadline_ms: u64,
+    ///name of the agent program, unique in its workspace
+    pub id: ::std::string::String,
+    ///most turns of one run, sub-agents included
+    #[serde(default = "defaults::default_u64::<u32, 430>")]
+    pub max_turns: u32,
+    ///model of its turns
+    pub model: ::std::string::String,
+    ///prompt that every run starts with
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub system_prompt: ::std::option::Option<::std::string::String>,
+    ///workspace that runs it
+    pub workspace: ::std::string::String,
+}
+///records of one commit
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Batch {
+    ///records in order
+    pub records: ::std::vec::Vec<Record>,
+}
+///outcome of a call
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CallAnswer {
+    ///answer of the service
+    pub body: ::serde_json::Value,
+    ///identifier of the call
+    pub call: ::std::string::String,
+    ///whether the outcome was kept from an earlier request
+    pub replayed: bool,
+    pub state: CallState,
+    ///HTTP status of the service, 0 without one
+    pub status: u16,
+}
+///asks for a call to a plain service
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CallBody {
+    ///JSON body for the service
+    pub body: ::serde_json::Value,
+    ///identifier of the call; the Idempotency-Key header may carry it instead
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub call: ::std::option::Option<::std::string::String>,
+    ///how long the call may be retried
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub deadline_ms: ::std::option::Option<u64>,
+    ///whether the call may run more than once
+    #[serde(default)]
+    pub idempotent: bool,
+    ///path at the service
+    pub path: ::std::string::String,
+    ///service to call
+    pub service: ::std::string::String,
+    ///whether to wait for the outcome; otherwise the call is answered once it is recorded
+    #[serde(default = "defaults::default_bool::<true>")]
+    pub wait: bool,
+}
+///snapshot of a call
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CallImage {
+    pub intended: IntendedRecord,
+    ///its outcome, if there is one
+    pub resolved: ::std::vec::Vec<ResolvedRecord>,
+}
+///how far a call has come
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum CallState {
+    #[serde(rename = "recorded")]
+    Recorded,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(rename = "not_run")]
+    NotRun,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for CallState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Recorded => f.write_str("recorded"),
+            Self::Running => f.write_str("running"),
+            Self::Done => f.write_str("done"),
+            Self::Failed => f.write_str("failed"),
+            Self::NotRun => f.write_str("not_run"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for CallState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "recorded" => Ok(Self::Recorded),
+            "running" => Ok(Self::Running),
+            "done" => Ok(Self::Done),
+            "failed" => Ok(Self::Failed),
+            "not_run" => Ok(Self::NotRun),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for CallState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CallState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///the turn is no longer wanted
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CancelJob {
+    ///number of the job
+    pub id: u64,
+}
+///the caller hung up
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CancelRequest {
+    ///number of the request
+    pub id: u64,
+}
+///tokens were spent without an answer
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ChargedRecord {
+    ///reserved from now on
+    pub allowance_tokens: u64,
+    ///charged to the budget
+    pub charged_tokens: u64,
+    ///program
+    pub program: ::std::string::String,
+}
+///one message of the usual chat-completion shape
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ChatMessage {
+    ///text, or content parts
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub content: ::std::option::Option<::serde_json::Value>,
+    ///name of the speaker
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub name: ::std::option::Option<::std::string::String>,
+    pub role: Role,
+    ///tool call that this message answers
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub tool_call_id: ::std::option::Option<::std::string::String>,
+    ///tool calls of an assistant message
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub tool_calls: ::std::vec::Vec<::serde_json::Value>,
+}
+///what all instances of one deployment share
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClusterSettings {
+    ///secret that authenticates instances to each other, 32 bytes as 64 hexadecimal digits
+    pub mesh_key: ::std::string::String,
+    ///name of the deployment; instances of another name are refused
+    pub name: ::std::string::String,
+    ///slots that programs hash to; never changes during the life of a deployment
+    #[serde(default = "defaults::default_u64::<u32, 64>")]
+    pub slot_count: u32,
+}
+///one membership datagram
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Datagram {
+    pub body: DatagramBody,
+    ///deployment
+    pub cluster: ::std::string::String,
+    ///news of members
+    pub records: ::std::vec::Vec<MemberRecord>,
+    pub sender: MemberRecord,
+}
+///purpose of a datagram
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum DatagramBody {
+    #[serde(rename = "probe")]
+    Probe(Probe),
+    #[serde(rename = "ack")]
+    Ack(ProbeAck),
+    #[serde(rename = "probe_request")]
+    ProbeRequest(ProbeRequest),
+}
+impl ::std::convert::From<Probe> for DatagramBody {
+    fn from(value: Probe) -> Self {
+        Self::Probe(value)
+    }
+}
+impl ::std::convert::From<ProbeAck> for DatagramBody {
+    fn from(value: ProbeAck) -> Self {
+        Self::Ack(value)
+    }
+}
+impl ::std::convert::From<ProbeRequest> for DatagramBody {
+    fn from(value: ProbeRequest) -> Self {
+        Self::ProbeRequest(value)
+    }
+}
+///a turn for the dispatcher of a replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    ///number of the job on this connection
+    pub id: u64,
+    pub job: TurnJob,
+}
+///progress of a turn
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DispatchEvent {
+    pub event: JobEvent,
+    ///number of the job
+    pub id: u64,
+}
+///queues before the upstreams
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DispatchSettings {
+    ///target for the first token
+    #[serde(default = "defaults::default_u64::<u64, 1400>")]
+    pub first_token_target_ms: u64,
+    ///requests inside one replica at the start
+    #[serde(default = "defaults::default_u64::<u32, 16>")]
+    pub initial_window: u32,
+    ///time between two readings of a replica's load
+    #[serde(default = "defaults::default_u64::<u64, 500>")]
+    pub load_poll_ms: u64,
+    ///longest wait in a queue before a turn is refused
+    #[serde(default = "defaults::default_u64::<u64, 30000>")]
+    pub max_queue_ms: u64,
+    ///most requests inside one replica
+    #[serde(default = "defaults::default_u64::<u32, 256>")]
+    pub max_window: u32,
+    ///retries as a share of first attempts
+    #[serde(default = "defaults::default_u64::<u32, 10>")]
+    pub retry_share_percent: u32,
+    ///target between tokens
+    #[serde(default = "defaults::default_u64::<u64, 70>")]
+    pub token_gap_target_ms: u64,
+}
+impl ::std::default::Default for DispatchSettings {
+    fn default() -> Self {
+        Self {
+            first_token_target_ms: defaults::default_u64::<u64, 1400>(),
+            initial_window: defaults::default_u64::<u32, 16>(),
+            load_poll_ms: defaults::default_u64::<u64, 500>(),
+            max_queue_ms: defaults::default_u64::<u64, 30000>(),
+            max_window: defaults::default_u64::<u32, 256>(),
+            retry_share_percent: defaults::default_u64::<u32, 10>(),
+            token_gap_target_ms: defaults::default_u64::<u64, 70>(),
+        }
+    }
+}
+///ends a program
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EndBody {
+    ///why
+    #[serde(default = "defaults::end_body_reason")]
+    pub reason: ::std::string::String,
+}
+impl ::std::default::Default for EndBody {
+    fn default() -> Self {
+        Self {
+            reason: defaults::end_body_reason(),
+        }
+    }
+}
+///a program ended
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EndedRecord {
+    ///program
+    pub program: ::std::string::String,
+    ///why
+    pub reason: ::std::string::String,
+    ///when
+    pub unix_ms: u64,
+}
+///what a journal entry holds
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum EntryBody {
+    #[serde(rename = "batch")]
+    Batch(Batch),
+    #[serde(rename = "seal")]
+    Seal(Seal),
+}
+impl ::std::convert::From<Batch> for EntryBody {
+    fn from(value: Batch) -> Self {
+        Self::Batch(value)
+    }
+}
+impl ::std::convert::From<Seal> for EntryBody {
+    fn from(value: Seal) -> Self {
+        Self::Seal(value)
+    }
+}
+///kind of an entry
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum EntryKind {
+    #[serde(rename = "workspace")]
+    Workspace,
+    #[serde(rename = "agent_program")]
+    AgentProgram,
+    #[serde(rename = "model")]
+    Model,
+    #[serde(rename = "service")]
+    Service,
+}
+impl ::std::fmt::Display for EntryKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Workspace => f.write_str("workspace"),
+            Self::AgentProgram => f.write_str("agent_program"),
+            Self::Model => f.write_str("model"),
+            Self::Service => f.write_str("service"),
+        }
+    }
+}
+impl ::std::str::FromStr for EntryKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "workspace" => Ok(Self::Workspace),
+            "agent_program" => Ok(Self::AgentProgram),
+            "model" => Ok(Self::Model),
+            "service" => Ok(Self::Service),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for EntryKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for EntryKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///names one entry
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EntryName {
+    ///name of the entry
+    pub id: ::std::string::String,
+    pub kind: EntryKind,
+    ///workspace of an agent program
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub workspace: ::std::option::Option<::std::string::String>,
+}
+///`FlamingostandWireAndSettingsTypes`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(transparent)]
+pub struct FlamingostandWireAndSettingsTypes(pub ::serde_json::Value);
+impl ::std::ops::Deref for FlamingostandWireAndSettingsTypes {
+    type Target = ::serde_json::Value;
+    fn deref(&self) -> &::serde_json::Value {
+        &self.0
+    }
+}
+impl ::std::convert::From<FlamingostandWireAndSettingsTypes> for ::serde_json::Value {
+    fn from(value: FlamingostandWireAndSettingsTypes) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<::serde_json::Value> for FlamingostandWireAndSettingsTypes {
+    fn from(value: ::serde_json::Value) -> Self {
+        Self(value)
+    }
+}
+///a program's state is dropped
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForgottenRecord {
+    ///program
+    pub program: ::std::string::String,
+}
+///a request for the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Forward {
+    ///instances passed so far
+    pub hops: u32,
+    ///number of the request on this connection
+    pub id: u64,
+    pub request: OwnerRequest,
+}
+///an answer of the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardEvent {
+    pub event: OwnerEvent,
+    ///number of the request
+    pub id: u64,
+}
+///a call on its way to the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardedCall {
+    pub body: CallBody,
+    ///identifier
+    pub program: ::std::string::String,
+    ///workspace of the caller
+    pub workspace: ::std::string::String,
+}
+///an end on its way to the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardedEnd {
+    ///identifier
+    pub program: ::std::string::String,
+    ///why
+    pub reason: ::std::string::String,
+    ///workspace of the caller
+    pub workspace: ::std::string::String,
+}
+///an open request on its way to the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardedOpen {
+    pub body: OpenBody,
+    ///identifier
+    pub program: ::std::string::String,
+    ///workspace of the caller
+    pub workspace: ::std::string::String,
+}
+///a look at a program
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardedState {
+    ///identifier
+    pub program: ::std::string::String,
+    ///workspace of the caller
+    pub workspace: ::std::string::String,
+}
+///a turn on its way to the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ForwardedTurn {
+    pub body: TurnBody,
+    ///identifier
+    pub program: ::std::string::String,
+    ///workspace of the caller
+    pub workspace: ::std::string::String,
+}
+///how far the history of a program has come
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct HistoryState {
+    ///digest of the history
+    pub digest: ::std::string::String,
+    ///messages in the history
+    pub messages: u32,
+    ///last committed turn
+    pub turn: u32,
+}
+///part of the messages of a snapshot
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ImagedMessagesRecord {
+    ///index of the first message
+    pub first: u32,
+    ///messages
+    pub messages: ::std::vec::Vec<ChatMessage>,
+    ///program
+    pub program: ::std::string::String,
+}
+///snapshot of a program without its messages
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ImagedRecord {
+    ///reserved
+    pub allowance_tokens: u64,
+    ///calls
+    pub calls: ::std::vec::Vec<CallImage>,
+    ///sub-agents
+    pub children: ::std::vec::Vec<::std::string::String>,
+    ///its end, if it ended
+    pub ended: ::std::vec::Vec<EndedRecord>,
+    ///end of the last turn
+    pub last_finish_reason: ::std::string::String,
+    ///messages that the last request added
+    pub last_new_messages: u32,
+    ///digest of the last request
+    pub last_request_digest: ::std::string::String,
+    pub last_usage: Usage,
+    ///messages that follow in parts
+    pub message_count: u32,
+    pub opened: OpenedRecord,
+    ///program
+    pub program: ::std::string::String,
+    ///settled
+    pub spent_tokens: u64,
+    ///last turn
+    pub turn: u32,
+}
+///who and where this instance is
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceSettings {
+    ///name of the instance, unique in the deployment
+    pub name: ::std::string::String,
+    ///region of the instance
+    pub region: ::std::string::String,
+    ///availability zone of the instance
+    pub zone: ::std::string::String,
+}
+///state of one instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceStatus {
+    ///incarnation
+    pub incarnation: ::std::string::String,
+    ///entries written
+    pub journal_entries: u64,
+    ///whether it is leaving
+    pub leaving: bool,
+    ///name
+    pub name: ::std::string::String,
+    ///calls made to the platform
+    pub platform_calls: u64,
+    ///programs held
+    pub programs: u32,
+    ///configuration in force
+    pub release_version: u64,
+    ///slots owned
+    pub slots: u32,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
+///a call is about to run
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct IntendedRecord {
+    ///attempt
+    pub attempt: u32,
+    ///body
+    pub body: ::serde_json::Value,
+    ///call
+    pub call: ::std::string::String,
+    ///digest of the content
+    pub content_digest: ::std::string::String,
+    ///deadline
+    pub deadline_unix_ms: u64,
+    ///whether it may run more than once
+    pub idempotent: bool,
+    ///path
+    pub path: ::std::string::String,
+    ///program
+    pub program: ::std::string::String,
+    ///service
+    pub service: ::std::string::String,
+    ///whether a caller waits
+    pub wait: bool,
+}
+///end of a turn at its replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JobDone {
+    ///why the engine stopped
+    pub finish_reason: ::std::string::String,
+    ///whole text
+    pub text: ::std::string::String,
+    ///tool calls of the answer
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub tool_calls: ::std::vec::Vec<::serde_json::Value>,
+    pub usage: Usage,
+}
+///progress of a turn at its replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum JobEvent {
+    #[serde(rename = "token")]
+    Token(Token),
+    #[serde(rename = "done")]
+    Done(JobDone),
+    #[serde(rename = "failed")]
+    Failed(JobFailed),
+}
+impl ::std::convert::From<Token> for JobEvent {
+    fn from(value: Token) -> Self {
+        Self::Token(value)
+    }
+}
+impl ::std::convert::From<JobDone> for JobEvent {
+    fn from(value: JobDone) -> Self {
+        Self::Done(value)
+    }
+}
+impl ::std::convert::From<JobFailed> for JobEvent {
+    fn from(value: JobFailed) -> Self {
+        Self::Failed(value)
+    }
+}
+///failure of a turn at its replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JobFailed {
+    ///a sentence
+    pub detail: ::std::string::String,
+    pub fault: JobFault,
+    ///when to come back
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_after_ms: ::std::option::Option<u64>,
+    ///tokens that the engine may have spent
+    pub spent_tokens: u64,
+}
+///how a turn failed
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum JobFault {
+    #[serde(rename = "refused")]
+    Refused,
+    #[serde(rename = "leaving")]
+    Leaving,
+    #[serde(rename = "not_sent")]
+    NotSent,
+    #[serde(rename = "broken")]
+    Broken,
+    #[serde(rename = "died")]
+    Died,
+    #[serde(rename = "poison")]
+    Poison,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+    #[serde(rename = "overloaded")]
+    Overloaded,
+    #[serde(rename = "too_late")]
+    TooLate,
+}
+impl ::std::fmt::Display for JobFault {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Refused => f.write_str("refused"),
+            Self::Leaving => f.write_str("leaving"),
+            Self::NotSent => f.write_str("not_sent"),
+            Self::Broken => f.write_str("broken"),
+            Self::Died => f.write_str("died"),
+            Self::Poison => f.write_str("poison"),
+            Self::Cancelled => f.write_str("cancelled"),
+            Self::Overloaded => f.write_str("overloaded"),
+            Self::TooLate => f.write_str("too_late"),
+        }
+    }
+}
+impl ::std::str::FromStr for JobFault {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "refused" => Ok(Self::Refused),
+            "leaving" => Ok(Self::Leaving),
+            "not_sent" => Ok(Self::NotSent),
+            "broken" => Ok(Self::Broken),
+            "died" => Ok(Self::Died),
+            "poison" => Ok(Self::Poison),
+            "cancelled" => Ok(Self::Cancelled),
+            "overloaded" => Ok(Self::Overloaded),
+            "too_late" => Ok(Self::TooLate),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for JobFault {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for JobFault {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///one object of a journal
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JournalEntry {
+    pub body: EntryBody,
+    ///incarnation whose journal it is
+    pub incarnation: ::std::string::String,
+    ///unique mark of the write, which settles a lost reply
+    pub mark: ::std::string::String,
+}
+///where state of a slot comes from
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JournalSource {
+    ///journal
+    pub incarnation: ::std::string::String,
+    ///last entry that counts; all without it
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub through: ::std::option::Option<u64>,
+}
+///bounds of the doors
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitSettings {
+    ///how long the body of a request may take
+    #[serde(default = "defaults::default_u64::<u64, 10000>")]
+    pub body_timeout_ms: u64,
+    ///how long a leaving instance waits for requests in flight
+    #[serde(default = "defaults::default_u64::<u64, 600000>")]
+    pub drain_timeout_ms: u64,
+    ///how long the head of a request may take, idle time included
+    #[serde(default = "defaults::default_u64::<u64, 30000>")]
+    pub head_timeout_ms: u64,
+    ///largest body of a request
+    #[serde(default = "defaults::default_u64::<u64, 6291456>")]
+    pub max_body_bytes: u64,
+    ///connections held at once for each door
+    #[serde(default = "defaults::default_u64::<u32, 4096>")]
+    pub max_connections: u32,
+    ///messages in one request
+    #[serde(default = "defaults::default_u64::<u32, 4096>")]
+    pub max_messages: u32,
+    ///largest new part of a turn or body of a call
+    #[serde(default = "defaults::default_u64::<u64, 524288>")]
+    pub max_turn_bytes: u64,
+    ///how long a request may wait for its start before it is refused
+    #[serde(default = "defaults::default_u64::<u64, 60000>")]
+    pub request_timeout_ms: u64,
+}
+impl ::std::default::Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body_timeout_ms: defaults::default_u64::<u64, 10000>(),
+            drain_timeout_ms: defaults::default_u64::<u64, 600000>(),
+            head_timeout_ms: defaults::default_u64::<u64, 30000>(),
+            max_body_bytes: defaults::default_u64::<u64, 6291456>(),
+            max_connections: defaults::default_u64::<u32, 4096>(),
+            max_messages: defaults::default_u64::<u32, 4096>(),
+            max_turn_bytes: defaults::default_u64::<u64, 524288>(),
+            request_timeout_ms: defaults::default_u64::<u64, 60000>(),
+        }
+    }
+}
+///addresses as IP and port
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ListenSettings {
+    ///address of the callers' interface
+    pub callers: ::std::string::String,
+    ///address for the other instances; TCP and UDP
+    pub mesh: ::std::string::String,
+    ///address of the administration API and metrics
+    pub operators: ::std::string::String,
+}
+///loads of the replicas that the sender serves
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LoadReport {
+    ///loads
+    pub loads: ::std::vec::Vec<ReplicaLoad>,
+}
+///form of log lines
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum LogFormat {
+    #[serde(rename = "terminal")]
+    Terminal,
+    #[serde(rename = "json")]
+    Json,
+}
+impl ::std::fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Terminal => f.write_str("terminal"),
+            Self::Json => f.write_str("json"),
+        }
+    }
+}
+impl ::std::str::FromStr for LogFormat {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "terminal" => Ok(Self::Terminal),
+            "json" => Ok(Self::Json),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for LogFormat {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for LogFormat {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::default::Default for LogFormat {
+    fn default() -> Self {
+        LogFormat::Terminal
+    }
+}
+///least level that is logged
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum LogLevel {
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "warn")]
+    Warn,
+    #[serde(rename = "info")]
+    Info,
+    #[serde(rename = "debug")]
+    Debug,
+}
+impl ::std::fmt::Display for LogLevel {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Error => f.write_str("error"),
+            Self::Warn => f.write_str("warn"),
+            Self::Info => f.write_str("info"),
+            Self::Debug => f.write_str("debug"),
+        }
+    }
+}
+impl ::std::str::FromStr for LogLevel {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "error" => Ok(Self::Error),
+            "warn" => Ok(Self::Warn),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for LogLevel {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for LogLevel {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::default::Default for LogLevel {
+    fn default() -> Self {
+        LogLevel::Info
+    }
+}
+///log lines
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LogSettings {
+    ///form of the lines
+    #[serde(default = "defaults::log_settings_format")]
+    pub format: LogFormat,
+    ///least level
+    #[serde(default = "defaults::log_settings_level")]
+    pub level: LogLevel,
+}
+impl ::std::default::Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: defaults::log_settings_format(),
+            level: defaults::log_settings_level(),
+        }
+    }
+}
+///what is believed of a member
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum MemberHealth {
+    #[serde(rename = "alive")]
+    Alive,
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "dead")]
+    Dead,
+    #[serde(rename = "left")]
+    Left,
+}
+impl ::std::fmt::Display for MemberHealth {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Alive => f.write_str("alive"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Dead => f.write_str("dead"),
+            Self::Left => f.write_str("left"),
+        }
+    }
+}
+impl ::std::str::FromStr for MemberHealth {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "alive" => Ok(Self::Alive),
+            "suspect" => Ok(Self::Suspect),
+            "dead" => Ok(Self::Dead),
+            "left" => Ok(Self::Left),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for MemberHealth {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for MemberHealth {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///what is known of a member
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MemberRecord {
+    ///callers' address
+    pub callers: ::std::string::String,
+    pub health: MemberHealth,
+    ///incarnation; a newer one replaces an older
+    pub incarnation: ::std::string::String,
+    ///whether it is leaving
+    pub leaving: bool,
+    ///mesh address
+    pub mesh: ::std::string::String,
+    ///name
+    pub name: ::std::string::String,
+    ///grows when the member refutes a suspicion
+    pub refutation: u32,
+    ///region
+    pub region: ::std::string::String,
+    ///configuration in force
+    pub release_version: u64,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
+///probing between instances
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MembershipSettings {
+    ///most bytes a second that membership sends
+    #[serde(default = "defaults::default_u64::<u64, 4096>")]
+    pub max_bytes_per_second: u64,
+    ///time between two probes
+    #[serde(default = "defaults::default_u64::<u64, 200>")]
+    pub probe_ms: u64,
+    ///how long a direct probe waits for its answer
+    #[serde(default = "defaults::default_u64::<u64, 150>")]
+    pub probe_timeout_ms: u64,
+    ///how long a suspected instance has to refute
+    #[serde(default = "defaults::default_u64::<u64, 1000>")]
+    pub suspicion_ms: u64,
+}
+impl ::std::default::Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            max_bytes_per_second: defaults::default_u64::<u64, 4096>(),
+            probe_ms: defaults::default_u64::<u64, 200>(),
+            probe_timeout_ms: defaults::default_u64::<u64, 150>(),
+            suspicion_ms: defaults::default_u64::<u64, 1000>(),
+        }
+    }
+}
+///a frame with the sender's hybrid time
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MeshFrame {
+    ///hybrid time of the sender
+    pub at: u64,
+    pub message: MeshMessage,
+}
+///first message on a connection
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MeshHello {
+    ///deployment
+    pub cluster: ::std::string::String,
+    ///incarnation of the sender
+    pub incarnation: ::std::string::String,
+    ///name of the sender
+    pub name: ::std::string::String,
+    ///challenge, 32 hexadecimal digits
+    pub nonce: ::std::string::String,
+    ///newest version spoken
+    pub protocol_version: u32,
+}
+///one frame between instances
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum MeshMessage {
+    #[serde(rename = "forward")]
+    Forward(Forward),
+    #[serde(rename = "forward_event")]
+    ForwardEvent(ForwardEvent),
+    #[serde(rename = "cancel_request")]
+    CancelRequest(CancelRequest),
+    #[serde(rename = "dispatch")]
+    Dispatch(Dispatch),
+    #[serde(rename = "dispatch_event")]
+    DispatchEvent(DispatchEvent),
+    #[serde(rename = "cancel_job")]
+    CancelJob(CancelJob),
+    #[serde(rename = "release_pull")]
+    ReleasePull(ReleasePull),
+    #[serde(rename = "release_push")]
+    ReleasePush(ReleasePush),
+    #[serde(rename = "load")]
+    Load(LoadReport),
+    #[serde(rename = "status_pull")]
+    StatusPull(StatusPull),
+    #[serde(rename = "status_push")]
+    StatusPush(StatusPush),
+    #[serde(rename = "timeline_pull")]
+    TimelinePull(TimelinePull),
+    #[serde(rename = "timeline_push")]
+    TimelinePush(TimelinePush),
+    #[serde(rename = "poison")]
+    Poison(PoisonHeld),
+    #[serde(rename = "slot_moved")]
+    SlotMoved(SlotMoved),
+}
+impl ::std::convert::From<Forward> for MeshMessage {
+    fn from(value: Forward) -> Self {
+        Self::Forward(value)
+    }
+}
+impl ::std::convert::From<ForwardEvent> for MeshMessage {
+    fn from(value: ForwardEvent) -> Self {
+        Self::ForwardEvent(value)
+    }
+}
+impl ::std::convert::From<CancelRequest> for MeshMessage {
+    fn from(value: CancelRequest) -> Self {
+        Self::CancelRequest(value)
+    }
+}
+impl ::std::convert::From<Dispatch> for MeshMessage {
+    fn from(value: Dispatch) -> Self {
+        Self::Dispatch(value)
+    }
+}
+impl ::std::convert::From<DispatchEvent> for MeshMessage {
+    fn from(value: DispatchEvent) -> Self {
+        Self::DispatchEvent(value)
+    }
+}
+impl ::std::convert::From<CancelJob> for MeshMessage {
+    fn from(value: CancelJob) -> Self {
+        Self::CancelJob(value)
+    }
+}
+impl ::std::convert::From<ReleasePull> for MeshMessage {
+    fn from(value: ReleasePull) -> Self {
+        Self::ReleasePull(value)
+    }
+}
+impl ::std::convert::From<ReleasePush> for MeshMessage {
+    fn from(value: ReleasePush) -> Self {
+        Self::ReleasePush(value)
+    }
+}
+impl ::std::convert::From<LoadReport> for MeshMessage {
+    fn from(value: LoadReport) -> Self {
+        Self::Load(value)
+    }
+}
+impl ::std::convert::From<StatusPull> for MeshMessage {
+    fn from(value: StatusPull) -> Self {
+        Self::StatusPull(value)
+    }
+}
+impl ::std::convert::From<StatusPush> for MeshMessage {
+    fn from(value: StatusPush) -> Self {
+        Self::StatusPush(value)
+    }
+}
+impl ::std::convert::From<TimelinePull> for MeshMessage {
+    fn from(value: TimelinePull) -> Self {
+        Self::TimelinePull(value)
+    }
+}
+impl ::std::convert::From<TimelinePush> for MeshMessage {
+    fn from(value: TimelinePush) -> Self {
+        Self::TimelinePush(value)
+    }
+}
+impl ::std::convert::From<PoisonHeld> for MeshMessage {
+    fn from(value: PoisonHeld) -> Self {
+        Self::Poison(value)
+    }
+}
+impl ::std::convert::From<SlotMoved> for MeshMessage {
+    fn from(value: SlotMoved) -> Self {
+        Self::SlotMoved(value)
+    }
+}
+///answer to a challenge
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MeshProof {
+    ///keyed BLAKE3 of both challenges, as hexadecimal digits
+    pub proof: ::std::string::String,
+}
+///a model that engines serve
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ModelEntry {
+    ///whether its engines refuse orders with an old fencing number
+    #[serde(default)]
+    pub checks_fencing: bool,
+    ///longest prompt and answer together
+    #[serde(default = "defaults::default_u64::<u64, 400000>")]
+    pub context_tokens: u64,
+    ///name of the model
+    pub id: ::std::string::String,
+}
+///opens a program
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OpenBody {
+    ///agent program to run
+    pub agent_program: ::std::string::String,
+    ///budget of this run, at most that of the agent program
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub budget_tokens: ::std::option::Option<u64>,
+    ///program that this one is a sub-agent of
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub parent: ::std::option::Option<::std::string::String>,
+    ///identifier chosen by the caller; a repeat opens nothing new
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub program: ::std::option::Option<::std::string::String>,
+}
+///answer to an open request
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Opened {
+    ///budget of the run
+    pub budget_tokens: u64,
+    pub history: HistoryState,
+    ///identifier
+    pub program: ::std::string::String,
+    ///spent so far
+    pub spent_tokens: u64,
+}
+///a program was opened
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OpenedRecord {
+    ///agent program
+    pub agent_program: ::std::string::String,
+    ///reserved for the first turn
+    pub allowance_tokens: u64,
+    ///budget
+    pub budget_tokens: u64,
+    ///deadline
+    pub deadline_unix_ms: u64,
+    ///most turns
+    pub max_turns: u32,
+    ///model
+    pub model: ::std::string::String,
+    ///parent
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub parent: ::std::option::Option<::std::string::String>,
+    ///program
+    pub program: ::std::string::String,
+    ///prompt that starts the history
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub system_prompt: ::std::option::Option<::std::string::String>,
+    ///workspace
+    pub workspace: ::std::string::String,
+}
+///a key of an operator, hashed
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OperatorKey {
+    ///BLAKE3 of the key, as 64 hexadecimal digits
+    pub key_hash: ::std::string::String,
+    ///name that appears in the history of releases
+    pub operator: ::std::string::String,
+}
+///an answer, or a piece of one, from the owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum OwnerEvent {
+    #[serde(rename = "token")]
+    Token(Token),
+    #[serde(rename = "opened")]
+    Opened(Opened),
+    #[serde(rename = "turned")]
+    Turned(TurnAnswer),
+    #[serde(rename = "called")]
+    Called(CallAnswer),
+    #[serde(rename = "ended")]
+    Ended(ProgramState),
+    #[serde(rename = "state")]
+    State(ProgramState),
+    #[serde(rename = "problem")]
+    Problem(Problem),
+}
+impl ::std::convert::From<Token> for OwnerEvent {
+    fn from(value: Token) -> Self {
+        Self::Token(value)
+    }
+}
+impl ::std::convert::From<Opened> for OwnerEvent {
+    fn from(value: Opened) -> Self {
+        Self::Opened(value)
+    }
+}
+impl ::std::convert::From<TurnAnswer> for OwnerEvent {
+    fn from(value: TurnAnswer) -> Self {
+        Self::Turned(value)
+    }
+}
+impl ::std::convert::From<CallAnswer> for OwnerEvent {
+    fn from(value: CallAnswer) -> Self {
+        Self::Called(value)
+    }
+}
+impl ::std::convert::From<Problem> for OwnerEvent {
+    fn from(value: Problem) -> Self {
+        Self::Problem(value)
+    }
+}
+///a request for the owner of a program
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum OwnerRequest {
+    #[serde(rename = "open")]
+    Open(ForwardedOpen),
+    #[serde(rename = "turn")]
+    Turn(ForwardedTurn),
+    #[serde(rename = "call")]
+    Call(ForwardedCall),
+    #[serde(rename = "end")]
+    End(ForwardedEnd),
+    #[serde(rename = "state")]
+    State(ForwardedState),
+}
+impl ::std::convert::From<ForwardedOpen> for OwnerRequest {
+    fn from(value: ForwardedOpen) -> Self {
+        Self::Open(value)
+    }
+}
+impl ::std::convert::From<ForwardedTurn> for OwnerRequest {
+    fn from(value: ForwardedTurn) -> Self {
+        Self::Turn(value)
+    }
+}
+impl ::std::convert::From<ForwardedCall> for OwnerRequest {
+    fn from(value: ForwardedCall) -> Self {
+        Self::Call(value)
+    }
+}
+impl ::std::convert::From<ForwardedEnd> for OwnerRequest {
+    fn from(value: ForwardedEnd) -> Self {
+        Self::End(value)
+    }
+}
+impl ::std::convert::From<ForwardedState> for OwnerRequest {
+    fn from(value: ForwardedState) -> Self {
+        Self::State(value)
+    }
+}
+///the object API of the platform
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PlatformSettings {
+    ///IP and port of the object API
+    pub address: ::std::string::String,
+    ///most calls a second this instance makes
+    #[serde(default = "defaults::default_u64::<u32, 60>")]
+    pub calls_per_second: u32,
+    ///how long one call may take, watches excluded
+    #[serde(default = "defaults::default_u64::<u64, 2000>")]
+    pub timeout_ms: u64,
+    ///how long one watch waits
+    #[serde(default = "defaults::default_u64::<u64, 20000>")]
+    pub watch_ms: u64,
+}
+///a content that killed upstreams
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PoisonHeld {
+    ///last change
+    pub changed_unix_ms: u64,
+    ///upstreams that died
+    pub deaths: u32,
+    ///digest of the content
+    pub digest: ::std::string::String,
+    ///whether an operator lifted it
+    pub lifted: bool,
+}
+///asks for a sign of life
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Probe {
+    ///number of the probe
+    pub sequence: u64,
+}
+///a sign of life
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeAck {
+    ///number of the probe
+    pub sequence: u64,
+}
+///asks another member to probe
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeRequest {
+    ///number of the probe
+    pub sequence: u64,
+    ///mesh address of the target
+    pub target: ::std::string::String,
+}
+///a typed refusal (RFC 9457)
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Problem {
+    ///stable code
+    pub code: ::std::string::String,
+    ///a sentence for people
+    pub detail: ::std::string::String,
+    ///what is known of the history
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub known: ::std::option::Option<HistoryState>,
+    ///JSON pointer of the fault
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub place: ::std::option::Option<::std::string::String>,
+    pub ran: Ran,
+    ///when to come back
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_after_ms: ::std::option::Option<u64>,
+    ///HTTP status
+    pub status: u16,
+}
+///how far a program has come
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ProgramPhase {
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "ended")]
+    Ended,
+}
+impl ::std::fmt::Display for ProgramPhase {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Running => f.write_str("running"),
+            Self::Ended => f.write_str("ended"),
+        }
+    }
+}
+impl ::std::str::FromStr for ProgramPhase {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "running" => Ok(Self::Running),
+            "ended" => Ok(Self::Ended),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ProgramPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ProgramPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///state of a program
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProgramState {
+    ///agent program
+    pub agent_program: ::std::string::String,
+    ///budget
+    pub budget_tokens: u64,
+    ///calls of the program
+    pub calls: ::std::vec::Vec<CallAnswer>,
+    ///sub-agents
+    pub children: ::std::vec::Vec<::std::string::String>,
+    ///why it ended
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub ended_reason: ::std::option::Option<::std::string::String>,
+    pub history: HistoryState,
+    ///name of the owning instance
+    pub owner: ::std::string::String,
+    ///parent
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub parent: ::std::option::Option<::std::string::String>,
+    pub phase: ProgramPhase,
+    ///identifier
+    pub program: ::std::string::String,
+    ///reserved and not settled
+    pub reserved_tokens: u64,
+    ///settled
+    pub spent_tokens: u64,
+    ///workspace
+    pub workspace: ::std::string::String,
+}
+///whether a refused request ran
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Ran {
+    #[serde(rename = "not_run")]
+    NotRun,
+    #[serde(rename = "ran")]
+    Ran,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for Ran {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::NotRun => f.write_str("not_run"),
+            Self::Ran => f.write_str("ran"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for Ran {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "not_run" => Ok(Self::NotRun),
+            "ran" => Ok(Self::Ran),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Ran {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Ran {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///one record of the journal
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum Record {
+    #[serde(rename = "opened")]
+    Opened(OpenedRecord),
+    #[serde(rename = "reserved")]
+    Reserved(ReservedRecord),
+    #[serde(rename = "turned")]
+    Turned(TurnedRecord),
+    #[serde(rename = "charged")]
+    Charged(ChargedRecord),
+    #[serde(rename = "intended")]
+    Intended(IntendedRecord),
+    #[serde(rename = "resolved")]
+    Resolved(ResolvedRecord),
+    #[serde(rename = "ended")]
+    Ended(EndedRecord),
+    #[serde(rename = "forgotten")]
+    Forgotten(ForgottenRecord),
+    #[serde(rename = "imaged")]
+    Imaged(ImagedRecord),
+    #[serde(rename = "imaged_messages")]
+    ImagedMessages(ImagedMessagesRecord),
+}
+impl ::std::convert::From<OpenedRecord> for Record {
+    fn from(value: OpenedRecord) -> Self {
+        Self::Opened(value)
+    }
+}
+impl ::std::convert::From<ReservedRecord> for Record {
+    fn from(value: ReservedRecord) -> Self {
+        Self::Reserved(value)
+    }
+}
+impl ::std::convert::From<TurnedRecord> for Record {
+    fn from(value: TurnedRecord) -> Self {
+        Self::Turned(value)
+    }
+}
+impl ::std::convert::From<ChargedRecord> for Record {
+    fn from(value: ChargedRecord) -> Self {
+        Self::Charged(value)
+    }
+}
+impl ::std::convert::From<IntendedRecord> for Record {
+    fn from(value: IntendedRecord) -> Self {
+        Self::Intended(value)
+    }
+}
+impl ::std::convert::From<ResolvedRecord> for Record {
+    fn from(value: ResolvedRecord) -> Self {
+        Self::Resolved(value)
+    }
+}
+impl ::std::convert::From<EndedRecord> for Record {
+    fn from(value: EndedRecord) -> Self {
+        Self::Ended(value)
+    }
+}
+impl ::std::convert::From<ForgottenRecord> for Record {
+    fn from(value: ForgottenRecord) -> Self {
+        Self::Forgotten(value)
+    }
+}
+impl ::std::convert::From<ImagedRecord> for Record {
+    fn from(value: ImagedRecord) -> Self {
+        Self::Imaged(value)
+    }
+}
+impl ::std::convert::From<ImagedMessagesRecord> for Record {
+    fn from(value: ImagedMessagesRecord) -> Self {
+        Self::ImagedMessages(value)
+    }
+}
+///one thing that a release note adds or changes
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum ReleaseEntry {
+    #[serde(rename = "workspace")]
+    Workspace(WorkspaceEntry),
+    #[serde(rename = "agent_program")]
+    AgentProgram(AgentProgramEntry),
+    #[serde(rename = "model")]
+    Model(ModelEntry),
+    #[serde(rename = "service")]
+    Service(ServiceEntry),
+}
+impl ::std::convert::From<WorkspaceEntry> for ReleaseEntry {
+    fn from(value: WorkspaceEntry) -> Self {
+        Self::Workspace(value)
+    }
+}
+impl ::std::convert::From<AgentProgramEntry> for ReleaseEntry {
+    fn from(value: AgentProgramEntry) -> Self {
+        Self::AgentProgram(value)
+    }
+}
+impl ::std::convert::From<ModelEntry> for ReleaseEntry {
+    fn from(value: ModelEntry) -> Self {
+        Self::Model(value)
+    }
+}
+impl ::std::convert::From<ServiceEntry> for ReleaseEntry {
+    fn from(value: ServiceEntry) -> Self {
+        Self::Service(value)
+    }
+}
+///what an operator adds, changes and withdraws
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseNote {
+    ///entries that must not exist yet
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub added: ::std::vec::Vec<ReleaseEntry>,
+    ///version of the configuration that the note was written against
+    pub against_version: u64,
+    ///entries that must exist; each replaces the old one
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub changed: ::std::vec::Vec<ReleaseEntry>,
+    ///one line for the history
+    #[serde(default)]
+    pub summary: ::std::string::String,
+    ///entries that must exist and go
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub withdrawn: ::std::vec::Vec<EntryName>,
+}
+///asks for the releases after a version
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleasePull {
+    ///newest version known
+    pub after_version: u64,
+    ///number of the question
+    pub id: u64,
+}
+///releases in order
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleasePush {
+    ///number of the question, 0 without one
+    pub id: u64,
+    ///newest version that the sender knows
+    pub latest_version: u64,
+    ///releases
+    pub releases: ::std::vec::Vec<AcceptedRelease>,
+}
+///what a dispatcher knows of its replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReplicaLoad {
+    ///age of the reading
+    pub age_ms: u64,
+    ///requests waiting
+    pub queued: u32,
+    ///uncached prompt tokens waiting
+    pub queued_tokens: u64,
+    ///replica
+    pub replica: ::std::string::String,
+    ///requests inside
+    pub running: u32,
+    ///limit in force
+    pub window: u32,
+}
+///tokens are reserved for a turn
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReservedRecord {
+    ///reserved from now on, instead of what was reserved before
+    pub allowance_tokens: u64,
+    ///program
+    pub program: ::std::string::String,
+    ///turn
+    pub turn: u32,
+}
+///a call has an outcome
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ResolvedRecord {
+    ///answer
+    pub body: ::serde_json::Value,
+    ///call
+    pub call: ::std::string::String,
+    ///program
+    pub program: ::std::string::String,
+    pub state: CallState,
+    ///HTTP status
+    pub status: u16,
+}
+///who speaks
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Role {
+    #[serde(rename = "system")]
+    System,
+    #[serde(rename = "developer")]
+    Developer,
+    #[serde(rename = "user")]
+    User,
+    #[serde(rename = "assistant")]
+    Assistant,
+    #[serde(rename = "tool")]
+    Tool,
+}
+impl ::std::fmt::Display for Role {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::System => f.write_str("system"),
+            Self::Developer => f.write_str("developer"),
+            Self::User => f.write_str("user"),
+            Self::Assistant => f.write_str("assistant"),
+            Self::Tool => f.write_str("tool"),
+        }
+    }
+}
+impl ::std::str::FromStr for Role {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "system" => Ok(Self::System),
+            "developer" => Ok(Self::Developer),
+            "user" => Ok(Self::User),
+            "assistant" => Ok(Self::Assistant),
+            "tool" => Ok(Self::Tool),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///ends a journal
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Seal {
+    ///incarnation that sealed it
+    pub by: ::std::string::String,
+}
+///a plain service
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ServiceEntry {
+    ///whether it refuses orders with an old fencing number
+    #[serde(default)]
+    pub checks_fencing: bool,
+    ///whether it answers look-ups by request id
+    #[serde(default)]
+    pub finds_by_key: bool,
+    ///name of the service
+    pub id: ::std::string::String,
+    ///how long one call may take
+    #[serde(default = "defaults::default_u64::<u64, 30000>")]
+    pub timeout_ms: u64,
+}
+///settings of one instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub cluster: ClusterSettings,
+    ///queues before the upstreams
+    #[serde(default = "defaults::settings_dispatch")]
+    pub dispatch: DispatchSettings,
+    pub instance: InstanceSettings,
+    ///bounds of the callers' and operators' doors
+    #[serde(default = "defaults::settings_limits")]
+    pub limits: LimitSettings,
+    pub listen: ListenSettings,
+    ///log lines
+    #[serde(default = "defaults::settings_log")]
+    pub log: LogSettings,
+    ///probing between instances
+    #[serde(default = "defaults::settings_membership")]
+    pub membership: MembershipSettings,
+    ///keys that open the administration API
+    pub operator_keys: ::std::vec::Vec<OperatorKey>,
+    pub platform: PlatformSettings,
+    ///journal and ownership
+    #[serde(default = "defaults::settings_state")]
+    pub state: StateSettings,
+    ///worker threads
+    #[serde(default = "defaults::default_u64::<u32, 2>")]
+    pub thread_count: u32,
+}
+///a slot has a new owner
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SlotMoved {
+    ///epoch
+    pub epoch: u64,
+    ///incarnation of the owner
+    pub owner: ::std::string::String,
+    ///slot
+    pub slot: u32,
+}
+///who owns a slot
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SlotObject {
+    ///grows with each change
+    pub epoch: u64,
+    ///incarnation of the owner
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub owner: ::std::option::Option<::std::string::String>,
+    ///journals that the owner has not yet copied into its own, oldest first
+    pub sources: ::std::vec::Vec<JournalSource>,
+}
+///journal and ownership
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StateSettings {
+    ///tokens reserved for the next turn together with the record of the last
+    #[serde(default = "defaults::default_u64::<u64, 4096>")]
+    pub allowance_tokens: u64,
+    ///journal size since the last snapshot that starts a new one
+    #[serde(default = "defaults::default_u64::<u64, 67108864>")]
+    pub compact_bytes: u64,
+    ///journal entries since the last snapshot that start a new one
+    #[serde(default = "defaults::default_u64::<u32, 2000>")]
+    pub compact_entries: u32,
+    ///how long the state of an ended program can be read
+    #[serde(default = "defaults::default_u64::<u64, 600000>")]
+    pub ended_keep_ms: u64,
+    ///least time between two commits to the journal
+    #[serde(default = "defaults::default_u64::<u64, 5>")]
+    pub gather_ms: u64,
+    ///how long the view of members stays unchanged before slots move
+    #[serde(default = "defaults::default_u64::<u64, 1500>")]
+    pub handover_delay_ms: u64,
+    ///largest journal entry; the platform holds values up to a megabyte
+    #[serde(default = "defaults::default_u64::<u64, 786432>")]
+    pub max_entry_bytes: u64,
+    ///how long an owner stays dead before a takeover is tried
+    #[serde(default = "defaults::default_u64::<u64, 300>")]
+    pub takeover_delay_ms: u64,
+}
+impl ::std::default::Default for StateSettings {
+    fn default() -> Self {
+        Self {
+            allowance_tokens: defaults::default_u64::<u64, 4096>(),
+            compact_bytes: defaults::default_u64::<u64, 67108864>(),
+            compact_entries: defaults::default_u64::<u32, 2000>(),
+            ended_keep_ms: defaults::default_u64::<u64, 600000>(),
+            gather_ms: defaults::default_u64::<u64, 5>(),
+            handover_delay_ms: defaults::default_u64::<u64, 1500>(),
+            max_entry_bytes: defaults::default_u64::<u64, 786432>(),
+            takeover_delay_ms: defaults::default_u64::<u64, 300>(),
+        }
+    }
+}
+///asks for the state of an instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StatusPull {
+    ///number of the question
+    pub id: u64,
+}
+///state of an instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StatusPush {
+    ///number of the question
+    pub id: u64,
+    pub status: InstanceStatus,
+}
+///one event of the time line
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TimelineEvent {
+    ///hybrid time: milliseconds in the upper 48 bits, a counter in the lower 16
+    pub at: u64,
+    ///a sentence
+    pub detail: ::std::string::String,
+    ///instance
+    pub instance: ::std::string::String,
+    ///program
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub program: ::std::option::Option<::std::string::String>,
+    ///what it happened to
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub subject: ::std::option::Option<::std::string::String>,
+    ///what happened
+    pub what: ::std::string::String,
+}
+///asks for events
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TimelinePull {
+    ///number of the question
+    pub id: u64,
+    ///most events
+    pub limit: u32,
+    ///only of this program
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub program: ::std::option::Option<::std::string::String>,
+    ///only of this subject
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub subject: ::std::option::Option<::std::string::String>,
+}
+///events
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TimelinePush {
+    ///events
+    pub events: ::std::vec::Vec<TimelineEvent>,
+    ///number of the question
+    pub id: u64,
+}
+///a piece of a streamed answer
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Token {
+    ///text
+    pub text: ::std::string::String,
+}
+///whole answer of a turn
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TurnAnswer {
+    ///budget of the run
+    pub budget_tokens: u64,
+    ///why the engine stopped
+    pub finish_reason: ::std::string::String,
+    pub history: HistoryState,
+    pub message: ChatMessage,
+    ///identifier
+    pub program: ::std::string::String,
+    ///whether the answer was kept from an earlier request
+    pub replayed: bool,
+    ///spent so far, sub-agents included
+    pub spent_tokens: u64,
+    ///number of the turn
+    pub turn: u32,
+    pub usage: Usage,
+}
+///asks for the next turn
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TurnBody {
+    ///digest of the history that the new messages extend; without it `messages` is the whole list
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub extends: ::std::option::Option<::std::string::String>,
+    ///most tokens to generate
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub max_tokens: ::std::option::Option<u64>,
+    ///new messages, or the whole list
+    pub messages: ::std::vec::Vec<ChatMessage>,
+    ///whether to send tokens as they come
+    #[serde(default)]
+    pub stream: bool,
+    ///sampling temperature
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub temperature: ::std::option::Option<f64>,
+    ///number of the turn, from 1
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub turn: ::std::option::Option<u32>,
+}
+///one turn for a replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TurnJob {
+    ///attempt number
+    pub attempt: u32,
+    ///estimated tokens in the replica's cache
+    pub cached_tokens: u64,
+    ///digest of the content
+    pub content_digest: ::std::string::String,
+    ///how long the turn may still take
+    pub deadline_ms: u64,
+    ///most tokens to generate
+    pub max_tokens: u64,
+    ///whole prompt
+    pub messages: ::std::vec::Vec<ChatMessage>,
+    ///model
+    pub model: ::std::string::String,
+    ///program
+    pub program: ::std::string::String,
+    ///what the program has used so far
+    pub program_service_tokens: u64,
+    ///estimated tokens of the prompt
+    pub prompt_tokens: u64,
+    ///replica that the owner chose
+    pub replica: ::std::string::String,
+    ///turn
+    pub turn: u32,
+    ///how long the turn has waited before
+    pub waited_ms: u64,
+    ///workspace
+    pub workspace: ::std::string::String,
+}
+///a turn was answered
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TurnedRecord {
+    ///reserved for the next turn
+    pub allowance_tokens: u64,
+    pub answer: ChatMessage,
+    ///charged to the budget
+    pub charged_tokens: u64,
+    ///why the engine stopped
+    pub finish_reason: ::std::string::String,
+    ///new messages
+    pub messages: ::std::vec::Vec<ChatMessage>,
+    ///program
+    pub program: ::std::string::String,
+    ///digest of the request
+    pub request_digest: ::std::string::String,
+    ///turn
+    pub turn: u32,
+    pub usage: Usage,
+}
+///tokens of one turn
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct Usage {
+    ///prompt tokens found in the replica's cache
+    pub cached_tokens: u64,
+    ///generated tokens
+    pub completion_tokens: u64,
+    ///tokens of the prompt
+    pub prompt_tokens: u64,
+}
+///a workspace: one customer's programs and their standing
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct WorkspaceEntry {
+    ///name of the workspace
+    pub id: ::std::string::String,
+    ///BLAKE3 of each key in force, as hexadecimal digits; two overlap during a rotation
+    pub key_hashes: ::std::vec::Vec<::std::string::String>,
+    ///programs that may run at once
+    #[serde(default = "defaults::default_u64::<u32, 100000>")]
+    pub max_running: u32,
+    ///share of the engines relative to other workspaces
+    #[serde(default = "defaults::default_u64::<u32, 100>")]
+    pub weight: u32,
+}
+/// Generation of default values for serde.
+pub mod defaults {
+    pub(super) fn default_bool<const V: bool>() -> bool {
+        V
+    }
+    pub(super) fn default_u64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<u64>,
+        <T as ::std::convert::TryFrom<u64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
+    pub(super) fn end_body_reason() -> ::std::string::String {
+        "finished".to_string()
+    }
+    pub(super) fn log_settings_format() -> super::LogFormat {
+        super::LogFormat::Terminal
+    }
+    pub(super) fn log_settings_level() -> super::LogLevel {
+        super::LogLevel::Info
+    }
+    pub(super) fn settings_dispatch() -> super::DispatchSettings {
+        super::DispatchSettings {
+            first_token_target_ms: Default::default(),
+            initial_window: Default::default(),
+            load_poll_ms: Default::default(),
+            max_queue_ms: Default::default(),
+            max_window: Default::default(),
+            retry_share_percent: Default::default(),
+            token_gap_target_ms: Default::default(),
+        }
+    }
+    pub(super) fn settings_limits() -> super::LimitSettings {
+        super::LimitSettings {
+            body_timeout_ms: Default::default(),
+            drain_timeout_ms: Default::default(),
+            head_timeout_ms: Default::default(),
+            max_body_bytes: Default::default(),
+            max_connections: Default::default(),
+            max_messages: Default::default(),
+            max_turn_bytes: Default::default(),
+            request_timeout_ms: Default::default(),
+        }
+    }
+    pub(super) fn settings_log() -> super::LogSettings {
+        super::LogSettings {
+            format: Default::default(),
+            level: Default::default(),
+        }
+    }
+    pub(super) fn settings_membership() -> super::MembershipSettings {
+        super::MembershipSettings {
+            max_bytes_per_second: Default::default(),
+            probe_ms: Default::default(),
+            probe_timeout_ms: Default::default(),
+            suspicion_ms: Default::default(),
+        }
+    }
+    pub(super) fn settings_state() -> super::StateSettings {
+        super::StateSettings {
+            allowance_tokens: Default::default(),
+            compact_bytes: Default::default(),
+            compact_entries: Default::default(),
+            ended_keep_ms: Default::default(),
+            gather_ms: Default::default(),
+            handover_delay_ms: Default::default(),
+            max_entry_bytes: Default::default(),
+            takeover_delay_ms: Default::default(),
+        }
+    }
+}
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/src/timeline/mod.rs
@@ -0,0 +1,8 @@
+//! the time line: a bounded ring of events stamped by a hybrid clock. Owns the ring of this process.
+
+mod hybrid_clock;
+mod ring;
+
+pub use hybrid_clock::HybridClock;
+pub use ring::Timeline;
+pub use ring::What;
