--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -14,6 +14,7 @@
 
 use crate::ClientError;
 use crate::ReadError;
+use crate::connection::asks_to_close;
 use crate::timeout;
 
 /// the longest line taken from a streamed body.
@@ -51,26 +52,36 @@
     }
 
     /// sends a request that may be repeated; a kept connection that turns out closed is replaced.
-    pub async fn send(&self, peer: SocketAddr, request: Request) -> Result<Exchange, ClientError> {
-        if let Some(socket) = self.pool.take(peer) {
-            let mut copy = Request::new(request.method(), request.url().clone());
-            for (name, values) in &request {
-                copy.insert_header(name.clone(), values);
-            }
-            let mut request = request;
-            let bytes = request
-                .take_body()
-                .into_bytes()
-                .await
-                .map_err(|error| ClientError::NotSent(error.to_string()))?;
-            copy.set_body(bytes.as_slice());
-            if let Ok(exchange) = self.exchange(socket, peer, copy).await {
-                return Ok(exchange);
-            }
-            request.set_body(bytes);
+    pub async fn send(&self, peer: SocketAddr, mut request: Request) -> Result<Exchange, ClientError> {
+        let Some(socket) = self.pool.take(peer) else {
             return self.send_fresh(peer, request).await;
+        };
+        let body = request.take_body().into_bytes().await;
+        let body = body.map_err(|error| ClientError::NotSent(error.to_string()))?;
+        let mut copy = Request::new(request.method(), request.url().clone());
+        for (name, values) in &request {
+            copy.insert_header(name.clone(), values);
+        }
+        copy.set_body(body.as_slice());
+        match self.exchange(socket, peer, copy).await {
+            Ok(exchange) => Ok(exchange),
+            // A silent peer has the request; asking again would only add to its work.
+            Err(Failure::Silent) => Err(Failure::Silent.into()),
+            Err(Failure::Closed(_)) => {
+                request.set_body(body);
+                self.send_fresh(peer, request).await
+            }
+        }
+    }
+
+    /// sends a request once, over a kept connection when there is one that looks open.
+    ///
+    /// A kept connection that closes under the request gives `Broken`, although the peer may have seen nothing.
+    pub async fn send_once(&self, peer: SocketAddr, request: Request) -> Result<Exchange, ClientError> {
+        match self.pool.take(peer) {
+            None => self.send_fresh(peer, request).await,
+            Some(socket) => Ok(self.exchange(socket, peer, request).await?),
         }
-        self.send_fresh(peer, request).await
     }
 
     /// sends a request once, over a new connection, so that an error tells whether bytes went out.
@@ -82,7 +93,7 @@
             Some(Ok(stream)) => stream,
         };
         let _ = stream.get_ref().set_nodelay(true);
-        self.exchange(SharedIo::new(stream), peer, request).await
+        Ok(self.exchange(SharedIo::new(stream), peer, request).await?)
     }
 
     async fn exchange(
@@ -90,26 +101,43 @@
         socket: Socket,
         peer: SocketAddr,
         request: Request,
-    ) -> Result<Exchange, ClientError> {
+    ) -> Result<Exchange, Failure> {
         let limit = Duration::from_millis(self.pool.settings.silence_timeout_ms);
-        let sent = timeout(limit, async_h1::connect(socket.clone(), request)).await;
-        let response = match sent {
-            None => return Err(ClientError::Broken("the peer stayed silent".to_owned())),
-            Some(Err(error)) => return Err(ClientError::Broken(error.to_string())),
+        let response = match timeout(limit, async_h1::connect(socket.clone(), request)).await {
+            None => return Err(Failure::Silent),
+            Some(Err(error)) => return Err(Failure::Closed(error.to_string())),
             Some(Ok(response)) => response,
         };
         let announced = response.len();
-        let chunked = response.header("transfer-encoding").is_some();
+        let coding = response.header("transfer-encoding").map(|value| value.last().as_str());
+        let chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
         if announced.is_none() && !chunked {
-            return Err(ClientError::Broken("the response has neither length nor chunked coding".to_owned()));
+            let why = "the response has neither length nor chunked coding";
+            return Err(Failure::Closed(why.to_owned()));
         }
-        let closes =
-            response.header("connection").is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
+        let closes = asks_to_close(response.header("connection"));
         let keep = (!closes).then(|| (Arc::clone(&self.pool), socket, peer));
         Ok(Exchange { response, announced, read_bytes: 0, keep, silence: limit })
     }
 }
 
+/// why an exchange brought no head.
+enum Failure {
+    /// the connection closed, or what came over it makes no sense.
+    Closed(String),
+    /// the peer did not answer in time.
+    Silent,
+}
+
+impl From<Failure> for ClientError {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Closed(why) => Self::Broken(why),
+            Failure::Silent => Self::Broken("the peer stayed silent".to_owned()),
+        }
+    }
+}
+
 impl Pool {
     fn take(&self, peer: SocketAddr) -> Option<Socket> {
         let mut idle = self.idle.lock().expect("pool lock poisoned");
@@ -158,10 +186,15 @@
         }
         let mut bytes = Vec::with_capacity(self.announced.unwrap_or(0));
         let mut limited = (&mut self.response).take(max_bytes as u64 + 1);
-        match timeout(self.silence, limited.read_to_end(&mut bytes)).await {
-            None => return Err(ReadError::TooSlow),
-            Some(Err(_)) => return Err(ReadError::Broken),
-            Some(Ok(_)) => {}
+        loop {
+            let piece = timeout(self.silence, limited.fill_buf()).await.ok_or(ReadError::TooSlow)?;
+            let piece = piece.map_err(|_| ReadError::Broken)?;
+            if piece.is_empty() {
+                break;
+            }
+            bytes.extend_from_slice(piece);
+            let piece_bytes = piece.len();
+            limited.consume(piece_bytes);
         }
         if bytes.len() > max_bytes {
             return Err(ReadError::TooLarge);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod response;
 mod server;
 mod sse;
+mod token_bucket;
 
 pub use client::Client;
 pub use client::ClientSettings;
@@ -27,3 +28,4 @@
 pub use server::serve;
 pub use sse::SseEvent;
 pub use sse::SseReader;
+pub use token_bucket::TokenBucket;
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -21,6 +21,7 @@
 use crate::Connection;
 use crate::ReadError;
 use crate::Spawner;
+use crate::connection::asks_to_close;
 use crate::json_problem;
 use crate::timeout;
 
@@ -130,15 +131,15 @@
             }
         };
         let method = request.method();
-        let closes =
-            request.header("connection").is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
+        let closes = asks_to_close(request.header("connection"));
         let unread = request.len();
         let incoming = Incoming { request, connection: Connection::new(stream.clone(), peer), limits };
         let response = handler(incoming).await;
         let refused_body = response.status() == StatusCode::PayloadTooLarge;
+        let ends = closes || refused_body || asks_to_close(response.header("connection"));
         write_response(stream, response, method).await?;
         // A body that was refused unread would be taken for the next head.
-        if closes || refused_body {
+        if ends {
             return Ok(());
         }
         if unread != Some(0) {
--- /dev/null
+++ b/crates/standins/src/bin/standin.rs
@@ -0,0 +1,2 @@
+//! thin.
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! stand-in for a model engine.
--- /dev/null
+++ b/crates/standins/src/service/mod.rs
@@ -0,0 +1,1 @@
+//! stand-in for a plain service.
--- /dev/null
+++ b/crates/standins/src/weights/mod.rs
@@ -0,0 +1,1 @@
+//! stand-in for the weight store.
