--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod schema;
 pub mod slots;
 pub mod timeline;
+pub mod upstream;
