--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -103,7 +103,9 @@
         request: Request,
     ) -> Result<Exchange, Failure> {
         let limit = Duration::from_millis(self.pool.settings.silence_timeout_ms);
-        let response = match timeout(limit, async_h1::connect(socket.clone(), request)).await {
+        // The future of async-h1 takes several kilobytes; nested futures would copy it on the stack.
+        let connect = Box::pin(async_h1::connect(socket.clone(), request));
+        let response = match timeout(limit, connect).await {
             None => return Err(Failure::Silent),
             Some(Err(error)) => return Err(Failure::Closed(error.to_string())),
             Some(Ok(response)) => response,
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -117,7 +117,8 @@
     F: Future<Output = Response>,
 {
     loop {
-        let head = async_h1::server::decode(stream.clone());
+        // The future of async-h1 takes several kilobytes; nested futures would copy it on the stack.
+        let head = Box::pin(async_h1::server::decode(stream.clone()));
         let Some(decoded) = timeout(Duration::from_millis(limits.head_timeout_ms), head).await else {
             return Ok(());
         };
--- a/src/upstream/engine_client.rs
+++ b/src/upstream/engine_client.rs
@@ -217,7 +217,8 @@
         body: Option<&Value>,
         limit_ms: u64,
     ) -> Result<T, EngineError> {
-        let attempt = self.exchange(address, method, path, body);
+        // Boxed, so that the futures of callers stay small.
+        let attempt = Box::pin(self.exchange(address, method, path, body));
         let result = match timeout(Duration::from_millis(limit_ms), attempt).await {
             None => Err(EngineError::Broken("the engine did not answer in time".to_owned())),
             Some(result) => result,
