Answer malformed, slow and pipelining callers clearly

Cause: tests/server.rs failed on six kinds of callers: a header value beyond ASCII made http-types panic and closed the connection unanswered; a large body was reset before its 413 was read; a slow head got no answer; a second request in the same packet was lost without a word; a caller that read nothing of its answer kept its connection for ever. Ruled out: a dying worker thread (async-executor catches the panic of a detached task). Change: panics of the decoder are caught and answered 400; a closing connection is drained for a bounded time; 408 once a head has begun; the read-ahead of async-h1 is counted and a pipelining caller is told to close; each piece of an answer must be taken within the body timeout.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod error;
 mod executor;
+mod head_reader;
 mod response;
 mod server;
 mod sse;
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,8 +1,10 @@
 use std::future::Future;
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -12,8 +14,11 @@
 use async_h1::server::Encoder;
 use async_io::Async;
 use async_io::Timer;
+use futures_lite::AsyncRead;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use futures_lite::FutureExt;
+use http_types::Method;
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
@@ -22,18 +27,29 @@
 use crate::ReadError;
 use crate::Spawner;
 use crate::connection::asks_to_close;
+use crate::head_reader::HeadReader;
 use crate::json_problem;
 use crate::timeout;
 
+/// what a caller is told beyond the limit of connections.
+const FULL: &str = "this instance holds as many connections as it accepts; try another address";
+/// bytes of a response written at once.
+const WRITE_PIECE_BYTES: usize = 8 * 1024;
+/// most bytes read from a caller before its connection is closed.
+const MAX_LINGER_BYTES: u64 = 4 * 1024 * 1024;
+/// how long a closing connection waits for its caller.
+const MAX_LINGER: Duration = Duration::from_secs(1);
 /// how long to pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+type Socket = SharedIo<Async<TcpStream>>;
+
 /// limits of one listening address.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
     /// how long a head may take to arrive, idle time of a kept connection included.
     pub head_timeout_ms: u64,
-    /// how long a body may take to arrive.
+    /// how long a body may take to arrive, and the caller to take a piece of the answer.
     pub body_timeout_ms: u64,
     /// the largest body taken.
     pub max_body_bytes: usize,
@@ -91,85 +107,151 @@
         };
         let _ = stream.get_ref().set_nodelay(true);
         let handler = handler.clone();
-        let open_count = Arc::clone(&open_count);
+        let place = Place::take(&open_count, limits.max_connections);
         spawner.detach(async move {
-            let stream = SharedIo::new(stream);
-            if open_count.fetch_add(1, Ordering::Relaxed) < limits.max_connections {
-                let _ = serve_connection(&stream, peer, limits, handler).await;
-            } else {
-                let busy = "this instance holds as many connections as it accepts; try another address";
-                let _ =
-                    write_last(&stream, StatusCode::ServiceUnavailable, "too_many_connections", busy).await;
-            }
-            open_count.fetch_sub(1, Ordering::Relaxed);
+            let connection = Served { stream: SharedIo::new(stream), peer, limits };
+            let _ = match &place {
+                Some(_) => connection.run(handler).await,
+                None => connection.refuse(StatusCode::ServiceUnavailable, "too_many_connections", FULL).await,
+            };
         });
     }
 }
 
-async fn serve_connection<H, F>(
-    stream: &SharedIo<Async<TcpStream>>,
+/// one of the places for connections; it is free again when this is dropped, also after a panic.
+struct Place {
+    open_count: Arc<AtomicUsize>,
+}
+
+impl Place {
+    fn take(open_count: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        let place = Self { open_count: Arc::clone(open_count) };
+        let before = open_count.fetch_add(1, Ordering::Relaxed);
+        (before < limit).then_some(place)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.open_count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// one accepted connection.
+struct Served {
+    stream: Socket,
     peer: SocketAddr,
     limits: ServerLimits,
-    handler: H,
-) -> io::Result<()>
-where
-    H: Fn(Incoming) -> F,
-    F: Future<Output = Response>,
-{
-    loop {
-        // The future of async-h1 takes several kilobytes; nested futures would copy it on the stack.
-        let head = Box::pin(async_h1::server::decode(stream.clone()));
-        let Some(decoded) = timeout(Duration::from_millis(limits.head_timeout_ms), head).await else {
-            return Ok(());
-        };
-        let (request, mut body) = match decoded {
-            Ok(Some(decoded)) => decoded,
-            Ok(None) => return Ok(()),
-            Err(error) if error.downcast_ref::<io::Error>().is_some() => return Ok(()),
-            Err(error) => {
-                return write_last(stream, StatusCode::BadRequest, "malformed_head", &error.to_string())
-                    .await;
-            }
+}
+
+impl Served {
+    /// answers requests in turn until one side closes.
+    async fn run<H, F>(&self, handler: H) -> io::Result<()>
+    where
+        H: Fn(Incoming) -> F,
+        F: Future<Output = Response>,
+    {
+        while self.run_one(&handler).await? {}
+        Ok(())
+    }
+
+    /// answers one request and tells whether another may follow.
+    async fn run_one<H, F>(&self, handler: &H) -> io::Result<bool>
+    where
+        H: Fn(Incoming) -> F,
+        F: Future<Output = Response>,
+    {
+        let reader = HeadReader::new(self.stream.clone());
+        let Some((request, mut body)) = self.head(&reader).await? else {
+            return Ok(false);
         };
         let method = request.method();
-        let closes = asks_to_close(request.header("connection"));
-        let unread = request.len();
-        let incoming = Incoming { request, connection: Connection::new(stream.clone(), peer), limits };
-        let response = handler(incoming).await;
-        let refused_body = response.status() == StatusCode::PayloadTooLarge;
-        let ends = closes || refused_body || asks_to_close(response.header("connection"));
-        write_response(stream, response, method).await?;
+        let mut ends = asks_to_close(request.header("connection"));
+        let announced = request.len();
+        let connection = Connection::new(self.stream.clone(), self.peer);
+        let mut response = handler(Incoming { request, connection, limits: self.limits }).await;
+        ends |= asks_to_close(response.header("connection"));
         // A body that was refused unread would be taken for the next head.
+        ends |= response.status() == StatusCode::PayloadTooLarge;
+        ends |= announced.is_some_and(|length| reader.has_read_beyond(length as u64));
         if ends {
-            return Ok(());
+            response.insert_header("connection", "close");
         }
-        if unread != Some(0) {
-            let drain = futures_lite::io::copy(&mut body, futures_lite::io::sink());
-            let Some(Ok(_)) = timeout(Duration::from_millis(limits.body_timeout_ms), drain).await else {
-                return Ok(());
-            };
+        self.write(response, method).await?;
+        if !ends && announced != Some(0) {
+            ends = !self.drain(&mut body).await;
         }
+        if ends {
+            self.close().await;
+        }
+        Ok(!ends)
     }
-}
 
-async fn write_response(
-    stream: &SharedIo<Async<TcpStream>>,
-    response: Response,
-    method: http_types::Method,
-) -> io::Result<()> {
-    let mut stream = stream.clone();
-    let mut encoder = Encoder::new(response, method);
-    futures_lite::io::copy(&mut encoder, &mut stream).await?;
-    stream.flush().await
-}
+    /// reads a head; one that makes no sense is answered, and `None` ends the connection.
+    async fn head(
+        &self,
+        reader: &HeadReader,
+    ) -> io::Result<Option<(Request, impl AsyncRead + Unpin + use<>)>> {
+        // The future of async-h1 takes several kilobytes; nested futures would copy it on the stack.
+        let decode = Box::pin(async_h1::server::decode(reader.clone()));
+        // A header value that is not ASCII makes http-types panic.
+        let decode = AssertUnwindSafe(decode).catch_unwind();
+        let Some(decoded) = timeout(Duration::from_millis(self.limits.head_timeout_ms), decode).await else {
+            if reader.has_begun() {
+                let why = "the head of the request did not arrive in time";
+                self.refuse(StatusCode::RequestTimeout, "slow_head", why).await?;
+            }
+            return Ok(None);
+        };
+        let why = match decoded {
+            Ok(Ok(decoded)) => return Ok(decoded),
+            Ok(Err(error)) if error.downcast_ref::<io::Error>().is_some() => return Ok(None),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "a header is not ASCII text".to_owned(),
+        };
+        self.refuse(StatusCode::BadRequest, "malformed_head", &why).await?;
+        Ok(None)
+    }
+
+    /// reads what the handler left of a body; false when that takes too long or too much.
+    async fn drain(&self, body: &mut (impl AsyncRead + Unpin)) -> bool {
+        let limit = self.limits.max_body_bytes as u64 + 1;
+        let drain = futures_lite::io::copy(body.take(limit), futures_lite::io::sink());
+        let drained = timeout(Duration::from_millis(self.limits.body_timeout_ms), drain).await;
+        matches!(drained, Some(Ok(drained_bytes)) if drained_bytes < limit)
+    }
+
+    /// writes a response; a caller that takes nothing of it for too long is given up.
+    async fn write(&self, response: Response, method: Method) -> io::Result<()> {
+        let limit = Duration::from_millis(self.limits.body_timeout_ms);
+        let mut stream = self.stream.clone();
+        let mut encoder = Encoder::new(response, method);
+        let mut piece = vec![0; WRITE_PIECE_BYTES];
+        loop {
+            let piece_bytes = encoder.read(&mut piece).await?;
+            if piece_bytes == 0 {
+                return stream.flush().await;
+            }
+            let written = timeout(limit, stream.write_all(&piece[..piece_bytes])).await;
+            written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
+        }
+    }
 
-async fn write_last(
-    stream: &SharedIo<Async<TcpStream>>,
-    status: StatusCode,
-    code: &str,
-    detail: &str,
-) -> io::Result<()> {
-    let mut response = json_problem(status, code, detail);
-    response.insert_header("connection", "close");
-    write_response(stream, response, http_types::Method::Get).await
+    /// answers with a problem and closes.
+    async fn refuse(&self, status: StatusCode, code: &str, detail: &str) -> io::Result<()> {
+        let mut response = json_problem(status, code, detail);
+        response.insert_header("connection", "close");
+        self.write(response, Method::Get).await?;
+        self.close().await;
+        Ok(())
+    }
+
+    /// closes after reading what is still on its way; closing with unread bytes would reset the connection
+    /// and could take the answer with it.
+    async fn close(&self) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let unread = self.stream.clone().take(MAX_LINGER_BYTES);
+        let drain = futures_lite::io::copy(unread, futures_lite::io::sink());
+        let _ = timeout(MAX_LINGER, drain).await;
+    }
 }
