Add releases, settings, command lines and telemetry

Cause: instances need a configuration that only grows, checked settings and typed command lines. Ruled out: a single head object with all recent releases, which makes every acceptance a large write.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds everything; the programs `flamingostand` and `flamingoctl` are thin.
 //! Decisions are plain state machines; sockets, clocks and random sources stay at the edges.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod dispatch;
@@ -15,5 +16,7 @@
 pub mod release;
 pub mod rendezvous;
 pub mod schema;
+pub mod settings;
 pub mod slots;
+pub mod telemetry;
 pub mod timeline;
--- /dev/null
+++ b/src/release/core.rs
@@ -0,0 +1,185 @@
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::Incarnation;
+use crate::member::Member;
+use crate::member::MemberView;
+use crate::platform::Object;
+use crate::platform::PlatformRequest;
+use crate::release::Book;
+use crate::release::ReleaseAction;
+use crate::release::codec;
+use crate::release::keys;
+use crate::schema::AcceptedRelease;
+
+/// releases in one page of the platform's list.
+const PAGE_RELEASES: usize = 200;
+
+/// first delay after a failed call.
+const BACKOFF_MS: u64 = 200;
+
+/// longest delay after failed calls.
+const MAX_BACKOFF_MS: u64 = 10_000;
+
+/// what a page of releases was good for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PageUse {
+    /// it holds nothing new, or releases that follow in order.
+    InOrder,
+    /// releases are missing in it; the newest snapshot is needed.
+    Gap,
+}
+
+/// what the parts of `Releases` share.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) me: Incarnation,
+    pub(super) view: Option<Arc<MemberView>>,
+    pub(super) book: Book,
+    pub(super) newest_seen: u64,
+    pub(super) now_ms: u64,
+    pub(super) out: Vec<ReleaseAction>,
+    pub(super) fresh: Vec<AcceptedRelease>,
+    last_call: u64,
+}
+
+impl Core {
+    pub(super) fn new(me: Incarnation) -> Self {
+        Self {
+            me,
+            view: None,
+            book: Book::default(),
+            newest_seen: 0,
+            now_ms: 0,
+            out: Vec::new(),
+            fresh: Vec::new(),
+            last_call: 0,
+        }
+    }
+
+    pub(super) fn version(&self) -> u64 {
+        self.book.version()
+    }
+
+    pub(super) fn is_behind(&self) -> bool {
+        self.version() < self.newest_seen
+    }
+
+    pub(super) fn saw(&mut self, version: u64) {
+        self.newest_seen = self.newest_seen.max(version);
+    }
+
+    /// asks the platform; the number names the call in its result.
+    pub(super) fn call(&mut self, request: PlatformRequest) -> u64 {
+        self.last_call += 1;
+        let call = self.last_call;
+        self.out.push(ReleaseAction::Platform { call, request });
+        call
+    }
+
+    /// asks for the releases after the newest one known here.
+    pub(super) fn call_for_tail(&mut self) -> u64 {
+        self.call(PlatformRequest::List {
+            prefix: keys::RELEASES.to_owned(),
+            after: keys::release_key(self.version()),
+            limit: PAGE_RELEASES,
+            with_values: true,
+        })
+    }
+
+    /// adds the next release and takes note of it as news.
+    pub(super) fn apply(&mut self, release: AcceptedRelease) -> bool {
+        self.saw(release.version);
+        if !self.book.apply(release.clone()) {
+            return false;
+        }
+        self.fresh.push(release);
+        true
+    }
+
+    /// replaces the book by a newer one; an older one changes nothing.
+    pub(super) fn install(&mut self, book: Book) -> bool {
+        if book.version() <= self.version() {
+            return false;
+        }
+        self.saw(book.version());
+        self.book = book;
+        // What led there is unknown here, so there is nothing to pass on.
+        self.fresh.clear();
+        true
+    }
+
+    /// applies a page of releases, unless one is missing in it.
+    ///
+    /// An object below the retained releases can be a leftover: its writer was paused while the sweep
+    /// removed the real release of that number. The page then shows a gap behind it, so nothing of a
+    /// page with a gap is applied.
+    pub(super) fn apply_page(&mut self, objects: &[Object]) -> PageUse {
+        let mut releases = Vec::new();
+        let mut next = self.version() + 1;
+        for object in objects {
+            let Some(version) = keys::release_version(&object.key) else {
+                continue;
+            };
+            if version < next {
+                continue;
+            }
+            if version > next {
+                self.saw(version);
+                return PageUse::Gap;
+            }
+            next += 1;
+            releases.push(codec::decode::<AcceptedRelease>(&object.value));
+        }
+        for release in releases {
+            let Some(release) = release else {
+                metrics::counter!("release_unreadable_total").increment(1);
+                break;
+            };
+            if !self.apply(release) {
+                break;
+            }
+        }
+        PageUse::InOrder
+    }
+
+    /// delay before the next try after `failures` failed ones, with jitter.
+    pub(super) fn backoff_ms(&self, failures: u32) -> u64 {
+        let delay = (BACKOFF_MS << failures.min(6)).min(MAX_BACKOFF_MS);
+        delay / 2 + self.jitter_ms(u64::from(failures), delay / 2)
+    }
+
+    /// a delay below `range_ms` that differs between instances.
+    pub(super) fn jitter_ms(&self, salt: u64, range_ms: u64) -> u64 {
+        let seed = salt ^ self.now_ms.rotate_left(32);
+        xxh3_64_with_seed(self.me.as_str().as_bytes(), seed) % range_ms.max(1)
+    }
+
+    /// members other than this one that take work.
+    pub(super) fn peers(&self) -> Vec<&Member> {
+        let Some(view) = &self.view else {
+            return Vec::new();
+        };
+        view.members.iter().filter(|member| member.takes_work() && member.incarnation != self.me).collect()
+    }
+
+    /// members of this instance's zone that take work, in their order for `key`, and its own place there.
+    pub(super) fn zone_order(&self, key: &str) -> Option<(usize, Vec<&Member>)> {
+        let view = self.view.as_ref()?;
+        let zone = &view.own()?.zone;
+        let key = format!("{key}/{zone}");
+        let mut order = view.ranked(&key);
+        order.retain(|member| member.zone == *zone);
+        let place = order.iter().position(|member| member.incarnation == self.me)?;
+        Some((place, order))
+    }
+
+    /// tells whether this instance comes first for `key` among all members; alone it does.
+    pub(super) fn is_first(&self, key: &str) -> bool {
+        let Some(view) = &self.view else {
+            return true;
+        };
+        view.proposed(key).is_none_or(|member| member.incarnation == self.me)
+    }
+}
--- /dev/null
+++ b/src/release/diff.rs
@@ -0,0 +1,97 @@
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use strum::Display;
+
+use crate::config::Configuration;
+use crate::config::EntryKey;
+use crate::schema::EntryName;
+use crate::schema::ReleaseEntry;
+use crate::schema::ReleaseNote;
+
+/// what happens to an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ChangeKind {
+    /// it does not exist before.
+    Added,
+    /// it is replaced.
+    Changed,
+    /// it does not exist after.
+    Withdrawn,
+}
+
+/// one field that differs; a missing value is null.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FieldChange {
+    /// name of the field.
+    pub field: String,
+    /// value before.
+    pub before: Value,
+    /// value after.
+    pub after: Value,
+}
+
+/// what a note does to one entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EntryChange {
+    /// what happens.
+    pub change: ChangeKind,
+    /// the entry.
+    pub entry: EntryName,
+    /// fields that differ, by name.
+    pub fields: Vec<FieldChange>,
+}
+
+/// what a note does to a configuration, entry by entry in the order of the note.
+pub fn diff(note: &ReleaseNote, configuration: &Configuration) -> Vec<EntryChange> {
+    let mut changes = Vec::new();
+    for entry in &note.added {
+        changes.push(change(ChangeKind::Added, &EntryKey::from(entry), configuration, Some(entry)));
+    }
+    for entry in &note.changed {
+        changes.push(change(ChangeKind::Changed, &EntryKey::from(entry), configuration, Some(entry)));
+    }
+    for name in &note.withdrawn {
+        changes.push(change(ChangeKind::Withdrawn, &EntryKey::from(name), configuration, None));
+    }
+    changes
+}
+
+fn change(
+    change: ChangeKind,
+    key: &EntryKey,
+    configuration: &Configuration,
+    after: Option<&ReleaseEntry>,
+) -> EntryChange {
+    let before = fields_of(configuration.entry(key).as_ref());
+    let after = fields_of(after);
+    let mut names: Vec<&String> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    let mut fields = Vec::new();
+    for name in names {
+        let (before, after) = (before.get(name), after.get(name));
+        if before == after {
+            continue;
+        }
+        fields.push(FieldChange {
+            field: name.clone(),
+            before: before.cloned().unwrap_or_default(),
+            after: after.cloned().unwrap_or_default(),
+        });
+    }
+    EntryChange { change, entry: key.into(), fields }
+}
+
+/// the fields of an entry below its kind.
+fn fields_of(entry: Option<&ReleaseEntry>) -> serde_json::Map<String, Value> {
+    let Some(Value::Object(outer)) = entry.and_then(|entry| serde_json::to_value(entry).ok()) else {
+        return serde_json::Map::new();
+    };
+    match outer.into_iter().next() {
+        Some((_, Value::Object(fields))) => fields,
+        _ => serde_json::Map::new(),
+    }
+}
--- a/src/release/release_io.rs
+++ b/src/release/release_io.rs
@@ -6,8 +6,9 @@
 use crate::member::MemberView;
 use crate::platform::PlatformRequest;
 use crate::platform::PlatformResult;
-use crate::schema::AcceptedRelease;
 use crate::schema::ReleaseNote;
+use crate::schema::ReleasePull;
+use crate::schema::ReleasePush;
 
 /// what the releases are told.
 #[derive(Clone, Debug)]
@@ -34,19 +35,15 @@
     Pull {
         /// peer.
         peer: Incarnation,
-        /// number of the question.
-        id: u64,
-        /// newest version that the peer knows.
-        after_version: u64,
+        /// the question.
+        pull: ReleasePull,
     },
     /// a peer sends releases.
     Push {
         /// peer.
         peer: Incarnation,
-        /// releases in order.
-        releases: Vec<AcceptedRelease>,
-        /// newest version that the peer knows.
-        latest_version: u64,
+        /// the answer, or news that nobody asked for.
+        push: Box<ReleasePush>,
     },
     /// the members changed; their records say which version is in force there.
     Members(Arc<MemberView>),
@@ -68,19 +65,15 @@
     Pull {
         /// peer.
         peer: Incarnation,
-        /// newest version known here.
-        after_version: u64,
+        /// the question.
+        pull: ReleasePull,
     },
     /// send releases to a peer.
     Push {
         /// peer.
         peer: Incarnation,
-        /// number of the question, 0 without one.
-        id: u64,
-        /// releases in order.
-        releases: Vec<AcceptedRelease>,
-        /// newest version known here.
-        latest_version: u64,
+        /// the answer, or news that nobody asked for.
+        push: Box<ReleasePush>,
     },
     /// a configuration is in force here.
     InForce(Arc<Configuration>),
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1669,6 +1669,14 @@
         Self::Service(value)
     }
 }
+///recognises a repeated note
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseMark {
+    ///digest of the note
+    pub mark: ::std::string::String,
+    ///version that the note made
+    pub version: u64,
+}
 ///what an operator adds, changes and withdraws
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleaseNote {
@@ -1694,16 +1702,28 @@
     pub after_version: u64,
     ///number of the question
     pub id: u64,
+    ///part that is wanted
+    #[serde(default)]
+    pub part: u32,
+    ///snapshot whose next part is wanted, 0 without one
+    #[serde(default)]
+    pub snapshot_version: u64,
 }
 ///releases in order
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleasePush {
+    ///whether the sender has no configuration in force yet
+    #[serde(default)]
+    pub fresh: bool,
     ///number of the question, 0 without one
     pub id: u64,
     ///newest version that the sender knows
     pub latest_version: u64,
     ///releases
     pub releases: ::std::vec::Vec<AcceptedRelease>,
+    ///a part of a snapshot, for a peer that is too far behind
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub snapshot: ::std::vec::Vec<SnapshotPart>,
 }
 ///what a dispatcher knows of its replica
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1881,6 +1901,32 @@
     ///journals that the owner has not yet copied into its own, oldest first
     pub sources: ::std::vec::Vec<JournalSource>,
 }
+///makes a snapshot valid; written after its parts
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SnapshotManifest {
+    ///digest of all parts in order
+    pub digest: ::std::string::String,
+    ///parts of the snapshot
+    pub part_count: u32,
+    ///version of the configuration
+    pub version: u64,
+}
+///part of a whole configuration with its history
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SnapshotPart {
+    ///entries in order
+    pub entries: ::std::vec::Vec<TouchedEntry>,
+    ///notes written against an older version cannot be checked
+    pub floor_version: u64,
+    ///notes accepted lately
+    pub marks: ::std::vec::Vec<ReleaseMark>,
+    ///number of this part, from 0
+    pub part: u32,
+    ///parts of the snapshot
+    pub part_count: u32,
+    ///version of the configuration
+    pub version: u64,
+}
 ///journal and ownership
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StateSettings {
@@ -1982,6 +2028,22 @@
     ///text
     pub text: ::std::string::String,
 }
+///one entry of a configuration, or what is left of a withdrawn one
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TouchedEntry {
+    ///release that added it
+    pub created_version: u64,
+    ///the entry; none after a withdrawal
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub entry: ::std::option::Option<ReleaseEntry>,
+    pub name: EntryName,
+    ///who touched it last
+    pub operator: ::std::string::String,
+    ///when it was touched last
+    pub unix_ms: u64,
+    ///release that touched it last
+    pub version: u64,
+}
 ///whole answer of a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TurnAnswer {
