--- a/src/owner/action.rs
+++ b/src/owner/action.rs
@@ -2,6 +2,7 @@
 
 use crate::platform::PlatformRequest;
 use crate::schema::OwnerEvent;
+use crate::schema::PoisonHeld;
 use crate::schema::TurnJob;
 use crate::slots::SlotTable;
 use crate::timeline::What;
@@ -44,6 +45,20 @@
         /// the call.
         request: ServiceRequest,
     },
+    /// ask a service that finds by key whether a call ran.
+    LookUp {
+        /// number of the question, from the same count as service calls.
+        service: u64,
+        /// the question.
+        request: LookUp,
+    },
+    /// a program ended: engines may drop what they hold for it.
+    Release {
+        /// the program.
+        program: String,
+    },
+    /// tell the other instances of a content that killed an upstream.
+    Poison(PoisonHeld),
     /// the table of slots changed.
     Slots(Arc<SlotTable>),
     /// an event for the time line.
@@ -83,3 +98,12 @@
     /// how long the attempt may take.
     pub timeout_ms: u64,
 }
+
+/// a question to a service that finds by key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LookUp {
+    /// idempotency key of the call.
+    pub call: String,
+    /// service to ask.
+    pub service: String,
+}
--- a/src/owner/input.rs
+++ b/src/owner/input.rs
@@ -5,6 +5,7 @@
 use crate::platform::PlatformResult;
 use crate::schema::JobEvent;
 use crate::schema::OwnerRequest;
+use crate::schema::PoisonHeld;
 
 /// what an owner is told.
 #[derive(Clone, Debug)]
@@ -46,6 +47,15 @@
         /// its outcome.
         outcome: ServiceOutcome,
     },
+    /// a question to a service that finds by key was answered.
+    LookUp {
+        /// number of the question.
+        service: u64,
+        /// the answer.
+        outcome: LookUpOutcome,
+    },
+    /// another instance, or an operator, says which content is held back or lifted.
+    Poison(PoisonHeld),
     /// time passed; sent at least every 20 ms.
     Tick,
     /// this instance is leaving: finish, commit, give the slots away.
@@ -73,3 +83,19 @@
         detail: String,
     },
 }
+
+/// what a service knows of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LookUpOutcome {
+    /// it ran.
+    Found {
+        /// HTTP status.
+        status: u16,
+        /// JSON body.
+        body: serde_json::Value,
+    },
+    /// it did not run and will not, whatever still arrives.
+    NotFound,
+    /// the service did not say.
+    Unavailable,
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -4,8 +4,18 @@
 
 mod action;
 mod input;
+#[allow(clippy::module_inception, reason = "the main type of the module")]
+mod owner;
+mod platform_calls;
+mod poison_store;
+mod settings;
+mod waiting;
 
 pub use action::Action;
+pub use action::LookUp;
 pub use action::ServiceRequest;
 pub use input::Input;
+pub use input::LookUpOutcome;
 pub use input::ServiceOutcome;
+pub use owner::Owner;
+pub use settings::OwnerSettings;
--- /dev/null
+++ b/src/program/outbox.rs
@@ -0,0 +1,51 @@
+use crate::ids::ProgramId;
+use crate::owner::Action;
+use crate::schema::OwnerEvent;
+use crate::schema::Problem;
+use crate::schema::Record;
+use crate::timeline::What;
+
+/// what programs want done: records for the journal, and actions.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// records in their order.
+    pub records: Vec<Record>,
+    /// actions in their order.
+    pub actions: Vec<Action>,
+    /// number of records that the journal already has.
+    pub appended: u64,
+}
+
+impl Outbox {
+    /// an empty outbox before a journal that has `appended` records.
+    pub fn new(appended: u64) -> Self {
+        Self { records: Vec::new(), actions: Vec::new(), appended }
+    }
+
+    /// hands a record to the journal and returns its position.
+    pub fn append(&mut self, record: impl Into<Record>) -> u64 {
+        self.records.push(record.into());
+        self.appended + self.records.len() as u64
+    }
+
+    /// answers a request for good.
+    pub fn answer(&mut self, ticket: u64, event: OwnerEvent) {
+        self.actions.push(Action::Reply { ticket, event, last: true });
+    }
+
+    /// sends a piece of an answer.
+    pub fn piece(&mut self, ticket: u64, event: OwnerEvent) {
+        self.actions.push(Action::Reply { ticket, event, last: false });
+    }
+
+    /// refuses a request.
+    pub fn refuse(&mut self, ticket: u64, problem: Problem) {
+        self.answer(ticket, OwnerEvent::Problem(problem));
+    }
+
+    /// puts an event of a program on the time line.
+    pub fn event(&mut self, what: What, program: &ProgramId, detail: String) {
+        let program = Some(program.to_string());
+        self.actions.push(Action::Event { what, program, subject: None, detail });
+    }
+}
--- /dev/null
+++ b/src/program/programs.rs
@@ -0,0 +1,304 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::clock::Now;
+use crate::config::Configuration;
+use crate::ids::ProgramId;
+use crate::ids::SlotId;
+use crate::owner::Action;
+use crate::program::Outbox;
+use crate::program::Program;
+use crate::program::ProgramLimits;
+use crate::program::SlotPrograms;
+use crate::program::budget::RunBounds;
+use crate::program::poison::Poison;
+use crate::program::refuse;
+use crate::program::snapshot::Compaction;
+use crate::program::timers::Timer;
+use crate::program::timers::Timers;
+use crate::schema::OwnerRequest;
+use crate::schema::PoisonHeld;
+use crate::schema::Problem;
+use crate::schema::Record;
+
+/// all programs whose slots are held here.
+#[derive(Debug)]
+pub struct Programs {
+    pub(super) limits: ProgramLimits,
+    pub(super) name: String,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) slots: BTreeMap<SlotId, SlotPrograms>,
+    pub(super) timers: Timers,
+    pub(super) jobs: BTreeMap<u64, ProgramId>,
+    pub(super) services: BTreeMap<u64, (ProgramId, String)>,
+    pub(super) tickets: BTreeMap<u64, ProgramId>,
+    pub(super) poison: Poison,
+    pub(super) next_number: u64,
+    pub(super) stalled: bool,
+    pub(super) compaction: Option<Compaction>,
+}
+
+impl Programs {
+    /// no programs.
+    pub fn new(limits: ProgramLimits, name: String) -> Self {
+        Self {
+            limits,
+            name,
+            configuration: Arc::default(),
+            slots: BTreeMap::new(),
+            timers: Timers::default(),
+            jobs: BTreeMap::new(),
+            services: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            poison: Poison::default(),
+            next_number: 1,
+            stalled: false,
+            compaction: None,
+        }
+    }
+
+    /// takes the configuration in force.
+    pub fn configure(&mut self, now: Now, configuration: Arc<Configuration>) {
+        self.configuration = configuration;
+        let roots: Vec<ProgramId> = self.ids().filter(|id| id.is_root()).collect();
+        for root in roots {
+            self.arm_deadline(now, &root);
+        }
+    }
+
+    /// says whether commits have been failing for longer than a request should wait.
+    pub fn set_stalled(&mut self, stalled: bool) {
+        self.stalled = stalled;
+    }
+
+    /// whether the state of a slot is in memory.
+    pub fn holds(&self, slot: SlotId) -> bool {
+        self.slots.contains_key(&slot)
+    }
+
+    /// programs held.
+    pub fn len(&self) -> usize {
+        self.slots.values().map(|slot| slot.programs.len()).sum()
+    }
+
+    /// whether no program is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// identifiers of all programs held.
+    pub fn ids(&self) -> impl Iterator<Item = ProgramId> + '_ {
+        self.slots.values().flat_map(|slot| slot.programs.keys().cloned())
+    }
+
+    /// the slot of a program.
+    pub fn slot_of(&self, id: &ProgramId) -> SlotId {
+        id.slot(self.limits.slot_count)
+    }
+
+    /// whether a program is held here and has not ended; `None` when its slot is not held.
+    pub fn is_running(&self, id: &ProgramId) -> Option<bool> {
+        let slot = self.slots.get(&self.slot_of(id))?;
+        Some(slot.programs.get(id).is_some_and(|program| !program.is_ending()))
+    }
+
+    /// starts with an empty slot.
+    pub fn open_slot(&mut self, slot: SlotId) {
+        self.slots.entry(slot).or_default();
+    }
+
+    /// holds back new attempts of calls, or lets them go on.
+    pub fn drain(&mut self, now: Now, slot: SlotId, draining: bool, out: &mut Outbox) {
+        let Some(state) = self.slots.get_mut(&slot) else { return };
+        if state.draining == draining {
+            return;
+        }
+        state.draining = draining;
+        if draining {
+            self.release_idle_calls(slot, out);
+        } else {
+            self.arm_slot(now, slot);
+        }
+    }
+
+    /// whether nothing is under way in any slot.
+    pub fn is_all_quiet(&self) -> bool {
+        self.slots.values().all(SlotPrograms::is_quiet)
+    }
+
+    /// whether nothing of a slot is under way that a handover would cut.
+    pub fn is_quiet(&self, slot: SlotId) -> bool {
+        self.slots.get(&slot).is_none_or(SlotPrograms::is_quiet)
+    }
+
+    /// drops the state of a slot that is served elsewhere; returns the tickets that waited.
+    pub fn close_slot(&mut self, slot: SlotId, out: &mut Outbox) -> Vec<u64> {
+        self.slots.remove(&slot);
+        let count = self.limits.slot_count;
+        let mut waited = Vec::new();
+        self.tickets.retain(|ticket, id| {
+            let stays = id.slot(count) != slot;
+            if !stays {
+                waited.push(*ticket);
+            }
+            stays
+        });
+        self.jobs.retain(|job, id| {
+            let stays = id.slot(count) != slot;
+            if !stays {
+                out.actions.push(Action::CancelJob { job: *job });
+            }
+            stays
+        });
+        self.services.retain(|_, (id, _)| id.slot(count) != slot);
+        waited
+    }
+
+    /// takes a request for a slot that is held here.
+    pub fn request(&mut self, now: Now, ticket: u64, request: OwnerRequest, out: &mut Outbox) {
+        let refused = match request {
+            OwnerRequest::Open(open) => self.open(now, ticket, open, out),
+            OwnerRequest::Turn(turn) => self.turn(now, ticket, turn, out),
+            OwnerRequest::Call(call) => self.call(now, ticket, call, out),
+            OwnerRequest::End(end) => self.end(now, ticket, &end, out),
+            OwnerRequest::State(state) => self.state(ticket, &state, out),
+        };
+        if let Err(problem) = refused {
+            metrics::counter!("flamingostand_owner_refusals_total", "code" => problem.code.clone())
+                .increment(1);
+            out.refuse(ticket, *problem);
+        }
+    }
+
+    /// the caller of a request hung up.
+    pub fn cancel(&mut self, now: Now, ticket: u64, out: &mut Outbox) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        let Some(program) = self.program_mut(&id) else { return };
+        if let Some(live) = &mut program.live {
+            for waiting in [&mut live.opening, &mut live.ending].into_iter().flatten() {
+                waiting.retain(|other| *other != ticket);
+            }
+        }
+        for call in program.calls.values_mut() {
+            call.waiters.retain(|other| *other != ticket);
+        }
+        self.cancel_turn(now, &id, ticket, out);
+    }
+
+    /// records were committed, in this order.
+    pub fn committed(&mut self, now: Now, position: u64, records: Vec<Record>, out: &mut Outbox) {
+        let first = position - records.len() as u64 + 1;
+        for (index, record) in records.into_iter().enumerate() {
+            self.record_committed(now, first + index as u64, record, out);
+        }
+    }
+
+    /// time passed.
+    pub fn tick(&mut self, now: Now, out: &mut Outbox) {
+        for timer in self.timers.take_due(now.ms) {
+            match timer {
+                Timer::Deadline(id) => self.deadline_due(now, &id, out),
+                Timer::Forget(id) => self.forget_due(now, &id, out),
+                Timer::Turn(id) => self.turn_due(now, &id, out),
+                Timer::Call(id, call) => self.call_due(now, &id, &call, out),
+            }
+        }
+    }
+
+    /// news of a content that killed upstreams.
+    pub fn learn_poison(&mut self, news: &PoisonHeld) {
+        self.poison.learn(news);
+    }
+
+    /// contents that are held back or were.
+    pub fn poison(&self) -> Vec<PoisonHeld> {
+        self.poison.contents().cloned().collect()
+    }
+
+    fn record_committed(&mut self, now: Now, position: u64, record: Record, out: &mut Outbox) {
+        match record {
+            Record::Opened(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                self.note_commit(&id);
+                self.open_committed(&id, out);
+            }
+            Record::Reserved(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                self.note_commit(&id);
+                self.reserve_committed(now, &id, position, out);
+            }
+            Record::Turned(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                self.turn_committed(now, &id, &record, out);
+                self.note_commit(&id);
+            }
+            Record::Charged(record) => self.note_commit(&ProgramId::from(record.program.as_str())),
+            Record::Intended(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                self.note_commit(&id);
+                self.intent_committed(now, &id, &record.call, out);
+            }
+            Record::Resolved(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                self.note_commit(&id);
+                self.outcome_committed(now, &id, record, out);
+            }
+            Record::Ended(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                self.note_commit(&id);
+                self.end_committed(now, &id, record, out);
+            }
+            Record::Forgotten(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                let slot = self.slot_of(&id);
+                if let Some(state) = self.slots.get_mut(&slot) {
+                    state.programs.remove(&id);
+                }
+            }
+            Record::Imaged(_) | Record::ImagedMessages(_) | Record::Adopted(_) => {}
+        }
+    }
+
+    fn note_commit(&mut self, id: &ProgramId) {
+        if let Some(program) = self.program_mut(id) {
+            program.record_committed();
+        }
+    }
+
+    /// hands a record of a program to the journal.
+    pub(super) fn append(&mut self, id: &ProgramId, record: impl Into<Record>, out: &mut Outbox) -> u64 {
+        if let Some(program) = self.program_mut(id) {
+            program.record_appended();
+        }
+        out.append(record)
+    }
+
+    pub(super) fn program(&self, id: &ProgramId) -> Option<&Program> {
+        self.slots.get(&self.slot_of(id))?.programs.get(id)
+    }
+
+    pub(super) fn program_mut(&mut self, id: &ProgramId) -> Option<&mut Program> {
+        let slot = self.slot_of(id);
+        self.slots.get_mut(&slot)?.programs.get_mut(id)
+    }
+
+    /// finds a program for a caller; another workspace's program is as unknown as none.
+    pub(super) fn find(&self, id: &ProgramId, workspace: &str) -> Result<&Program, Box<Problem>> {
+        match self.program(id) {
+            Some(program) if program.opened.workspace == workspace => Ok(program),
+            _ => Err(Box::new(refuse(404, "unknown_program", format!("no program {id} in this workspace")))),
+        }
+    }
+
+    /// bounds in force for the run that `id` belongs to.
+    pub(super) fn bounds(&self, id: &ProgramId) -> Option<RunBounds> {
+        let root = self.program(&id.root())?;
+        Some(RunBounds::new(&root.opened, &self.configuration))
+    }
+
+    /// the next number of a job or service call.
+    pub(super) fn take_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+}
--- /dev/null
+++ b/src/program/requests.rs
@@ -0,0 +1,350 @@
+use crate::clock::Now;
+use crate::ids::ProgramId;
+use crate::owner::Action;
+use crate::program::Outbox;
+use crate::program::Program;
+use crate::program::Programs;
+use crate::program::refusal::RETRY_OUTAGE_MS;
+use crate::program::refusal::RETRY_SOON_MS;
+use crate::program::refusal::refuse_for;
+use crate::program::refuse;
+use crate::program::timers::Timer;
+use crate::program::tokens::history_tokens;
+use crate::schema::CallAnswer;
+use crate::schema::EndedRecord;
+use crate::schema::ForgottenRecord;
+use crate::schema::ForwardedEnd;
+use crate::schema::ForwardedOpen;
+use crate::schema::ForwardedState;
+use crate::schema::Opened;
+use crate::schema::OpenedRecord;
+use crate::schema::OwnerEvent;
+use crate::schema::Problem;
+use crate::schema::ProgramPhase;
+use crate::schema::ProgramState;
+use crate::timeline::What;
+
+/// outcome of a request's first step.
+pub(super) type Accepted = Result<(), Box<Problem>>;
+
+/// wait before an ended program that is still busy is looked at again.
+const FORGET_RETRY_MS: u64 = 1000;
+
+/// reason of a program that ran out of time.
+const DEADLINE_REASON: &str = "deadline";
+
+impl Programs {
+    pub(super) fn open(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        request: ForwardedOpen,
+        out: &mut Outbox,
+    ) -> Accepted {
+        let id = ProgramId::from(request.program.as_str());
+        if let Some(program) = self.program(&id) {
+            check_same_open(program, &request)?;
+            return self.join_open(&id, ticket, out);
+        }
+        self.check_platform()?;
+        let record = self.opening(now, &id, &request)?;
+        let slot = self.slot_of(&id);
+        if let Some(state) = self.slots.get_mut(&slot) {
+            let mut program = Program::open(record.clone());
+            program.live_mut().opening = Some(vec![ticket]);
+            state.programs.insert(id.clone(), program);
+        }
+        self.tickets.insert(ticket, id.clone());
+        self.append(&id, record, out);
+        self.arm_deadline(now, &id);
+        Ok(())
+    }
+
+    fn join_open(&mut self, id: &ProgramId, ticket: u64, out: &mut Outbox) -> Accepted {
+        if let Some(program) = self.program_mut(id)
+            && let Some(waiting) = program.live.as_mut().and_then(|live| live.opening.as_mut())
+        {
+            waiting.push(ticket);
+            self.tickets.insert(ticket, id.clone());
+            return Ok(());
+        }
+        if let Some(opened) = self.opened_answer(id) {
+            out.answer(ticket, OwnerEvent::Opened(opened));
+        }
+        Ok(())
+    }
+
+    fn opening(
+        &self,
+        now: Now,
+        id: &ProgramId,
+        request: &ForwardedOpen,
+    ) -> Result<OpenedRecord, Box<Problem>> {
+        let body = &request.body;
+        let Some(entry) = self.configuration.agent_program(&request.workspace, &body.agent_program) else {
+            let detail = format!("the workspace has no agent program {}", body.agent_program);
+            return Err(Box::new(refuse(404, "unknown_agent_program", detail)));
+        };
+        let asked = body.budget_tokens.unwrap_or(u64::MAX);
+        let mut record = OpenedRecord {
+            program: request.program.clone(),
+            workspace: request.workspace.clone(),
+            agent_program: body.agent_program.clone(),
+            model: entry.model.clone(),
+            parent: body.parent.clone(),
+            budget_tokens: asked.min(entry.budget_tokens),
+            asked_budget_tokens: body.budget_tokens,
+            max_turns: entry.max_turns,
+            deadline_unix_ms: now.unix_ms.saturating_add(entry.deadline_ms),
+            opened_unix_ms: now.unix_ms,
+            allowance_tokens: 0,
+            system_prompt: entry.system_prompt.clone(),
+        };
+        let prompt_tokens = match Program::open(record.clone()).system_message() {
+            Some(message) => history_tokens(&[message]),
+            None => 0,
+        };
+        let first = prompt_tokens + self.limits.allowance_tokens;
+        let Some(parent) = &body.parent else {
+            if !id.is_root() {
+                let detail = "an identifier with a point belongs to a sub-agent and needs its parent";
+                return Err(Box::new(refuse(400, "invalid_program", detail)));
+            }
+            record.allowance_tokens = first.min(record.budget_tokens);
+            return Ok(record);
+        };
+        let parent = ProgramId::from(parent.as_str());
+        let own_part = id.as_str().strip_prefix(parent.as_str()).and_then(|rest| rest.strip_prefix('.'));
+        if own_part.is_none_or(str::is_empty) {
+            let detail = format!("the identifier of a sub-agent starts with {parent}.");
+            return Err(Box::new(refuse(400, "invalid_program", detail)));
+        }
+        let owner = self.find(&parent, &request.workspace)?;
+        if owner.is_ending() || !owner.is_open() {
+            return Err(Box::new(refuse(409, "program_ended", format!("the parent {parent} has ended"))));
+        }
+        // A parent has a root, and both are in this slot.
+        let Some(bounds) = self.bounds(id) else {
+            return Err(Box::new(refuse(404, "unknown_program", format!("no root of {id}"))));
+        };
+        record.budget_tokens = asked.min(bounds.budget_tokens);
+        record.max_turns = bounds.max_turns;
+        record.deadline_unix_ms = bounds.deadline_unix_ms;
+        let state = &self.slots[&self.slot_of(id)];
+        let free = super::budget::free_tokens(state, id, bounds.budget_tokens);
+        record.allowance_tokens = first.min(free).min(record.budget_tokens);
+        Ok(record)
+    }
+
+    pub(super) fn open_committed(&mut self, id: &ProgramId, out: &mut Outbox) {
+        let Some(program) = self.program_mut(id) else { return };
+        let waiting = program.live.as_mut().and_then(|live| live.opening.take()).unwrap_or_default();
+        program.settle();
+        out.event(What::ProgramOpened, id, String::new());
+        let Some(opened) = self.opened_answer(id) else { return };
+        for ticket in waiting {
+            self.tickets.remove(&ticket);
+            out.answer(ticket, OwnerEvent::Opened(opened.clone()));
+        }
+    }
+
+    fn opened_answer(&self, id: &ProgramId) -> Option<Opened> {
+        let program = self.program(id)?;
+        Some(Opened {
+            program: id.to_string(),
+            history: program.history(),
+            budget_tokens: self.budget_tokens(id),
+            spent_tokens: self.spent_tokens(id),
+        })
+    }
+
+    pub(super) fn end(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        request: &ForwardedEnd,
+        out: &mut Outbox,
+    ) -> Accepted {
+        let id = ProgramId::from(request.program.as_str());
+        let program = self.find(&id, &request.workspace)?;
+        if program.ended.is_some() {
+            if let Some(state) = self.program_state(&id) {
+                out.answer(ticket, OwnerEvent::Ended(state));
+            }
+            return Ok(());
+        }
+        if !program.is_ending() {
+            self.check_platform()?;
+            self.end_family(now, &id, &request.reason, out);
+        }
+        if let Some(program) = self.program_mut(&id) {
+            program.live_mut().ending.get_or_insert_default().push(ticket);
+            self.tickets.insert(ticket, id);
+        }
+        Ok(())
+    }
+
+    /// ends a program and its sub-agents.
+    fn end_family(&mut self, now: Now, id: &ProgramId, reason: &str, out: &mut Outbox) {
+        let Some(state) = self.slots.get(&self.slot_of(id)) else { return };
+        for member in state.family(id) {
+            self.end_one(now, &member, reason, out);
+        }
+    }
+
+    fn end_one(&mut self, now: Now, id: &ProgramId, reason: &str, out: &mut Outbox) {
+        let Some(program) = self.program_mut(id) else { return };
+        if program.is_ending() {
+            return;
+        }
+        program.live_mut().ending = Some(Vec::new());
+        let record = EndedRecord { program: id.to_string(), reason: reason.to_owned(), unix_ms: now.unix_ms };
+        self.append(id, record, out);
+        self.stop_turn(id, refuse(409, "program_ended", format!("the program ended: {reason}")), out);
+    }
+
+    pub(super) fn end_committed(&mut self, now: Now, id: &ProgramId, record: EndedRecord, out: &mut Outbox) {
+        let Some(program) = self.program_mut(id) else { return };
+        program.ended = Some(record);
+        let waiting = program.live.as_mut().and_then(|live| live.ending.take()).unwrap_or_default();
+        program.settle();
+        out.event(What::ProgramEnded, id, String::new());
+        out.actions.push(Action::Release { program: id.to_string() });
+        self.arm_forget(now, id);
+        let Some(state) = self.program_state(id) else { return };
+        for ticket in waiting {
+            self.tickets.remove(&ticket);
+            out.answer(ticket, OwnerEvent::Ended(state.clone()));
+        }
+    }
+
+    pub(super) fn state(&self, ticket: u64, request: &ForwardedState, out: &mut Outbox) -> Accepted {
+        let id = ProgramId::from(request.program.as_str());
+        if !self.find(&id, &request.workspace)?.is_open() {
+            let detail = "the opening is being committed";
+            return Err(Box::new(refuse_for(409, "opening", detail, RETRY_SOON_MS)));
+        }
+        if let Some(state) = self.program_state(&id) {
+            out.answer(ticket, OwnerEvent::State(state));
+        }
+        Ok(())
+    }
+
+    fn program_state(&self, id: &ProgramId) -> Option<ProgramState> {
+        let program = self.program(id)?;
+        let slot = self.slots.get(&self.slot_of(id))?;
+        let calls: Vec<CallAnswer> = program.calls.values().map(|call| call.answer(false)).collect();
+        Some(ProgramState {
+            program: id.to_string(),
+            workspace: program.opened.workspace.clone(),
+            agent_program: program.opened.agent_program.clone(),
+            phase: if program.ended.is_some() { ProgramPhase::Ended } else { ProgramPhase::Running },
+            history: program.history(),
+            budget_tokens: self.budget_tokens(id),
+            spent_tokens: self.spent_tokens(id),
+            reserved_tokens: slot.reserved_tokens(&id.root()),
+            owner: self.name.clone(),
+            calls,
+            children: slot.children(id).map(|(child, _)| child.to_string()).collect(),
+            parent: program.opened.parent.clone(),
+            ended_reason: program.ended.as_ref().map(|ended| ended.reason.clone()),
+        })
+    }
+
+    /// tokens that the run of `id` has settled.
+    pub(super) fn spent_tokens(&self, id: &ProgramId) -> u64 {
+        self.slots.get(&self.slot_of(id)).map_or(0, |slot| slot.spent_tokens(&id.root()))
+    }
+
+    /// budget in force for the run of `id`.
+    pub(super) fn budget_tokens(&self, id: &ProgramId) -> u64 {
+        self.bounds(id).map_or(0, |bounds| bounds.budget_tokens)
+    }
+
+    /// refuses what would need a commit while commits fail.
+    pub(super) fn check_platform(&self) -> Accepted {
+        if !self.stalled {
+            return Ok(());
+        }
+        let detail = "the platform does not take writes; nothing ran";
+        Err(Box::new(refuse_for(503, "platform_unavailable", detail, RETRY_OUTAGE_MS)))
+    }
+
+    pub(super) fn arm_deadline(&mut self, now: Now, id: &ProgramId) {
+        if !id.is_root() {
+            return;
+        }
+        let Some(bounds) = self.bounds(id) else { return };
+        let left_ms = bounds.deadline_unix_ms.saturating_sub(now.unix_ms);
+        self.timers.set(now.ms.saturating_add(left_ms), Timer::Deadline(id.clone()));
+    }
+
+    pub(super) fn deadline_due(&mut self, now: Now, id: &ProgramId, out: &mut Outbox) {
+        let Some(bounds) = self.bounds(id) else { return };
+        let running = self.program(id).is_some_and(|program| !program.is_ending());
+        if !running {
+            return;
+        }
+        if now.unix_ms < bounds.deadline_unix_ms {
+            self.arm_deadline(now, id);
+            return;
+        }
+        self.end_family(now, id, DEADLINE_REASON, out);
+    }
+
+    pub(super) fn arm_forget(&mut self, now: Now, id: &ProgramId) {
+        let Some(program) = self.program(id) else { return };
+        let Some(ended) = &program.ended else { return };
+        if !id.is_root() {
+            return;
+        }
+        let due_unix_ms = ended.unix_ms.saturating_add(self.limits.ended_keep_ms);
+        let left_ms = due_unix_ms.saturating_sub(now.unix_ms);
+        self.timers.set(now.ms.saturating_add(left_ms), Timer::Forget(id.clone()));
+    }
+
+    pub(super) fn forget_due(&mut self, now: Now, id: &ProgramId, out: &mut Outbox) {
+        let Some(state) = self.slots.get(&self.slot_of(id)) else { return };
+        let Some(program) = state.programs.get(id) else { return };
+        if program.ended.is_none() {
+            return;
+        }
+        let family = state.family(id);
+        let busy = family.iter().any(|member| {
+            let program = &state.programs[member];
+            program.live.is_some() || program.calls.values().any(|call| call.is_open())
+        });
+        if busy || state.draining {
+            self.timers.set(now.ms + FORGET_RETRY_MS, Timer::Forget(id.clone()));
+            return;
+        }
+        for member in family {
+            self.append(&member, ForgottenRecord { program: member.to_string() }, out);
+        }
+    }
+
+    /// sets the timers of all programs of a slot again.
+    pub(super) fn arm_slot(&mut self, now: Now, slot: crate::ids::SlotId) {
+        let Some(state) = self.slots.get(&slot) else { return };
+        let ids: Vec<ProgramId> = state.programs.keys().cloned().collect();
+        for id in ids {
+            self.arm_deadline(now, &id);
+            self.arm_forget(now, &id);
+            self.arm_calls(now, &id);
+        }
+    }
+}
+
+fn check_same_open(program: &Program, request: &ForwardedOpen) -> Accepted {
+    if program.opened.workspace != request.workspace {
+        return Err(Box::new(refuse(409, "program_exists", "the identifier is taken")));
+    }
+    let same = program.opened.agent_program == request.body.agent_program
+        && program.opened.parent == request.body.parent
+        && program.opened.asked_budget_tokens == request.body.budget_tokens;
+    if same {
+        return Ok(());
+    }
+    let detail = "a program with this identifier was opened with other content";
+    Err(Box::new(refuse(409, "program_exists", detail)))
+}
--- /dev/null
+++ b/src/program/tokens.rs
@@ -0,0 +1,42 @@
+use crate::schema::ChatMessage;
+
+/// bytes of a message's JSON that make one token.
+const TOKEN_BYTES: u64 = 4;
+
+/// tokens of one message, as engines count them at most.
+pub fn message_tokens(message: &ChatMessage) -> u64 {
+    json_bytes(message).div_ceil(TOKEN_BYTES)
+}
+
+/// tokens of several messages.
+pub fn history_tokens(messages: &[ChatMessage]) -> u64 {
+    let mut tokens = 0;
+    for message in messages {
+        tokens += message_tokens(message);
+    }
+    tokens
+}
+
+/// bytes of a message's JSON.
+pub(super) fn json_bytes(message: &ChatMessage) -> u64 {
+    let mut counter = ByteCounter { count: 0 };
+    // The counter never fails, and a message always serialises.
+    let _ = serde_json::to_writer(&mut counter, message);
+    counter.count
+}
+
+/// counts bytes in place of keeping them.
+struct ByteCounter {
+    count: u64,
+}
+
+impl std::io::Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.count += bytes.len() as u64;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -13,6 +13,14 @@
     ///version that the note makes
     pub version: u64,
 }
+///this journal holds a slot from here on; what stands before of the slot in this journal does not count
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AdoptedRecord {
+    ///epoch of the slot's object
+    pub epoch: u64,
+    ///slot
+    pub slot: u32,
+}
 ///an agent program that a workspace runs
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct AgentProgramEntry {
@@ -1243,6 +1251,9 @@
     pub agent_program: ::std::string::String,
     ///reserved for the first turn
     pub allowance_tokens: u64,
+    ///budget that the caller asked for; a repeat must ask for the same
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub asked_budget_tokens: ::std::option::Option<u64>,
     ///budget
     pub budget_tokens: u64,
     ///deadline
@@ -1251,6 +1262,9 @@
     pub max_turns: u32,
     ///model
     pub model: ::std::string::String,
+    ///when it was opened
+    #[serde(default)]
+    pub opened_unix_ms: u64,
     ///parent
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub parent: ::std::option::Option<::std::string::String>,
@@ -1586,6 +1600,8 @@
     Imaged(ImagedRecord),
     #[serde(rename = "imaged_messages")]
     ImagedMessages(ImagedMessagesRecord),
+    #[serde(rename = "adopted")]
+    Adopted(AdoptedRecord),
 }
 impl ::std::convert::From<OpenedRecord> for Record {
     fn from(value: OpenedRecord) -> Self {
@@ -1637,6 +1653,11 @@
         Self::ImagedMessages(value)
     }
 }
+impl ::std::convert::From<AdoptedRecord> for Record {
+    fn from(value: AdoptedRecord) -> Self {
+        Self::Adopted(value)
+    }
+}
 ///one thing that a release note adds or changes
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ReleaseEntry {
@@ -1878,6 +1899,9 @@
     ///incarnation of the owner
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub owner: ::std::option::Option<::std::string::String>,
+    ///name of the owning instance; a newer incarnation of the same name proves the owner gone
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub owner_name: ::std::option::Option<::std::string::String>,
     ///journals that the owner has not yet copied into its own, oldest first
     pub sources: ::std::vec::Vec<JournalSource>,
 }
