Decide under load: fair queues, adaptive windows, choice of replica

Engines know no priorities, so turns have to wait before them and somebody has to choose the replica. Router and Dispatcher are pure state machines behind the border types.

Ruled out: a queue at each owner (fairness would need agreement between instances); a scan of all replicas for each choice (grows with the fleet).

The queue is start-time fair queueing over engine cost with settlement, the window follows the time between tokens and the time to the first token. The router looks at the replicas believed to hold a prefix and at a few random draws. ReplicaLoad gains wait_ms, token_gap_ms and uncached_per_second, all with a default.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,13 +4,48 @@
 //! `Router` runs at the owner of a program and chooses a replica. `Dispatcher` runs at the one
 //! instance that serves the replica and holds its queue. Nothing here must last.
 
+mod cache_index;
+mod dispatcher;
 mod dispatcher_io;
+mod fair_queue;
+mod load_belief;
+mod pool;
+mod prefix_chain;
+mod replica_health;
+mod replica_queue;
+mod replica_state;
+mod retry_budget;
+mod router;
 mod router_io;
+mod service_rate;
+mod window;
 
+pub use cache_index::CacheIndex;
+pub use cache_index::Holder;
+pub use cache_index::MAX_BELIEF_MS;
+pub use dispatcher::Dispatcher;
 pub use dispatcher_io::DispatchAction;
 pub use dispatcher_io::DispatchInput;
 pub use dispatcher_io::LoadReading;
 pub use dispatcher_io::WorkspaceShare;
+pub use fair_queue::FairQueue;
+pub use fair_queue::QueuedTurn;
+pub use load_belief::LoadBelief;
+pub use pool::Pool;
+pub use pool::SplitMix;
+pub use prefix_chain::Boundary;
+pub use prefix_chain::PrefixChain;
+pub use replica_health::ReplicaHealth;
+pub use replica_queue::GENERATED_TOKEN_COST;
+pub use replica_queue::Rejection;
+pub use replica_queue::ReplicaQueue;
+pub use replica_state::ReplicaKey;
+pub use replica_state::ReplicaState;
+pub use retry_budget::RetryBudget;
+pub use retry_budget::RetryPlan;
+pub use router::Router;
 pub use router_io::Choice;
 pub use router_io::Replica;
 pub use router_io::RouterInput;
+pub use service_rate::ServiceRate;
+pub use window::Window;
--- /dev/null
+++ b/src/dispatch/replica_queue.rs
@@ -0,0 +1,322 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::dispatch::FairQueue;
+use crate::dispatch::LoadReading;
+use crate::dispatch::QueuedTurn;
+use crate::dispatch::ServiceRate;
+use crate::dispatch::Window;
+use crate::schema::DispatchSettings;
+use crate::schema::JobFault;
+use crate::schema::ReplicaLoad;
+use crate::schema::TurnJob;
+use crate::schema::Usage;
+
+/// cost of one generated token, in uncached prompt tokens.
+pub const GENERATED_TOKEN_COST: u64 = 8;
+
+/// answers are expected to be this long before a workspace has been seen.
+const INITIAL_COMPLETION_TOKENS: u64 = 256;
+
+/// prompt tokens that a turn gains in rank for each millisecond that it waits.
+const AGEING_TOKENS_PER_MS: u64 = 20;
+
+/// failures in a row after which a replica's queue is handed back to the owners.
+const MAX_FAILURES_IN_A_ROW: u32 = 3;
+
+/// how long a replica that failed in a row gets no more than one turn at a time.
+const SUSPENSION_MS: u64 = 2_000;
+
+/// one turn that waits.
+#[derive(Debug)]
+struct Waiting {
+    job: Box<TurnJob>,
+    arrived_ms: u64,
+    expires_ms: u64,
+    cost_tokens: u64,
+}
+
+/// one turn inside the engine.
+#[derive(Debug)]
+struct Running {
+    workspace: String,
+    started_ms: u64,
+    last_token_ms: Option<u64>,
+    uncached_tokens: u64,
+    prefill_tokens_at_start: u64,
+    cost_tokens: u64,
+    generated_tokens: u64,
+}
+
+/// why a turn was not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// how it failed.
+    pub fault: JobFault,
+    /// when to come back.
+    pub retry_after_ms: u64,
+}
+
+/// the queue and the window of one replica.
+#[derive(Debug)]
+pub struct ReplicaQueue {
+    queue: FairQueue,
+    window: Window,
+    rate: ServiceRate,
+    waiting: HashMap<u64, Waiting>,
+    expiries: BTreeSet<(u64, u64)>,
+    running: BTreeMap<u64, Running>,
+    completions: HashMap<String, f64>,
+    queued_uncached_tokens: u64,
+    prefill_tokens: u64,
+    max_queue_ms: u64,
+    failures_in_a_row: u32,
+    suspended_until_ms: u64,
+    /// whether the replica takes no new work.
+    pub leaving: bool,
+    /// whether this instance serves the replica no longer.
+    pub withdrawn: bool,
+}
+
+impl ReplicaQueue {
+    /// an empty queue.
+    pub fn new(settings: &DispatchSettings) -> Self {
+        Self {
+            queue: FairQueue::default(),
+            window: Window::new(settings),
+            rate: ServiceRate::default(),
+            waiting: HashMap::new(),
+            expiries: BTreeSet::new(),
+            running: BTreeMap::new(),
+            completions: HashMap::new(),
+            queued_uncached_tokens: 0,
+            prefill_tokens: 0,
+            max_queue_ms: settings.max_queue_ms,
+            failures_in_a_row: 0,
+            suspended_until_ms: 0,
+            leaving: false,
+            withdrawn: false,
+        }
+    }
+
+    /// queues a turn, or says at once why it cannot be served in time.
+    pub fn push(
+        &mut self,
+        now_ms: u64,
+        ticket: u64,
+        job: Box<TurnJob>,
+        weight: u32,
+    ) -> Result<(), Rejection> {
+        let expected_tokens = self.expected_completion_tokens(&job);
+        let uncached_tokens = uncached_tokens(&job);
+        let cost_tokens = uncached_tokens + expected_tokens * GENERATED_TOKEN_COST;
+        let run_ms = self.rate.run_ms(uncached_tokens, expected_tokens);
+        let patience_ms =
+            self.max_queue_ms.saturating_sub(job.waited_ms).min(job.deadline_ms.saturating_sub(run_ms));
+        let wait_ms = self.expected_wait_ms(&job.workspace);
+        if patience_ms == 0 {
+            return Err(Rejection { fault: JobFault::TooLate, retry_after_ms: wait_ms.max(1) });
+        }
+        if wait_ms > patience_ms {
+            let retry_after_ms = (wait_ms - patience_ms).max(1);
+            return Err(Rejection { fault: JobFault::Overloaded, retry_after_ms });
+        }
+        self.queue.push(QueuedTurn {
+            ticket,
+            workspace: &job.workspace,
+            weight,
+            cost_tokens,
+            rank: rank(now_ms, &job),
+        });
+        let expires_ms = now_ms.saturating_add(patience_ms);
+        self.expiries.insert((expires_ms, ticket));
+        self.queued_uncached_tokens += uncached_tokens;
+        self.waiting.insert(ticket, Waiting { job, arrived_ms: now_ms, expires_ms, cost_tokens });
+        Ok(())
+    }
+
+    /// takes the next turn that may enter the engine.
+    pub fn start_next(&mut self, now_ms: u64) -> Option<(u64, Box<TurnJob>)> {
+        let ticket = self.queue.peek()?;
+        if now_ms < self.suspended_until_ms && !self.running.is_empty() {
+            return None;
+        }
+        let uncached_tokens = uncached_tokens(&self.waiting[&ticket].job);
+        if !self.window.admits(self.running.len() as u32, self.prefill_tokens, uncached_tokens) {
+            return None;
+        }
+        self.queue.pop();
+        let waiting = self.take_waiting(ticket)?;
+        let mut job = waiting.job;
+        job.waited_ms += now_ms.saturating_sub(waiting.arrived_ms);
+        self.prefill_tokens += uncached_tokens;
+        let running = Running {
+            workspace: job.workspace.clone(),
+            started_ms: now_ms,
+            last_token_ms: None,
+            uncached_tokens,
+            prefill_tokens_at_start: self.prefill_tokens,
+            cost_tokens: waiting.cost_tokens,
+            generated_tokens: 0,
+        };
+        self.running.insert(ticket, running);
+        Some((ticket, job))
+    }
+
+    /// takes out a turn that still waits.
+    pub fn remove_waiting(&mut self, ticket: u64) -> bool {
+        self.queue.remove(ticket) && self.take_waiting(ticket).is_some()
+    }
+
+    /// takes out the turns that can no longer be served in time.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<u64> {
+        let mut expired = Vec::new();
+        while let Some((expires_ms, ticket)) = self.expiries.first().copied() {
+            if expires_ms > now_ms {
+                break;
+            }
+            self.remove_waiting(ticket);
+            expired.push(ticket);
+        }
+        expired
+    }
+
+    /// takes out all turns that wait.
+    pub fn drain(&mut self) -> Vec<u64> {
+        let tickets = self.queue.tickets();
+        for ticket in &tickets {
+            self.remove_waiting(*ticket);
+        }
+        tickets
+    }
+
+    /// notes that a turn produced a token.
+    pub fn token(&mut self, now_ms: u64, ticket: u64) {
+        let Some(running) = self.running.get_mut(&ticket) else { return };
+        running.generated_tokens += 1;
+        match running.last_token_ms.replace(now_ms) {
+            Some(last_ms) => self.window.record_gap(now_ms.saturating_sub(last_ms)),
+            None => {
+                let first_token_ms = now_ms.saturating_sub(running.started_ms);
+                self.rate.first_token(running.prefill_tokens_at_start, first_token_ms);
+                self.prefill_tokens -= running.uncached_tokens;
+                self.window.record_first_token(first_token_ms);
+            }
+        }
+    }
+
+    /// settles a turn that was answered.
+    pub fn done(&mut self, now_ms: u64, ticket: u64, usage: &Usage) {
+        let Some(running) = self.take_running(ticket) else { return };
+        self.failures_in_a_row = 0;
+        self.suspended_until_ms = 0;
+        let uncached_tokens = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+        let actual_tokens = uncached_tokens + usage.completion_tokens * GENERATED_TOKEN_COST;
+        self.queue.settle(&running.workspace, running.cost_tokens, actual_tokens);
+        self.rate.completed(now_ms, actual_tokens, !self.queue.is_empty());
+        let average = self.completions.entry(running.workspace).or_insert(usage.completion_tokens as f64);
+        *average += 0.2 * (usage.completion_tokens as f64 - *average);
+    }
+
+    /// settles a turn that failed; returns the turns that wait when the replica seems to be down.
+    pub fn failed(&mut self, now_ms: u64, ticket: u64, fault: JobFault, spent_tokens: u64) -> Vec<u64> {
+        let Some(running) = self.take_running(ticket) else { return Vec::new() };
+        let actual_tokens = spent_tokens.min(running.cost_tokens).max(running.generated_tokens);
+        self.queue.settle(&running.workspace, running.cost_tokens, actual_tokens);
+        match fault {
+            JobFault::NotSent | JobFault::Died | JobFault::Broken => {}
+            JobFault::Leaving => {
+                self.leaving = true;
+                return self.drain();
+            }
+            JobFault::Overloaded => {
+                self.window.collapse();
+                return Vec::new();
+            }
+            JobFault::Refused | JobFault::Poison | JobFault::Cancelled | JobFault::TooLate => {
+                return Vec::new();
+            }
+        }
+        self.window.collapse();
+        self.failures_in_a_row += 1;
+        if self.failures_in_a_row < MAX_FAILURES_IN_A_ROW {
+            return Vec::new();
+        }
+        self.suspended_until_ms = now_ms + SUSPENSION_MS;
+        self.drain()
+    }
+
+    /// takes a reading of the engine's load.
+    pub fn record_load(&mut self, reading: &LoadReading) {
+        self.window.record_engine_waiting(reading.waiting);
+    }
+
+    /// adapts the window and forgets idle workspaces.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.window.adapt(now_ms);
+        self.rate.tick(now_ms, !self.queue.is_empty());
+        self.queue.sweep();
+    }
+
+    /// tells whether nothing waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    /// tells whether a turn is inside the engine.
+    pub fn is_running(&self, ticket: u64) -> bool {
+        self.running.contains_key(&ticket)
+    }
+
+    /// what routers are told.
+    pub fn load(&self, replica: &str) -> ReplicaLoad {
+        ReplicaLoad {
+            replica: replica.to_string(),
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            queued_tokens: self.queued_uncached_tokens,
+            window: self.window.limit(),
+            age_ms: 0,
+            wait_ms: self.rate.wait_ms(self.queue.queued_cost_tokens()),
+            token_gap_ms: self.window.gap_ms() as u64,
+            uncached_per_second: self.rate.uncached_per_second(),
+        }
+    }
+
+    fn expected_wait_ms(&self, workspace: &str) -> u64 {
+        self.rate.wait_ms(self.queue.cost_ahead_tokens(workspace))
+    }
+
+    fn expected_completion_tokens(&self, job: &TurnJob) -> u64 {
+        let seen = self.completions.get(&job.workspace);
+        let expected = seen.map_or(INITIAL_COMPLETION_TOKENS, |average| average.ceil() as u64);
+        expected.clamp(1, job.max_tokens.max(1))
+    }
+
+    fn take_waiting(&mut self, ticket: u64) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        self.expiries.remove(&(waiting.expires_ms, ticket));
+        self.queued_uncached_tokens -= uncached_tokens(&waiting.job);
+        Some(waiting)
+    }
+
+    fn take_running(&mut self, ticket: u64) -> Option<Running> {
+        let running = self.running.remove(&ticket)?;
+        if running.last_token_ms.is_none() {
+            self.prefill_tokens -= running.uncached_tokens;
+        }
+        Some(running)
+    }
+}
+
+/// prompt tokens that the engine has to read.
+fn uncached_tokens(job: &TurnJob) -> u64 {
+    job.prompt_tokens.saturating_sub(job.cached_tokens).max(1)
+}
+
+/// place inside the workspace: least service first, with ageing.
+fn rank(now_ms: u64, job: &TurnJob) -> u64 {
+    let arrived_ms = now_ms.saturating_sub(job.waited_ms);
+    job.program_service_tokens.saturating_add(arrived_ms.saturating_mul(AGEING_TOKENS_PER_MS))
+}
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1718,6 +1718,15 @@
     pub replica: ::std::string::String,
     ///requests inside
     pub running: u32,
+    ///measured time between tokens
+    #[serde(default)]
+    pub token_gap_ms: u64,
+    ///measured speed of reading uncached prompt tokens, zero when unknown
+    #[serde(default)]
+    pub uncached_per_second: u64,
+    ///expected wait of a turn that joins the queue now
+    #[serde(default)]
+    pub wait_ms: u64,
     ///limit in force
     pub window: u32,
 }
