--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod slots;
 pub mod telemetry;
 pub mod timeline;
+pub mod upstream;
