Add membership and the mesh between instances

Cause: instances need a view of each other and authenticated connections; the borders were there, the modules were not. Change: membership probes, suspects, refutes and spreads news as a pure state machine within a byte rate; views are compared by digests after a heal. The mesh carries frames over web sockets with a mutual proof of the mesh key and a tag on every frame, and datagrams with a keyed tag. A datagram now names its sender briefly and sends the full record only where it is unknown. Schema: DatagramSender, News, SyncBuckets, SyncNames, SyncWanted; ProbeAck has wants_record, MeshHello has mesh. Ruled out: a full record in each datagram, which takes most of 4 KB a second.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ids;
 pub mod member;
 pub mod membership;
+pub mod mesh;
 pub mod owner;
 pub mod platform;
 pub mod release;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,8 +2,23 @@
 //!
 //! Pure decision code: the time and each input are arguments, the results are actions.
 
+mod byte_budget;
+mod local_health;
+#[expect(clippy::module_inception, reason = "the main type of the folder has the folder's name")]
+mod membership;
 mod membership_io;
+mod news_queue;
+mod outbox;
+mod own_state;
+mod peer_table;
+mod prober;
+mod suspicions;
+mod sync;
 mod wire;
 
+pub use membership::Membership;
 pub use membership_io::MembershipAction;
 pub use membership_io::MembershipInput;
+pub use wire::DATAGRAM_TAG_BYTES;
+pub use wire::MAX_DATAGRAM_BYTES;
+pub use wire::counted_bytes;
--- /dev/null
+++ b/src/membership/outbox.rs
@@ -0,0 +1,134 @@
+use std::net::SocketAddr;
+
+use crate::membership::MAX_DATAGRAM_BYTES;
+use crate::membership::MembershipAction;
+use crate::membership::byte_budget::ByteBudget;
+use crate::membership::counted_bytes;
+use crate::membership::news_queue::NewsQueue;
+use crate::membership::own_state::OwnState;
+use crate::membership::peer_table::PeerTable;
+use crate::membership::wire::encoded_bytes;
+use crate::schema::Datagram;
+use crate::schema::DatagramBody;
+use crate::schema::MemberRecord;
+
+/// room for the head of the list of records.
+const LIST_HEAD_BYTES: usize = 12;
+
+/// what may be spent on a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Spending {
+    /// only what the byte rate allows now.
+    Saved,
+    /// also a bounded credit: answers keep others from a false suspicion.
+    Credit,
+}
+
+/// datagrams that wait to be handed out, and the byte rate that they keep.
+#[derive(Debug)]
+pub(super) struct Outbox {
+    cluster: String,
+    pub budget: ByteBudget,
+    pub news: NewsQueue,
+    actions: Vec<MembershipAction>,
+}
+
+impl Outbox {
+    pub fn new(cluster: &str, bytes_per_second: u64) -> Self {
+        Self {
+            cluster: cluster.to_owned(),
+            budget: ByteBudget::new(bytes_per_second),
+            news: NewsQueue::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// hands out what was built since the last call.
+    pub fn take_actions(&mut self) -> Vec<MembershipAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// adds an action that costs no bytes.
+    pub fn push(&mut self, action: MembershipAction) {
+        self.actions.push(action);
+    }
+
+    /// builds a datagram with `first`, then as much news as fits; tells whether the byte rate allows it.
+    pub fn send(
+        &mut self,
+        own: &OwnState,
+        peers: &PeerTable,
+        to: SocketAddr,
+        body: DatagramBody,
+        first: &[MemberRecord],
+        spending: Spending,
+    ) -> bool {
+        let mut datagram = Datagram {
+            cluster: self.cluster.clone(),
+            sender: own.sender(),
+            body,
+            view_digest: peers.digest() ^ own.entry_hash(),
+            records: Vec::new(),
+        };
+        let empty_bytes = counted_bytes(&datagram) + LIST_HEAD_BYTES;
+        let allowed_bytes = match spending {
+            Spending::Saved => self.budget.available_bytes(),
+            Spending::Credit => self.budget.answer_bytes(),
+        };
+        if empty_bytes > allowed_bytes {
+            return false;
+        }
+        let first_bytes = allowed_bytes.min(MAX_DATAGRAM_BYTES);
+        let mut used_bytes = empty_bytes;
+        for record in first {
+            let record_bytes = encoded_bytes(record);
+            if used_bytes + record_bytes > first_bytes {
+                break;
+            }
+            used_bytes += record_bytes;
+            datagram.records.push(record.clone());
+        }
+        // News never goes out on credit: it would leave none for answers.
+        let news_bytes = self.budget.available_bytes().min(MAX_DATAGRAM_BYTES);
+        self.add_news(own, peers, &mut datagram.records, used_bytes, news_bytes);
+        self.budget.spend(counted_bytes(&datagram));
+        self.actions.push(MembershipAction::Send { to, datagram: Box::new(datagram) });
+        true
+    }
+
+    fn add_news(
+        &mut self,
+        own: &OwnState,
+        peers: &PeerTable,
+        records: &mut Vec<MemberRecord>,
+        used_bytes: usize,
+        most_bytes: usize,
+    ) {
+        if self.news.is_empty() {
+            return;
+        }
+        let mut used_bytes = used_bytes;
+        let member_count = peers.running().count() + 1;
+        for name in self.news.next() {
+            if records.iter().any(|record| record.name == name) {
+                self.news.sent(&name, member_count);
+                continue;
+            }
+            let record = match peers.get(&name) {
+                Some(peer) => peer.record(),
+                None if name == own.member.name => own.record(),
+                None => {
+                    self.news.drop_news(&name);
+                    continue;
+                }
+            };
+            let record_bytes = encoded_bytes(&record);
+            if used_bytes + record_bytes > most_bytes {
+                return;
+            }
+            used_bytes += record_bytes;
+            records.push(record);
+            self.news.sent(&name, member_count);
+        }
+    }
+}
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -210,8 +210,12 @@
     ///deployment
     pub cluster: ::std::string::String,
     ///news of members
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub records: ::std::vec::Vec<MemberRecord>,
-    pub sender: MemberRecord,
+    pub sender: DatagramSender,
+    ///digest of the members that the sender believes to run
+    #[serde(default)]
+    pub view_digest: u64,
 }
 ///purpose of a datagram
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -222,6 +226,14 @@
     Ack(ProbeAck),
     #[serde(rename = "probe_request")]
     ProbeRequest(ProbeRequest),
+    #[serde(rename = "news")]
+    News(News),
+    #[serde(rename = "sync_buckets")]
+    SyncBuckets(SyncBuckets),
+    #[serde(rename = "sync_names")]
+    SyncNames(SyncNames),
+    #[serde(rename = "sync_wanted")]
+    SyncWanted(SyncWanted),
 }
 impl ::std::convert::From<Probe> for DatagramBody {
     fn from(value: Probe) -> Self {
@@ -238,6 +250,38 @@
         Self::ProbeRequest(value)
     }
 }
+impl ::std::convert::From<News> for DatagramBody {
+    fn from(value: News) -> Self {
+        Self::News(value)
+    }
+}
+impl ::std::convert::From<SyncBuckets> for DatagramBody {
+    fn from(value: SyncBuckets) -> Self {
+        Self::SyncBuckets(value)
+    }
+}
+impl ::std::convert::From<SyncNames> for DatagramBody {
+    fn from(value: SyncNames) -> Self {
+        Self::SyncNames(value)
+    }
+}
+impl ::std::convert::From<SyncWanted> for DatagramBody {
+    fn from(value: SyncWanted) -> Self {
+        Self::SyncWanted(value)
+    }
+}
+///what a datagram says of its sender
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DatagramSender {
+    ///incarnation
+    pub incarnation: ::std::string::String,
+    ///name
+    pub name: ::std::string::String,
+    ///refutation number
+    pub refutation: u32,
+    ///configuration in force
+    pub release_version: u64,
+}
 ///a turn for the dispatcher of a replica
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Dispatch {
@@ -1076,6 +1120,9 @@
     pub cluster: ::std::string::String,
     ///incarnation of the sender
     pub incarnation: ::std::string::String,
+    ///mesh address of the sender
+    #[serde(default)]
+    pub mesh: ::std::string::String,
     ///name of the sender
     pub name: ::std::string::String,
     ///challenge, 32 hexadecimal digits
@@ -1210,6 +1257,13 @@
     ///name of the model
     pub id: ::std::string::String,
 }
+///news that asks for no answer
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct News {
+    ///whether the receiver passes new records on at once
+    #[serde(default)]
+    pub urgent: bool,
+}
 ///opens a program
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OpenBody {
@@ -1390,6 +1444,9 @@
 pub struct ProbeAck {
     ///number of the probe
     pub sequence: u64,
+    ///whether the record of the prober is unknown to the sender
+    #[serde(default)]
+    pub wants_record: bool,
 }
 ///asks another member to probe
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1936,6 +1993,30 @@
     pub id: u64,
     pub status: InstanceStatus,
 }
+///digests of the members known, by bucket of their names
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncBuckets {
+    ///digest of each bucket; the number of buckets is a power of two
+    pub digests: ::std::vec::Vec<u32>,
+}
+///members known in one bucket
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncNames {
+    ///number of this bucket
+    pub bucket: u32,
+    ///number of buckets
+    pub bucket_count: u32,
+    ///hash of each name
+    pub names: ::std::vec::Vec<u32>,
+    ///hash of what is known of each, in the order of the names
+    pub versions: ::std::vec::Vec<u32>,
+}
+///asks for records
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncWanted {
+    ///hash of each name
+    pub names: ::std::vec::Vec<u32>,
+}
 ///one event of the time line
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TimelineEvent {
