--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod journal;
 pub mod member;
 pub mod membership;
+pub mod mesh;
 pub mod owner;
 pub mod ownership;
 pub mod platform;
