Join the modules to a running instance; the thin path as separate processes

Cause: the decision code stood by itself; nothing carried a request from a caller to an engine. Found on the way: typify reads a default of `{}` as zero for every field of a group, so settings without a `limits` group had no limits at all; the generator now writes the defaults out (the check of the settings is what caught it). Ruled out: a lock around each machine instead of a driver (actions of two threads may be carried out in another order than decided). Before: nothing served.

--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use schemars::schema::RootSchema;
+use serde_json::Map;
 use serde_json::Value;
 use typify::TypeSpace;
 use typify::TypeSpaceSettings;
@@ -24,6 +25,8 @@
     let text = std::fs::read_to_string(&path).with_context(|| format!("read {}", path.display()))?;
     let mut value: Value = serde_json::from_str(&text).context("parse the schema")?;
     strip_constraints(&mut value);
+    let definitions = value["definitions"].clone();
+    fill_defaults(&mut value, &definitions);
     let schema: RootSchema = serde_json::from_value(value).context("read the schema")?;
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
@@ -56,3 +59,38 @@
         _ => {}
     }
 }
+
+/// writes out the defaults of groups whose default is an empty object.
+///
+/// typify takes an empty default as zero for each field, not as the defaults of the fields.
+fn fill_defaults(value: &mut Value, definitions: &Value) {
+    match value {
+        Value::Object(map) => {
+            if map.get("default").is_some_and(|default| default == &Value::Object(Map::new())) {
+                let name = map["allOf"][0]["$ref"].as_str().and_then(|path| path.rsplit('/').next());
+                let filled = name.map(|name| field_defaults(&definitions[name]));
+                map.insert("default".to_owned(), Value::Object(filled.unwrap_or_default()));
+            }
+            for child in map.values_mut() {
+                fill_defaults(child, definitions);
+            }
+        }
+        Value::Array(items) => {
+            for item in items {
+                fill_defaults(item, definitions);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// the defaults of all fields of a group.
+fn field_defaults(group: &Value) -> Map<String, Value> {
+    let mut defaults = Map::new();
+    for (field, shape) in group["properties"].as_object().into_iter().flatten() {
+        if let Some(default) = shape.get("default") {
+            defaults.insert(field.clone(), default.clone());
+        }
+    }
+    defaults
+}
--- a/src/bin/flamingostand.rs
+++ b/src/bin/flamingostand.rs
@@ -1,3 +1,9 @@
-//! thin program.
+//! the daemon that runs on every entry instance.
 
-fn main() {}
+use std::process::ExitCode;
+
+use flamingostand::cli;
+
+fn main() -> ExitCode {
+    cli::run_flamingostand(std::env::args_os())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod ctl_args;
 mod ctl_command;
 mod exit;
+mod run;
 
 pub use args::flamingostand_command;
 pub use command::Command;
@@ -14,3 +15,4 @@
 pub use ctl_command::KeySource;
 pub use ctl_command::ReleaseAction;
 pub use exit::ExitStatus;
+pub use run::run_flamingostand;
--- /dev/null
+++ b/src/instance/membership_driver.rs
@@ -0,0 +1,108 @@
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use flamingo_edge::timeout;
+
+use crate::dispatch::DispatchInput;
+use crate::instance::Shared;
+use crate::member::MemberView;
+use crate::membership::Membership;
+use crate::membership::MembershipAction;
+use crate::membership::MembershipInput;
+use crate::mesh::DatagramEdge;
+use crate::owner::Input;
+use crate::release::ReleaseInput;
+use crate::schema::MemberHealth;
+use crate::timeline::What;
+
+/// longest time between two ticks of membership.
+const TICK: Duration = Duration::from_millis(20);
+
+/// drives membership: feeds it inputs and carries out its actions.
+pub(crate) struct MembershipDriver {
+    shared: Arc<Shared>,
+    membership: Membership,
+    socket: Arc<DatagramEdge>,
+    inbox: Receiver<MembershipInput>,
+}
+
+impl MembershipDriver {
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        membership: Membership,
+        socket: Arc<DatagramEdge>,
+        inbox: Receiver<MembershipInput>,
+    ) -> Self {
+        Self { shared: Arc::clone(shared), membership, socket, inbox }
+    }
+
+    /// runs until the inbox closes.
+    pub(crate) async fn run(mut self) {
+        let mut ticked = Instant::now();
+        loop {
+            let wait = TICK.saturating_sub(ticked.elapsed());
+            let input = match timeout(wait, self.inbox.recv()).await {
+                Some(Ok(input)) => input,
+                Some(Err(_)) => return,
+                None => {
+                    ticked = Instant::now();
+                    MembershipInput::Tick
+                }
+            };
+            let now_ms = self.shared.now().ms;
+            for action in self.membership.handle(now_ms, input) {
+                match action {
+                    // A lost datagram is like any other loss; probing makes up for it.
+                    MembershipAction::Send { to, datagram } => self.socket.send(to, &datagram),
+                    MembershipAction::View(view) => self.shared.publish_view(view),
+                }
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// puts a new view of the members in force and tells whoever decides by it.
+    fn publish_view(&self, view: Arc<MemberView>) {
+        let old = self.view.swap(Arc::clone(&view));
+        for member in &view.members {
+            let before = old.members.iter().find(|other| other.name == member.name);
+            let unchanged = before.is_some_and(|other| {
+                other.health == member.health
+                    && other.leaving == member.leaving
+                    && other.incarnation == member.incarnation
+            });
+            if unchanged {
+                continue;
+            }
+            let leaving = if member.leaving { ", leaving" } else { "" };
+            let detail = format!("{:?}{leaving}, incarnation {}", member.health, member.incarnation);
+            self.timeline.subject(What::MemberChanged, &member.name, detail);
+            if matches!(member.health, MemberHealth::Dead | MemberHealth::Left) {
+                slog::info!(self.log, "member gone"; "member" => &member.name);
+                // A frozen peer keeps its sockets open; what waits for it must go elsewhere.
+                self.mesh().disconnect(&member.incarnation);
+            }
+        }
+        self.tell_owner(Input::Members(Arc::clone(&view)));
+        self.tell_releases(ReleaseInput::Members(view));
+        self.assign_replicas();
+    }
+
+    /// gives the dispatcher the replicas that the view proposes for this instance.
+    pub(crate) fn assign_replicas(&self) {
+        let view = self.view.load();
+        let own = self.settings.listen.mesh;
+        let mut mine = Vec::new();
+        for replica in self.upstreams.load().engines.values() {
+            let proposed = view.proposed(&format!("replica/{}", replica.name));
+            if proposed.is_some_and(|member| member.mesh == own) {
+                mine.push(replica.clone());
+            }
+        }
+        self.served.store(Arc::new(mine.clone()));
+        self.tell_dispatcher(DispatchInput::Replicas(mine));
+    }
+}
--- /dev/null
+++ b/src/instance/owner_driver.rs
@@ -0,0 +1,328 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use flamingo_edge::timeout;
+use slog::info;
+use slog::warn;
+
+use crate::dispatch::DispatchInput;
+use crate::dispatch::RouterInput;
+use crate::ids::Incarnation;
+use crate::instance::Shared;
+use crate::instance::service_calls::run_look_up;
+use crate::instance::service_calls::run_service_call;
+use crate::instance::shared::Asker;
+use crate::instance::shared::JobRoute;
+use crate::instance::shared::TurnOrigin;
+use crate::owner::Action;
+use crate::owner::Input;
+use crate::owner::Owner;
+use crate::owner::OwnerSettings;
+use crate::platform::PlatformRequest;
+use crate::schema::CancelJob;
+use crate::schema::Dispatch;
+use crate::schema::ForwardEvent;
+use crate::schema::JobEvent;
+use crate::schema::JobFailed;
+use crate::schema::JobFault;
+use crate::schema::MeshMessage;
+use crate::schema::OwnerEvent;
+use crate::schema::TurnJob;
+
+/// longest time between two ticks of the owner.
+const TICK: Duration = Duration::from_millis(10);
+
+/// when to come back after no replica of the model was found.
+const NO_REPLICA_RETRY_AFTER_MS: u64 = 1_000;
+
+/// drives the owner of one incarnation: feeds it inputs and carries out its actions.
+pub(crate) struct OwnerDriver {
+    shared: Arc<Shared>,
+    owner: Owner,
+    inbox: Receiver<Input>,
+    sender: Sender<Input>,
+    /// the route of each job of the owner.
+    routes: HashMap<u64, OwnRoute>,
+    /// replicas that failed the turn under way, by program.
+    failed: HashMap<String, Vec<String>>,
+}
+
+/// what the driver remembers of a job under way.
+struct OwnRoute {
+    number: u64,
+    program: String,
+    replica: String,
+}
+
+/// why a driver ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DriverEnd {
+    /// the journal was sealed by another instance.
+    Deposed,
+    /// all slots are given away.
+    Left,
+    /// the instance stops.
+    Closed,
+}
+
+impl OwnerDriver {
+    pub(crate) fn new(shared: &Arc<Shared>, me: Incarnation) -> Self {
+        let (sender, inbox) = async_channel::unbounded();
+        let settings = OwnerSettings {
+            state: shared.settings.state.clone(),
+            limits: shared.settings.limits.clone(),
+            slot_count: shared.slot_count,
+            me,
+            name: shared.settings.instance.name.clone(),
+        };
+        let owner = Owner::new(settings, shared.now());
+        shared.owner_inbox.store(Arc::new(sender.clone()));
+        let shared = Arc::clone(shared);
+        Self { shared, owner, inbox, sender, routes: HashMap::new(), failed: HashMap::new() }
+    }
+
+    /// runs until this incarnation is over.
+    pub(crate) async fn run(mut self) -> DriverEnd {
+        let mut ticked = Instant::now();
+        loop {
+            let wait = TICK.saturating_sub(ticked.elapsed());
+            let input = match timeout(wait, self.inbox.recv()).await {
+                Some(Ok(input)) => input,
+                Some(Err(_)) => return DriverEnd::Closed,
+                None => {
+                    ticked = Instant::now();
+                    Input::Tick
+                }
+            };
+            if let Some(end) = self.step(input) {
+                return end;
+            }
+        }
+    }
+
+    fn step(&mut self, input: Input) -> Option<DriverEnd> {
+        self.forget_ended_job(&input);
+        let mut end = None;
+        for action in self.owner.handle(self.shared.now(), input) {
+            match action {
+                Action::Platform { call, request } => self.call_platform(call, request),
+                Action::Reply { ticket, event, last } => self.reply(ticket, event, last),
+                Action::Job { job, turn } => self.start_job(job, *turn),
+                Action::CancelJob { job } => self.cancel_job(job),
+                Action::Service { service, request } => {
+                    run_service_call(&self.shared, self.sender.clone(), service, request);
+                }
+                Action::LookUp { service, request } => {
+                    run_look_up(&self.shared, self.sender.clone(), service, request);
+                }
+                Action::Release { program } => self.shared.release_program(&program),
+                Action::Poison(held) => self.shared.tell_others(&MeshMessage::Poison(held)),
+                Action::Slots(slots) => self.shared.slots.store(slots),
+                Action::Event { what, program, subject, detail } => {
+                    self.shared.timeline.record(what, program, subject, detail);
+                }
+                Action::Deposed => end = Some(DriverEnd::Deposed),
+                Action::Left => end = Some(DriverEnd::Left),
+            }
+        }
+        if end == Some(DriverEnd::Deposed) {
+            warn!(self.shared.log, "journal sealed by another instance; starting a new incarnation");
+        }
+        if end == Some(DriverEnd::Left) {
+            info!(self.shared.log, "all slots given away");
+        }
+        end
+    }
+
+    fn call_platform(&self, call: u64, request: PlatformRequest) {
+        let platform = Arc::clone(&self.shared.platform);
+        let sender = self.sender.clone();
+        self.shared.spawner.detach(async move {
+            let result = platform.call(request).await;
+            let _ = sender.try_send(Input::Platform { call, result });
+        });
+    }
+
+    fn reply(&self, ticket: u64, event: OwnerEvent, last: bool) {
+        let asker = if last {
+            self.shared.askers.remove(ticket)
+        } else {
+            self.shared.askers.with(ticket, Asker::clone)
+        };
+        match asker {
+            Some(Asker::Door(sender)) => {
+                let _ = sender.try_send(event);
+            }
+            Some(Asker::Peer { peer, id }) => {
+                let message = MeshMessage::ForwardEvent(ForwardEvent { id, event });
+                let _ = self.shared.mesh().reply(&peer, message);
+            }
+            None => {}
+        }
+    }
+
+    fn start_job(&mut self, job: u64, mut turn: TurnJob) {
+        if turn.attempt <= 1 {
+            self.failed.remove(&turn.program);
+        }
+        let none = Vec::new();
+        let excluded = self.failed.get(&turn.program).unwrap_or(&none);
+        let now = self.shared.now();
+        let choice = self.shared.router().choose(now.ms, &turn, excluded);
+        let Some(choice) = choice else {
+            self.fail_job(job, JobFault::Overloaded, "no replica of the model takes work");
+            return;
+        };
+        turn.replica = choice.replica;
+        turn.cached_tokens = choice.cached_tokens;
+        let view = self.shared.view.load();
+        let Some(dispatcher) = view.proposed(&format!("replica/{}", turn.replica)) else {
+            self.fail_job(job, JobFault::Overloaded, "no instance serves the replica");
+            return;
+        };
+        let own = dispatcher.mesh == self.shared.settings.listen.mesh;
+        let route = JobRoute {
+            job,
+            inbox: self.sender.clone(),
+            peer: (!own).then_some(dispatcher.mesh),
+            connection: None,
+            replica: turn.replica.clone(),
+            program: turn.program.clone(),
+            prompt_tokens: turn.prompt_tokens,
+            max_tokens: turn.max_tokens,
+            sent_ms: now.ms,
+            first_token_ms: None,
+        };
+        let detail = format!("turn {} to {} by {}", turn.turn, turn.replica, dispatcher.name);
+        self.shared.timeline.program(crate::timeline::What::ReplicaChosen, &turn.program, detail);
+        let number = self.shared.jobs.insert(route);
+        let own_route = OwnRoute { number, program: turn.program.clone(), replica: turn.replica.clone() };
+        self.routes.insert(job, own_route);
+        if own {
+            let ticket = self.shared.turns.insert(TurnOrigin::Local { number });
+            self.shared.tell_dispatcher(DispatchInput::Submit { ticket, job: Box::new(turn) });
+            return;
+        }
+        let message = MeshMessage::Dispatch(Dispatch { id: number, job: turn });
+        match self.shared.mesh().send(dispatcher.mesh, None, message) {
+            Ok(connection) => {
+                self.shared.jobs.update(number, |route| route.connection = Some(connection));
+            }
+            Err(error) => {
+                self.shared.jobs.remove(number);
+                self.fail_job(job, JobFault::NotSent, &error.to_string());
+            }
+        }
+    }
+
+    fn cancel_job(&mut self, job: u64) {
+        let Some(number) = self.routes.get(&job).map(|route| route.number) else {
+            return;
+        };
+        let peer = self.shared.jobs.with(number, |route| route.peer);
+        match peer {
+            Some(Some(peer)) => {
+                let _ = self.shared.mesh().send(peer, None, MeshMessage::CancelJob(CancelJob { id: number }));
+            }
+            Some(None) => self.shared.cancel_local_turn(number),
+            None => {}
+        }
+    }
+
+    fn fail_job(&self, job: u64, fault: JobFault, detail: &str) {
+        let failed = JobFailed {
+            fault,
+            detail: detail.to_owned(),
+            spent_tokens: 0,
+            retry_after_ms: Some(NO_REPLICA_RETRY_AFTER_MS),
+        };
+        let _ = self.sender.try_send(Input::Job { job, event: JobEvent::Failed(failed) });
+    }
+
+    /// keeps the routes and the failed replicas of turns in step with their ends.
+    fn forget_ended_job(&mut self, input: &Input) {
+        let Input::Job { job, event } = input else {
+            return;
+        };
+        if matches!(event, JobEvent::Token(_)) {
+            return;
+        }
+        let Some(route) = self.routes.remove(job) else {
+            return;
+        };
+        if matches!(event, JobEvent::Failed(_)) {
+            self.failed.entry(route.program).or_default().push(route.replica);
+        } else {
+            self.failed.remove(&route.program);
+        }
+    }
+}
+
+impl Shared {
+    /// locks the router for one decision.
+    pub(crate) fn router(&self) -> std::sync::MutexGuard<'_, crate::dispatch::Router> {
+        self.router.lock().expect("router lock poisoned")
+    }
+
+    /// passes progress of a turn to the owner that asked for it.
+    pub(crate) fn job_event(&self, number: u64, event: JobEvent) {
+        let now_ms = self.now().ms;
+        let last = !matches!(event, JobEvent::Token(_));
+        let route = if last { self.jobs.remove(number) } else { self.note_token(number, now_ms) };
+        // A route that is gone belongs to a turn that already ended: a late answer reaches nobody.
+        let Some(route) = route else {
+            return;
+        };
+        match &event {
+            JobEvent::Token(_) => {}
+            JobEvent::Done(done) => {
+                let mut last = self.last_replicas.lock().expect("last replicas lock poisoned");
+                last.insert(route.program.clone(), route.replica.clone());
+                drop(last);
+                let first_token_ms = route.first_token_ms.unwrap_or(now_ms).saturating_sub(route.sent_ms);
+                self.router().handle(
+                    now_ms,
+                    RouterInput::Finished {
+                        replica: route.replica.clone(),
+                        program: route.program.clone(),
+                        prompt_tokens: done.usage.prompt_tokens,
+                        cached_tokens: done.usage.cached_tokens,
+                        completion_tokens: done.usage.completion_tokens,
+                        first_token_ms,
+                    },
+                );
+            }
+            JobEvent::Failed(failed) => {
+                self.router().handle(
+                    now_ms,
+                    RouterInput::Failed { replica: route.replica.clone(), fault: failed.fault },
+                );
+            }
+        }
+        let _ = route.inbox.try_send(Input::Job { job: route.job, event });
+    }
+
+    /// the dispatcher of these turns is gone; they may have spent all they were allowed.
+    pub(crate) fn lose_jobs(&self, lost: impl Fn(&JobRoute) -> bool) {
+        for (_, route) in self.jobs.remove_where(lost) {
+            let failed = JobFailed {
+                fault: JobFault::Broken,
+                detail: "the connection to the dispatcher broke".to_owned(),
+                spent_tokens: route.prompt_tokens + route.max_tokens,
+                retry_after_ms: None,
+            };
+            let _ = route.inbox.try_send(Input::Job { job: route.job, event: JobEvent::Failed(failed) });
+        }
+    }
+
+    fn note_token(&self, number: u64, now_ms: u64) -> Option<JobRoute> {
+        self.jobs.update(number, |route| {
+            route.first_token_ms.get_or_insert(now_ms);
+            route.clone()
+        })
+    }
+}
--- /dev/null
+++ b/src/instance/questions.rs
@@ -0,0 +1,107 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingo_edge::timeout;
+
+use crate::instance::Shared;
+use crate::instance::shared::Question;
+use crate::release::ReleaseAnswer;
+use crate::release::ReleaseInput;
+use crate::schema::InstanceStatus;
+use crate::schema::MeshMessage;
+use crate::schema::ReleaseNote;
+use crate::schema::StatusPull;
+use crate::schema::TimelineEvent;
+use crate::schema::TimelinePull;
+
+/// how long an operator's question waits for other instances.
+const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
+
+/// how long an operator waits for a release to be accepted.
+const ACCEPT_WAIT: Duration = Duration::from_secs(30);
+
+/// when an operator should come back after the wait ran out.
+const ACCEPT_RETRY_AFTER_MS: u64 = 2_000;
+
+impl Shared {
+    /// asks every member for its state; those that do not answer in time are left out.
+    pub async fn all_statuses(self: &Arc<Self>) -> BTreeMap<String, InstanceStatus> {
+        let own = self.status();
+        let mut found = BTreeMap::from([(own.name.clone(), own)]);
+        let (sender, answers) = async_channel::unbounded();
+        let id = self.questions.insert(Question::Status(sender));
+        let asked = self.ask_members(&MeshMessage::StatusPull(StatusPull { id }));
+        let collect = async {
+            while found.len() <= asked {
+                let Ok(status) = answers.recv().await else {
+                    return;
+                };
+                found.insert(status.name.clone(), status);
+            }
+        };
+        timeout(ANSWER_WAIT, collect).await;
+        self.questions.remove(id);
+        found
+    }
+
+    /// collects the time line of all members, ordered by hybrid time.
+    pub async fn whole_timeline(self: &Arc<Self>, mut pull: TimelinePull) -> Vec<TimelineEvent> {
+        let mut events = self.timeline.select(&pull);
+        let (sender, answers) = async_channel::unbounded();
+        let id = self.questions.insert(Question::Timeline(sender));
+        pull.id = id;
+        let limit = pull.limit as usize;
+        let asked = self.ask_members(&MeshMessage::TimelinePull(pull));
+        let collect = async {
+            for _ in 0..asked {
+                let Ok(part) = answers.recv().await else {
+                    return;
+                };
+                events.extend(part);
+            }
+        };
+        timeout(ANSWER_WAIT, collect).await;
+        self.questions.remove(id);
+        events.sort_by(|left, right| (left.at, &left.instance).cmp(&(right.at, &right.instance)));
+        let surplus = events.len().saturating_sub(limit);
+        events.drain(..surplus);
+        events
+    }
+
+    /// accepts a release note in the name of an operator.
+    pub async fn accept_release(self: &Arc<Self>, note: ReleaseNote, operator: &str) -> ReleaseAnswer {
+        let (sender, answers) = async_channel::bounded(1);
+        let ticket = self.questions.insert(Question::Release(sender));
+        let unix_ms = self.now().unix_ms;
+        let operator = operator.to_owned();
+        self.tell_releases(ReleaseInput::Accept { ticket, note: Box::new(note), operator, unix_ms });
+        let answer = timeout(ACCEPT_WAIT, answers.recv()).await;
+        self.questions.remove(ticket);
+        match answer {
+            Some(Ok(answer)) => answer,
+            // The note may still be accepted; a repeat of it finds out.
+            _ => ReleaseAnswer::Unavailable { unknown: true, retry_after_ms: ACCEPT_RETRY_AFTER_MS },
+        }
+    }
+
+    /// sends news to all other members that are not gone.
+    pub(crate) fn tell_others(&self, news: &MeshMessage) {
+        self.ask_members(news);
+    }
+
+    /// sends a question to all other members that are not gone; returns how many were asked.
+    fn ask_members(&self, question: &MeshMessage) -> usize {
+        let view = self.view.load();
+        let mut asked = 0;
+        for member in &view.members {
+            if member.is_gone() || member.incarnation == view.me {
+                continue;
+            }
+            if self.mesh().send(member.mesh, None, question.clone()).is_ok() {
+                asked += 1;
+            }
+        }
+        asked
+    }
+}
--- /dev/null
+++ b/src/instance/release_driver.rs
@@ -0,0 +1,103 @@
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use flamingo_edge::timeout;
+use slog::info;
+
+use crate::config::Configuration;
+use crate::dispatch::DispatchInput;
+use crate::dispatch::WorkspaceShare;
+use crate::ids::Incarnation;
+use crate::instance::Shared;
+use crate::instance::shared::Question;
+use crate::membership::MembershipInput;
+use crate::owner::Input;
+use crate::release::ReleaseAction;
+use crate::release::ReleaseInput;
+use crate::release::Releases;
+use crate::schema::MeshMessage;
+use crate::timeline::What;
+
+/// longest time between two ticks of the releases.
+const TICK: Duration = Duration::from_millis(20);
+
+/// drives the releases: feeds them inputs and carries out their actions.
+pub(crate) struct ReleaseDriver {
+    shared: Arc<Shared>,
+    releases: Releases,
+    inbox: Receiver<ReleaseInput>,
+}
+
+impl ReleaseDriver {
+    pub(crate) fn new(shared: &Arc<Shared>, releases: Releases, inbox: Receiver<ReleaseInput>) -> Self {
+        Self { shared: Arc::clone(shared), releases, inbox }
+    }
+
+    /// runs until the inbox closes.
+    pub(crate) async fn run(mut self) {
+        let mut ticked = Instant::now();
+        loop {
+            let wait = TICK.saturating_sub(ticked.elapsed());
+            let input = match timeout(wait, self.inbox.recv()).await {
+                Some(Ok(input)) => input,
+                Some(Err(_)) => return,
+                None => {
+                    ticked = Instant::now();
+                    ReleaseInput::Tick
+                }
+            };
+            let now_ms = self.shared.now().ms;
+            for action in self.releases.handle(now_ms, input) {
+                self.perform(action);
+            }
+        }
+    }
+
+    fn perform(&self, action: ReleaseAction) {
+        match action {
+            ReleaseAction::Platform { call, request } => {
+                let shared = Arc::clone(&self.shared);
+                self.shared.spawner.detach(async move {
+                    let result = shared.platform.call(request).await;
+                    shared.tell_releases(ReleaseInput::Platform { call, result });
+                });
+            }
+            ReleaseAction::Pull { peer, pull } => self.send(&peer, MeshMessage::ReleasePull(pull)),
+            ReleaseAction::Push { peer, push } => self.send(&peer, MeshMessage::ReleasePush(*push)),
+            ReleaseAction::InForce(configuration) => self.shared.put_in_force(configuration),
+            ReleaseAction::Answer { ticket, answer } => {
+                if let Some(Question::Release(sender)) = self.shared.questions.remove(ticket) {
+                    let _ = sender.try_send(answer);
+                }
+            }
+        }
+    }
+
+    fn send(&self, peer: &Incarnation, message: MeshMessage) {
+        let view = self.shared.view.load();
+        let Some(member) = view.find(peer) else {
+            return;
+        };
+        // A lost message is asked for again; the releases do not count on it.
+        let _ = self.shared.mesh().send(member.mesh, None, message);
+    }
+}
+
+impl Shared {
+    /// puts a configuration in force and tells whoever decides by it.
+    fn put_in_force(&self, configuration: Arc<Configuration>) {
+        let version = configuration.version;
+        info!(self.log, "configuration in force"; "version" => version);
+        self.timeline.subject(What::ReleaseInForce, &format!("release/{version}"), String::new());
+        let mut shares = Vec::with_capacity(configuration.workspaces.len());
+        for workspace in configuration.workspaces.values() {
+            shares.push(WorkspaceShare { workspace: workspace.id.clone(), weight: workspace.weight });
+        }
+        self.configuration.store(Arc::clone(&configuration));
+        self.tell_dispatcher(DispatchInput::Shares(shares));
+        self.tell_owner(Input::Configuration(configuration));
+        self.tell_membership(MembershipInput::ReleaseInForce(version));
+    }
+}
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 
+use crate::ids::Incarnation;
 use crate::member::Member;
 use crate::member::MemberView;
 use crate::membership::MembershipAction;
@@ -133,6 +134,7 @@
             MembershipInput::Datagram { from, datagram } => self.on_datagram(now_ms, from, *datagram),
             MembershipInput::Listed(list) => self.on_listed(&list),
             MembershipInput::ReleaseInForce(version) => self.on_release(version),
+            MembershipInput::Restart(incarnation) => self.on_restart(incarnation),
             MembershipInput::Leave => self.on_leave(now_ms),
             MembershipInput::Left => self.on_left(),
             MembershipInput::Tick => self.on_tick(now_ms),
@@ -181,6 +183,11 @@
         self.view_changed = true;
     }
 
+    fn on_restart(&mut self, incarnation: Incarnation) {
+        self.own.restart(incarnation);
+        self.announce_own();
+    }
+
     fn on_leave(&mut self, now_ms: u64) {
         if self.own.member.leaving || self.own.has_left() {
             return;
--- a/src/membership/membership_io.rs
+++ b/src/membership/membership_io.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::ids::Incarnation;
 use crate::member::MemberView;
 use crate::platform::ListedInstance;
 use crate::schema::Datagram;
@@ -19,6 +20,8 @@
     Listed(Vec<ListedInstance>),
     /// the configuration in force here.
     ReleaseInForce(u64),
+    /// this instance goes on under a new incarnation: its journal was sealed by another.
+    Restart(Incarnation),
     /// this instance is leaving.
     Leave,
     /// this instance has left; tell the others before the process ends.
--- a/src/membership/own_state.rs
+++ b/src/membership/own_state.rs
@@ -1,3 +1,4 @@
+use crate::ids::Incarnation;
 use crate::member::Member;
 use crate::membership::peer_table::entry_hash;
 use crate::membership::peer_table::version_hash;
@@ -44,6 +45,15 @@
         Self { member, refutation: 0, deaths_ms: Vec::new(), held_until_ms: None, superseded: false }
     }
 
+    /// goes on as a new start; what was said of the old one no longer counts.
+    pub fn restart(&mut self, incarnation: Incarnation) {
+        self.member.incarnation = incarnation;
+        self.member.health = MemberHealth::Alive;
+        self.refutation = 0;
+        self.held_until_ms = None;
+        self.superseded = false;
+    }
+
     pub fn is_superseded(&self) -> bool {
         self.superseded
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,5 @@
 pub use load::parse;
 pub use settings_file::EXAMPLE;
 pub use typed::ListenAddresses;
-pub use typed::MeshKey;
 pub use typed::OperatorKey;
 pub use typed::Settings;
--- a/src/settings/typed.rs
+++ b/src/settings/typed.rs
@@ -3,6 +3,7 @@
 
 use crate::finding::Finding;
 use crate::finding::Findings;
+use crate::mesh::MeshKey;
 use crate::schema;
 use crate::settings::check_settings;
 
@@ -61,8 +62,7 @@
             operator_keys.push(OperatorKey { operator: key.operator.clone(), hash });
         }
         Ok(Self {
-            mesh_key: MeshKey::parse(&settings.cluster.mesh_key)
-                .ok_or_else(|| one("/cluster/mesh_key", &"not 64 hexadecimal digits"))?,
+            mesh_key: settings.cluster.mesh_key.parse().map_err(|error| one("/cluster/mesh_key", &error))?,
             slot_count: settings.cluster.slot_count,
             cluster: settings.cluster.name,
             instance: settings.instance,
@@ -95,23 +95,6 @@
     pub mesh: SocketAddr,
 }
 
-/// the secret that authenticates instances to each other; never printed.
-#[derive(Clone, PartialEq, Eq)]
-pub struct MeshKey(pub [u8; 32]);
-
-impl MeshKey {
-    fn parse(text: &str) -> Option<Self> {
-        let hash = blake3::Hash::from_hex(text).ok()?;
-        Some(Self(*hash.as_bytes()))
-    }
-}
-
-impl fmt::Debug for MeshKey {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        out.write_str("MeshKey(..)")
-    }
-}
-
 /// a key of an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OperatorKey {
--- a/src/timeline/ring.rs
+++ b/src/timeline/ring.rs
@@ -98,6 +98,11 @@
         self.push(what, None, Some(subject.to_owned()), detail);
     }
 
+    /// records an event of a program, of something else, or of both.
+    pub fn record(&self, what: What, program: Option<String>, subject: Option<String>, detail: String) {
+        self.push(what, program, subject, detail);
+    }
+
     /// the latest events that the question asks for, oldest first.
     pub fn select(&self, pull: &TimelinePull) -> Vec<TimelineEvent> {
         let ring = self.ring.lock().expect("ring lock poisoned");
--- /dev/null
+++ b/tests/support/caller.rs
@@ -0,0 +1,85 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::block_on;
+use flamingo_edge::Client;
+use flamingo_edge::ClientSettings;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+use serde_json::Value;
+
+/// largest answer read.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// status and JSON body of an answer; status 0 means that no whole answer came.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Answer {
+    /// the code of a problem, or an empty text.
+    pub fn code(&self) -> &str {
+        self.body["code"].as_str().unwrap_or_default()
+    }
+}
+
+/// a caller with a key.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    key: String,
+}
+
+impl Caller {
+    pub fn new(key: &str) -> Self {
+        let settings =
+            ClientSettings { connect_timeout_ms: 1_000, silence_timeout_ms: 30_000, idle_per_peer: 4 };
+        Self { client: Client::new(settings), key: key.to_owned() }
+    }
+
+    pub fn get(&self, peer: SocketAddr, path: &str) -> Answer {
+        self.send(peer, Method::Get, path, None)
+    }
+
+    pub fn post(&self, peer: SocketAddr, path: &str, body: &Value) -> Answer {
+        self.send(peer, Method::Post, path, Some(body))
+    }
+
+    pub fn put(&self, peer: SocketAddr, path: &str, body: &Value) -> Answer {
+        self.send(peer, Method::Put, path, Some(body))
+    }
+
+    fn send(&self, peer: SocketAddr, method: Method, path: &str, body: Option<&Value>) -> Answer {
+        let url = Url::parse(&format!("http://{peer}{path}")).expect("a test's path is valid");
+        let mut request = Request::new(method, url);
+        request.insert_header("authorization", format!("Bearer {}", self.key));
+        if let Some(body) = body {
+            request.set_body(serde_json::to_vec(body).expect("a value serialises"));
+        }
+        block_on(async {
+            // A fresh connection each time: tests kill the processes behind kept ones.
+            let Ok(exchange) = self.client.send_fresh(peer, request).await else {
+                return Answer { status: 0, body: Value::Null };
+            };
+            let status = u16::from(exchange.response.status());
+            match exchange.bytes(MAX_ANSWER_BYTES).await {
+                Ok(bytes) => Answer { status, body: serde_json::from_slice(&bytes).unwrap_or(Value::Null) },
+                Err(_) => Answer { status: 0, body: Value::Null },
+            }
+        })
+    }
+}
+
+/// runs `attempt` until it gives a value; panics after `limit` tries.
+pub fn until<T>(what: &str, tries: u32, mut attempt: impl FnMut() -> Option<T>) -> T {
+    for _ in 0..tries {
+        if let Some(value) = attempt() {
+            return value;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("gave up waiting: {what}");
+}
