--- a/src/dispatch/prefix_chain.rs
+++ b/src/dispatch/prefix_chain.rs
@@ -50,12 +50,9 @@
         self.tail.iter().rev().chain(self.head.iter().rev())
     }
 
-    fn push(&mut self, message: &ChatMessage) {
-        let json = serde_json::to_vec(message).unwrap_or_default();
-        let digest = xxh3_64_with_seed(&json, self.last.digest);
-        let tokens = self.last.tokens + (json.len() as u64).div_ceil(BYTES_PER_TOKEN);
-        self.last = Boundary { digest, tokens };
-        self.message_count += 1;
+    /// adds a boundary whose message was digested elsewhere.
+    pub fn push_boundary(&mut self, boundary: Boundary) {
+        self.last = boundary;
         if self.head.len() < HEAD_BOUNDARIES {
             self.head.push(self.last);
             return;
@@ -65,4 +62,12 @@
         }
         self.tail.push(self.last);
     }
+
+    fn push(&mut self, message: &ChatMessage) {
+        let json = serde_json::to_vec(message).unwrap_or_default();
+        let digest = xxh3_64_with_seed(&json, self.last.digest);
+        let tokens = self.last.tokens + (json.len() as u64).div_ceil(BYTES_PER_TOKEN);
+        self.message_count += 1;
+        self.push_boundary(Boundary { digest, tokens });
+    }
 }
--- a/src/dispatch/router.rs
+++ b/src/dispatch/router.rs
@@ -4,6 +4,7 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::dispatch::Boundary;
 use crate::dispatch::CacheIndex;
 use crate::dispatch::Choice;
 use crate::dispatch::Pool;
@@ -129,6 +130,13 @@
         Some(Choice { replica, cached_tokens: candidate.cached_tokens })
     }
 
+    /// adds a boundary to a program's prompt, for a caller that digests messages by itself.
+    pub fn note_boundary(&mut self, now_ms: u64, program: &str, boundary: Boundary) {
+        let program = self.programs.entry(program.to_string()).or_default();
+        program.chain.push_boundary(boundary);
+        program.seen_ms = now_ms;
+    }
+
     /// names of the replicas that are ejected or on probation.
     pub fn ejected(&self) -> Vec<&str> {
         let states = self.names.values().map(|key| &self.replicas[*key]);
