--- a/src/journal/journal_writer.rs
+++ b/src/journal/journal_writer.rs
@@ -31,6 +31,8 @@
     Call(PlatformRequest),
     /// these records last, in this order.
     Committed(Vec<Record>),
+    /// this journal was not sealed when it was last asked about.
+    Fenced,
     /// another incarnation sealed this journal.
     Sealed,
 }
@@ -51,6 +53,9 @@
     last_commit_ms: u64,
     written_bytes: u64,
     sealed: bool,
+    fence_wanted: bool,
+    started: u64,
+    settled: u64,
 }
 
 /// one commit from its first attempt until it is settled; its content never changes.
@@ -62,6 +67,8 @@
     started_ms: u64,
     failures: u32,
     step: FlightStep,
+    /// whether nothing is written: the next number is read to see that no seal stands there.
+    probe: bool,
 }
 
 /// what a commit in flight waits for.
@@ -92,6 +99,9 @@
             last_commit_ms: 0,
             written_bytes: 0,
             sealed: false,
+            fence_wanted: false,
+            started: 0,
+            settled: 0,
         }
     }
 
@@ -152,6 +162,19 @@
         self.first_number += 1;
     }
 
+    /// asks for proof that this journal is not sealed by now; returns what `is_fenced` is asked with.
+    ///
+    /// A commit that starts from now on is such a proof; without one the next number is read.
+    pub fn fence(&mut self) -> u64 {
+        self.fence_wanted = true;
+        self.started + 1
+    }
+
+    /// whether a fence has its proof.
+    pub fn is_fenced(&self, fence: u64) -> bool {
+        self.settled >= fence
+    }
+
     /// starts what is due.
     pub fn poll(&mut self, now: Now) -> Option<JournalStep> {
         if self.sealed {
@@ -170,21 +193,27 @@
             return Some(JournalStep::Call(request));
         }
         let gathered = self.next_number == 1 || now.ms >= self.last_commit_ms + self.gather_ms;
-        if self.pending.is_empty() || !gathered {
+        if (self.pending.is_empty() && !self.fence_wanted) || !gathered {
             return None;
         }
-        let flight = self.take_batch(now);
-        let request = PlatformRequest::Create {
-            key: journal_key(&self.me, self.next_number),
-            value: flight.value.clone(),
+        let key = journal_key(&self.me, self.next_number);
+        let flight = if self.pending.is_empty() { Flight::probe(now) } else { self.take_batch(now) };
+        let request = match flight.probe {
+            true => PlatformRequest::Get { key },
+            false => PlatformRequest::Create { key, value: flight.value.clone() },
         };
         self.flight = Some(flight);
+        self.fence_wanted = false;
+        self.started += 1;
         Some(JournalStep::Call(request))
     }
 
     /// takes the reply to the call in flight.
     pub fn reply(&mut self, now: Now, result: &PlatformResult) -> Option<JournalStep> {
         let flight = self.flight.as_mut()?;
+        if flight.probe {
+            return self.probe_reply(now, result);
+        }
         match result {
             Ok(PlatformReply::Written { .. }) => return Some(self.commit(now)),
             Ok(PlatformReply::Object(object)) => {
@@ -214,9 +243,30 @@
         None
     }
 
+    fn probe_reply(&mut self, now: Now, result: &PlatformResult) -> Option<JournalStep> {
+        match result {
+            Err(PlatformError::NotFound) => {
+                self.flight = None;
+                self.settled += 1;
+                self.last_commit_ms = now.ms;
+                return Some(JournalStep::Fenced);
+            }
+            Ok(PlatformReply::Object(_)) => {
+                self.sealed = true;
+                return Some(JournalStep::Sealed);
+            }
+            _ => {}
+        }
+        let flight = self.flight.as_mut()?;
+        flight.step = FlightStep::ReadAt(now.ms + backoff_ms(flight.failures));
+        flight.failures += 1;
+        None
+    }
+
     fn commit(&mut self, now: Now) -> JournalStep {
         let records = self.flight.take().map(|flight| flight.records).unwrap_or_default();
         self.next_number += 1;
+        self.settled += 1;
         self.committed += records.len() as u64;
         self.last_commit_ms = now.ms;
         JournalStep::Committed(records)
@@ -246,7 +296,29 @@
             EntryBody::Batch(batch) => batch.records,
             EntryBody::Seal(_) => Vec::new(),
         };
-        Flight { value, mark, records, started_ms: now.ms, failures: 0, step: FlightStep::Replying }
+        Flight {
+            value,
+            mark,
+            records,
+            started_ms: now.ms,
+            failures: 0,
+            step: FlightStep::Replying,
+            probe: false,
+        }
+    }
+}
+
+impl Flight {
+    fn probe(now: Now) -> Self {
+        Self {
+            value: Vec::new(),
+            mark: String::new(),
+            records: Vec::new(),
+            started_ms: now.ms,
+            failures: 0,
+            step: FlightStep::Replying,
+            probe: true,
+        }
     }
 }
 
--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -26,6 +26,7 @@
 use crate::program::Programs;
 use crate::program::Replay;
 use crate::program::refuse;
+use crate::schema::OwnerEvent;
 use crate::schema::OwnerRequest;
 use crate::schema::Problem;
 use crate::schema::Ran;
@@ -34,6 +35,9 @@
 /// a commit that takes longer than this means that the platform does not take writes.
 const STALL_MS: u64 = 2000;
 
+/// how long an answer waits for proof that no other owner has taken over.
+const FENCE_WAIT_MS: u64 = 5000;
+
 /// wait before a request for a slot of another owner is sent again.
 const RETRY_MOVED_MS: u64 = 50;
 
@@ -48,11 +52,21 @@
     calls: PlatformCalls,
     waiting: Waiting,
     steps: Vec<OwnershipStep>,
+    fenced: Vec<FencedAnswer>,
     trim: Trim,
     leaving_since_ms: Option<u64>,
     stopped: bool,
 }
 
+/// an answer that waits for proof that no other owner has taken over.
+#[derive(Debug)]
+struct FencedAnswer {
+    fence: u64,
+    ticket: u64,
+    event: OwnerEvent,
+    until_ms: u64,
+}
+
 /// the clean-up of this incarnation's own journal.
 #[derive(Debug, Default)]
 struct Trim {
@@ -91,6 +105,7 @@
             calls: PlatformCalls::default(),
             waiting: Waiting::default(),
             steps: Vec::new(),
+            fenced: Vec::new(),
             trim: Trim::default(),
             leaving_since_ms: None,
             stopped: false,
@@ -218,6 +233,7 @@
                 self.ownership_step(now, step, out);
             }
             self.serve_waiting(now, out);
+            self.hold_fenced(now, out);
             let given = self.give_drained(now);
             let cleared = self.snapshot(now, out);
             self.move_records(out);
@@ -233,6 +249,7 @@
         if self.stopped {
             return;
         }
+        self.release_fenced(now, out);
         self.keep_poison(now, out);
         self.trim(now, out);
         self.publish(out);
@@ -253,6 +270,7 @@
                 self.move_records(out);
                 self.programs.committed(now, self.journal.committed(), records, out);
             }
+            JournalStep::Fenced => {}
             JournalStep::Sealed => self.stop(out),
         }
     }
@@ -269,7 +287,7 @@
             OwnershipStep::Load { slot, epoch, sources, unclean } => {
                 let mut replay = Replay::new(slot, self.settings.slot_count);
                 for source in &sources {
-                    replay.take_journal(self.ownership.records(source));
+                    replay.take_journal(self.ownership.records(source), source.epoch);
                 }
                 self.move_records(out);
                 self.programs.adopt(now, slot, epoch, replay.finish(), unclean, out);
@@ -301,6 +319,25 @@
         }
     }
 
+    fn hold_fenced(&mut self, now: Now, out: &mut Outbox) {
+        for (ticket, event) in out.fenced.drain(..) {
+            let fence = self.journal.fence();
+            self.fenced.push(FencedAnswer { fence, ticket, event, until_ms: now.ms + FENCE_WAIT_MS });
+        }
+    }
+
+    fn release_fenced(&mut self, now: Now, out: &mut Outbox) {
+        for answer in std::mem::take(&mut self.fenced) {
+            if self.journal.is_fenced(answer.fence) {
+                out.answer(answer.ticket, answer.event);
+            } else if now.ms >= answer.until_ms {
+                out.refuse(answer.ticket, platform_unavailable());
+            } else {
+                self.fenced.push(answer);
+            }
+        }
+    }
+
     fn serve_waiting(&mut self, now: Now, out: &mut Outbox) {
         if self.waiting.is_empty() {
             return;
@@ -402,8 +439,9 @@
     fn consider_left(&mut self, now: Now, out: &mut Outbox) {
         let Some(since_ms) = self.leaving_since_ms else { return };
         let late = now.ms >= since_ms + self.settings.limits.drain_timeout_ms;
-        let alone = !self.ownership.has_successor() && self.programs.is_all_quiet() && self.journal.is_idle();
-        if self.ownership.is_empty() || alone || late {
+        let quiet = self.programs.is_all_quiet() && self.journal.is_idle() && self.fenced.is_empty();
+        let alone = quiet && !self.ownership.has_successor();
+        if (self.ownership.is_empty() && self.fenced.is_empty()) || alone || late {
             out.actions.push(Action::Left);
             self.refuse_all(out);
             self.stopped = true;
@@ -435,6 +473,11 @@
             let slot = program_of(&waiting.request).slot(self.settings.slot_count);
             out.refuse(waiting.ticket, not_owner(slot));
         }
+        let unsent = out.fenced.drain(..).map(|(ticket, _)| ticket);
+        let tickets: Vec<u64> = self.fenced.drain(..).map(|answer| answer.ticket).chain(unsent).collect();
+        for ticket in tickets {
+            out.refuse(ticket, stopped());
+        }
     }
 
     fn refuse_after_stop(&self, input: Input, out: &mut Outbox) {
@@ -456,6 +499,18 @@
     Problem { retry_after_ms: Some(RETRY_MOVED_MS), ran: Ran::Unknown, ..problem }
 }
 
+/// the owner was replaced while an answer waited for proof that it was not; it had started nothing.
+fn stopped() -> Problem {
+    let problem = refuse(421, "owner_moved", "another instance took over");
+    Problem { retry_after_ms: Some(RETRY_MOVED_MS), ran: Ran::Unknown, ..problem }
+}
+
+/// the platform does not answer, so that nothing can be said for certain.
+fn platform_unavailable() -> Problem {
+    let problem = refuse(503, "platform_unavailable", "the platform does not answer");
+    Problem { retry_after_ms: Some(STALL_MS), ran: Ran::Unknown, ..problem }
+}
+
 /// too many requests wait, or one waited for too long.
 fn busy() -> Problem {
     let problem = refuse(503, "slot_moving", "the slot is being moved; nothing ran");
--- a/src/ownership/claims.rs
+++ b/src/ownership/claims.rs
@@ -88,6 +88,8 @@
 
     /// decides for each slot whether to take, load, drain or give it.
     pub(super) fn decide(&mut self, now: Now, steps: &mut Vec<OwnershipStep>) {
+        // What was read for a load in the last round has been taken by now.
+        self.drop_readers();
         let changed_ms = self.view.as_ref().map_or(0, |view| view.changed_ms);
         let settled = now.ms >= changed_ms + self.settings.takeover_delay_ms;
         for index in 0..self.rows.len() {
@@ -112,7 +114,6 @@
                 Phase::Idle => {}
             }
         }
-        self.drop_readers();
     }
 
     fn continue_takeover(&mut self, now: Now, slot: SlotId) {
@@ -135,7 +136,7 @@
         let row = &mut self.rows[slot.0 as usize];
         let mut sources = row.sources().to_vec();
         if let Some(owner) = row.owner() {
-            sources.push(JournalSource { incarnation: owner.to_string(), through: None });
+            sources.push(JournalSource { incarnation: owner.to_string(), through: None, epoch: row.epoch() });
         }
         let replaces = row.object.is_some().then_some(row.version);
         let object = SlotObject { owner: Some(me), owner_name: Some(name), epoch: row.epoch() + 1, sources };
@@ -145,8 +146,8 @@
 
     fn finish_load(&mut self, slot: SlotId, steps: &mut Vec<OwnershipStep>) {
         let row = &self.rows[slot.0 as usize];
-        let sources: Vec<SourceKey> = row.sources().iter().map(SourceKey::from).collect();
-        let missing: Vec<SourceKey> = sources.iter().filter(|key| !self.is_read(key)).cloned().collect();
+        let keys = row.sources().iter().map(SourceKey::from);
+        let missing: Vec<SourceKey> = keys.filter(|key| !self.is_read(key)).collect();
         if !missing.is_empty() {
             for key in missing {
                 self.read_journal(key);
@@ -154,7 +155,8 @@
             return;
         }
         let epoch = row.epoch();
-        let unclean = sources.last().is_some_and(|key| key.through.is_none());
+        let sources = row.sources().to_vec();
+        let unclean = sources.last().is_some_and(|source| source.through.is_none());
         self.rows[slot.0 as usize].phase = Phase::Serving;
         self.changed = true;
         steps.push(OwnershipStep::Load { slot, epoch, sources, unclean });
--- a/src/ownership/handover.rs
+++ b/src/ownership/handover.rs
@@ -71,7 +71,7 @@
             owner: Some(owner.to_string()),
             owner_name: Some(name),
             epoch: row.epoch() + 1,
-            sources: vec![JournalSource { incarnation: me, through: Some(through) }],
+            sources: vec![JournalSource { incarnation: me, through: Some(through), epoch: row.epoch() }],
         };
         let replaces = Some(row.version);
         row.start_write(now, SlotWrite::new(WriteKind::Give, object, replaces));
--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -15,6 +15,7 @@
 use crate::ownership::slot_write::WriteOutcome;
 use crate::platform::PlatformRequest;
 use crate::platform::PlatformResult;
+use crate::schema::JournalSource;
 use crate::schema::Record;
 use crate::slots::SlotOwner;
 use crate::slots::SlotTable;
@@ -59,7 +60,7 @@
         /// epoch of its object.
         epoch: u64,
         /// its sources, oldest first.
-        sources: Vec<SourceKey>,
+        sources: Vec<JournalSource>,
         /// whether the last owner may have spent what it had reserved.
         unclean: bool,
     },
@@ -176,8 +177,8 @@
     }
 
     /// the records of a journal that was read.
-    pub fn records(&self, key: &SourceKey) -> impl Iterator<Item = &Record> {
-        self.readers.get(key).into_iter().flat_map(|reader| reader.records())
+    pub fn records(&self, source: &JournalSource) -> impl Iterator<Item = &Record> {
+        self.readers.get(&SourceKey::from(source)).into_iter().flat_map(|reader| reader.records())
     }
 
     /// the table of slots, if it changed since the last time.
--- a/src/program/outbox.rs
+++ b/src/program/outbox.rs
@@ -12,6 +12,9 @@
     pub records: Vec<Record>,
     /// actions in their order.
     pub actions: Vec<Action>,
+    /// answers that show the state as it is here, and go out once it is certain that no other owner has a
+    /// newer one.
+    pub fenced: Vec<(u64, OwnerEvent)>,
     /// number of records that the journal already has.
     pub appended: u64,
 }
@@ -19,7 +22,7 @@
 impl Outbox {
     /// an empty outbox before a journal that has `appended` records.
     pub fn new(appended: u64) -> Self {
-        Self { records: Vec::new(), actions: Vec::new(), appended }
+        Self { appended, ..Self::default() }
     }
 
     /// hands a record to the journal and returns its position.
@@ -38,6 +41,21 @@
         self.actions.push(Action::Reply { ticket, event, last: false });
     }
 
+    /// answers a request with the state as it is here.
+    pub fn answer_fenced(&mut self, ticket: u64, event: OwnerEvent) {
+        self.fenced.push((ticket, event));
+    }
+
+    /// refuses a request: with when to come back at once, else the refusal is final and must not come from an
+    /// owner that was replaced unknowingly.
+    pub fn refuse_by_state(&mut self, ticket: u64, problem: Problem) {
+        if problem.retry_after_ms.is_some() {
+            self.refuse(ticket, problem);
+            return;
+        }
+        self.answer_fenced(ticket, OwnerEvent::Problem(problem));
+    }
+
     /// refuses a request.
     pub fn refuse(&mut self, ticket: u64, problem: Problem) {
         self.answer(ticket, OwnerEvent::Problem(problem));
--- a/src/program/programs.rs
+++ b/src/program/programs.rs
@@ -166,7 +166,7 @@
         if let Err(problem) = refused {
             metrics::counter!("flamingostand_owner_refusals_total", "code" => problem.code.clone())
                 .increment(1);
-            out.refuse(ticket, *problem);
+            out.refuse_by_state(ticket, *problem);
         }
     }
 
--- a/src/program/replay.rs
+++ b/src/program/replay.rs
@@ -14,6 +14,7 @@
 pub struct Replay {
     slot: SlotId,
     slot_count: u32,
+    begun: bool,
     state: SlotPrograms,
     images: BTreeMap<ProgramId, Image>,
 }
@@ -28,19 +29,26 @@
 impl Replay {
     /// an empty slot.
     pub fn new(slot: SlotId, slot_count: u32) -> Self {
-        Self { slot, slot_count, state: SlotPrograms::default(), images: BTreeMap::new() }
+        Self { slot, slot_count, begun: false, state: SlotPrograms::default(), images: BTreeMap::new() }
     }
 
     /// takes one journal, whole; journals come in the order of the slot's sources.
     ///
-    /// A journal counts from the last time that its incarnation adopted the slot.
-    pub fn take_journal<'a>(&mut self, records: impl Iterator<Item = &'a Record>) {
+    /// The first journal holds all of the slot since its incarnation last adopted it. A later one holds what
+    /// follows the adoption at `epoch`, and nothing without it: what stands before comes from an earlier time
+    /// as owner, and the journals between know better.
+    pub fn take_journal<'a>(&mut self, records: impl Iterator<Item = &'a Record>, epoch: u64) {
+        let first = !std::mem::replace(&mut self.begun, true);
         let mut counting: Vec<&Record> = Vec::new();
+        let mut counts = first;
         for record in records {
             match record {
-                Record::Adopted(adopted) if adopted.slot == self.slot.0 => counting.clear(),
+                Record::Adopted(adopted) if adopted.slot == self.slot.0 => {
+                    counting.clear();
+                    counts = first || adopted.epoch == epoch;
+                }
                 Record::Adopted(_) => {}
-                _ if self.is_ours(record) => counting.push(record),
+                _ if counts && self.is_ours(record) => counting.push(record),
                 _ => {}
             }
         }
--- a/src/program/requests.rs
+++ b/src/program/requests.rs
@@ -69,7 +69,7 @@
             return Ok(());
         }
         if let Some(opened) = self.opened_answer(id) {
-            out.answer(ticket, OwnerEvent::Opened(opened));
+            out.answer_fenced(ticket, OwnerEvent::Opened(opened));
         }
         Ok(())
     }
@@ -225,7 +225,7 @@
             return Err(Box::new(refuse_for(409, "opening", detail, RETRY_SOON_MS)));
         }
         if let Some(state) = self.program_state(&id) {
-            out.answer(ticket, OwnerEvent::State(state));
+            out.answer_fenced(ticket, OwnerEvent::State(state));
         }
         Ok(())
     }
--- a/src/program/turns.rs
+++ b/src/program/turns.rs
@@ -480,7 +480,7 @@
         let waiters = std::mem::take(&mut turn.waiters);
         for waiter in waiters {
             self.tickets.remove(&waiter.ticket);
-            out.refuse(waiter.ticket, problem.clone());
+            out.refuse_by_state(waiter.ticket, problem.clone());
         }
         self.abandon_turn(id, out);
     }
@@ -507,7 +507,7 @@
         metrics::counter!("flamingostand_owner_refusals_total", "code" => problem.code.clone()).increment(1);
         for waiter in waiters {
             self.tickets.remove(&waiter.ticket);
-            out.refuse(waiter.ticket, problem.clone());
+            out.refuse_by_state(waiter.ticket, problem.clone());
         }
         self.drop_turn(id);
     }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -748,6 +748,9 @@
 ///where state of a slot comes from
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JournalSource {
+    ///epoch at which the owner of the journal took the slot; only what follows its adoption at this epoch counts
+    #[serde(default)]
+    pub epoch: u64,
     ///journal
     pub incarnation: ::std::string::String,
     ///last entry that counts; all without it
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! what several tests share.
+
+pub mod owner_world;
--- /dev/null
+++ b/tests/support/owner_world/mod.rs
@@ -0,0 +1,11 @@
+//! a seeded world of owners in virtual time: an in-memory platform, engines, services and callers with
+//! faults, and a naive reference that checks what the callers see.
+#![allow(dead_code, reason = "each test uses a part")]
+
+pub mod caller;
+pub mod platform;
+pub mod upstreams;
+pub mod world;
+
+pub use world::Plan;
+pub use world::World;
