--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,3 @@
-//! processes and callers for tests that run the real programs.
+//! what several tests share.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
-
-pub mod caller;
-pub mod cluster;
-pub mod ports;
-pub mod script;
+pub mod owner_world;
--- a/tests/upstream_engine.rs
+++ b/tests/upstream_engine.rs
@@ -31,7 +31,7 @@
 fn quick_engine() -> EngineStandin {
     let mut options = EngineOptions { orphan_grace_ms: 100, load_lag_ms: 0, ..EngineOptions::default() };
     options.batch.step_us = 1_000;
-    EngineStandin::start(&SPAWNER, options).unwrap()
+    EngineStandin::start(&SPAWNER, options).expect("the stand-in starts")
 }
 
 fn client() -> EngineClient {
