--- a/src/release/acceptor.rs
+++ b/src/release/acceptor.rs
@@ -33,7 +33,7 @@
     /// the newest releases are read before the note is refused.
     Refresh { call: u64 },
     /// the conditional create that is the acceptance.
-    Create { call: u64 },
+    Create { call: u64, version: u64 },
     /// the newest releases are read to see who made the next version.
     Settle { call: u64 },
 }
@@ -139,10 +139,11 @@
         match judge(&self.note, &core.book) {
             Ok(()) => {
                 let release = self.release(core.version() + 1);
-                let key = keys::release_key(release.version);
+                let version = release.version;
+                let key = keys::release_key(version);
                 let value = codec::encode(&release);
                 let call = core.call(PlatformRequest::Create { key, value });
-                self.stage = Stage::Create { call };
+                self.stage = Stage::Create { call, version };
                 self.created = true;
                 None
             }
@@ -164,8 +165,16 @@
         let stage = std::mem::replace(&mut self.stage, Stage::Judge);
         match (stage, result) {
             // Only what is read back tells who made the version, and that it is no leftover number.
-            (Stage::Create { .. }, Err(PlatformError::Conflict)) => self.settle(core),
-            (Stage::Create { .. }, Ok(_) | Err(PlatformError::Unknown | PlatformError::Invalid(_))) => {
+            (Stage::Create { version, .. }, Err(PlatformError::Conflict)) => {
+                core.saw(version);
+                self.settle(core);
+            }
+            (Stage::Create { version, .. }, Ok(_)) => {
+                core.saw(version);
+                self.may_exist = true;
+                self.settle(core);
+            }
+            (Stage::Create { .. }, Err(PlatformError::Unknown | PlatformError::Invalid(_))) => {
                 self.may_exist = true;
                 self.settle(core);
             }
@@ -224,7 +233,7 @@
     fn call(self) -> Option<u64> {
         match self {
             Self::Judge => None,
-            Self::Refresh { call } | Self::Create { call } | Self::Settle { call } => Some(call),
+            Self::Refresh { call } | Self::Create { call, .. } | Self::Settle { call } => Some(call),
         }
     }
 }
--- a/src/release/peers.rs
+++ b/src/release/peers.rs
@@ -84,7 +84,7 @@
         let delay_ms = if serving { PULL_DELAY_MS + core.jitter_ms(2, PULL_DELAY_MS) } else { 0 };
         let due_ms = *self.due_ms.get_or_insert(core.now_ms + delay_ms);
         if core.now_ms >= due_ms {
-            self.ask(core, serving);
+            self.ask(core, reader, serving);
         }
     }
 
@@ -116,7 +116,14 @@
     }
 
     /// a peer answers, or passes news on.
-    pub(super) fn on_push(&mut self, core: &mut Core, peer: Incarnation, push: ReleasePush, serving: bool) {
+    pub(super) fn on_push(
+        &mut self,
+        core: &mut Core,
+        reader: &mut Reader,
+        peer: Incarnation,
+        push: ReleasePush,
+        serving: bool,
+    ) {
         core.saw(push.latest_version);
         let answered = self.asked.as_ref().is_some_and(|asked| asked.peer == peer && asked.id == push.id);
         if answered {
@@ -138,7 +145,7 @@
         }
         if answered && (core.is_behind() || !serving) {
             self.tried.insert(peer);
-            self.ask(core, serving);
+            self.ask(core, reader, serving);
         }
     }
 
@@ -169,14 +176,15 @@
         }
     }
 
-    fn ask(&mut self, core: &mut Core, serving: bool) {
+    fn ask(&mut self, core: &mut Core, reader: &mut Reader, serving: bool) {
         // A peer that is in the middle of sending its snapshot is asked for the rest of it.
         let (peer, snapshot_version, part) = match &self.assembly {
             Some((holder, assembly)) => (Some(holder.clone()), assembly.version(), assembly.next_part()),
             None => (self.next_peer(core, serving), 0, 0),
         };
         let Some(peer) = peer else {
-            // Everyone was asked; the next round waits a little.
+            // Everyone was asked; the next round waits a little, and the platform may know more.
+            reader.hurry(core);
             self.tried.clear();
             self.due_ms = Some(core.now_ms + PULL_TIMEOUT_MS + core.jitter_ms(3, PULL_DELAY_MS));
             return;
--- a/src/release/releases.rs
+++ b/src/release/releases.rs
@@ -69,7 +69,7 @@
                 self.peers.on_pull(&mut self.core, peer, &pull, self.serving);
             }
             ReleaseInput::Push { peer, push } => {
-                self.peers.on_push(&mut self.core, peer, *push, self.serving);
+                self.peers.on_push(&mut self.core, &mut self.reader, peer, *push, self.serving);
             }
             ReleaseInput::Members(view) => self.on_members(view),
             ReleaseInput::Tick => {}
