--- a/tests/release_spread.rs
+++ b/tests/release_spread.rs
@@ -119,6 +119,28 @@
     assert_eq!(world.nodes[6].in_force, 3);
 }
 
+/// the peers are known to be ahead, but silent: a fresh instance does not start with what it has.
+#[test]
+fn silent_peers() {
+    let mut world = World::new(&ZONES, 1, 13);
+    world.run(2_000);
+    world.store.switch(Mode::Stale);
+    world.accept(0, "ana", &model("m-1", 0));
+    world.run(100);
+    world.store.mode = Mode::Up;
+    world.run(8_000);
+    assert_eq!(world.in_force_count(1), 3);
+    world.store.mode = Mode::Stale;
+    world.freeze(0);
+    world.freeze(1);
+    world.restart(2);
+    world.run(5_000);
+    assert!(!world.nodes[2].releases.is_serving());
+    world.thaw(0);
+    world.run(5_000);
+    assert_eq!(world.nodes[2].in_force, 1);
+}
+
 #[test]
 fn fresh_outage() {
     let mut world = World::new(&ZONES, 3, 6);
