--- a/src/finding/findings.rs
+++ b/src/finding/findings.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use crate::schema::FindingRow;
+
 /// one fault of some input.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Finding {
@@ -31,6 +33,20 @@
     }
 }
 
+impl From<&Finding> for FindingRow {
+    fn from(finding: &Finding) -> Self {
+        let line = finding.line.map(|line| line as u64);
+        Self { place: finding.place.clone(), line, detail: finding.detail.clone() }
+    }
+}
+
+impl From<&FindingRow> for Finding {
+    fn from(row: &FindingRow) -> Self {
+        let line = row.line.map(|line| line as usize);
+        Self { place: row.place.clone(), line, detail: row.detail.clone() }
+    }
+}
+
 /// all faults of one input; an error when there is at least one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Findings {
@@ -49,6 +65,11 @@
         self.list.push(finding);
     }
 
+    /// the faults as they go over the wire.
+    pub fn rows(&self) -> Vec<FindingRow> {
+        self.list.iter().map(FindingRow::from).collect()
+    }
+
     /// returns `value` when nothing was found.
     pub fn into_result<T>(self, value: T) -> Result<T, Self> {
         if self.list.is_empty() { Ok(value) } else { Err(self) }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod ctl;
 pub mod dispatch;
 pub mod finding;
 pub mod ids;
--- a/src/release/diff.rs
+++ b/src/release/diff.rs
@@ -1,49 +1,13 @@
-use serde::Deserialize;
-use serde::Serialize;
 use serde_json::Value;
-use strum::Display;
 
 use crate::config::Configuration;
 use crate::config::EntryKey;
-use crate::schema::EntryName;
+use crate::schema::ChangeKind;
+use crate::schema::EntryChange;
+use crate::schema::FieldChange;
 use crate::schema::ReleaseEntry;
 use crate::schema::ReleaseNote;
 
-/// what happens to an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum ChangeKind {
-    /// it does not exist before.
-    Added,
-    /// it is replaced.
-    Changed,
-    /// it does not exist after.
-    Withdrawn,
-}
-
-/// one field that differs; a missing value is null.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct FieldChange {
-    /// name of the field.
-    pub field: String,
-    /// value before.
-    pub before: Value,
-    /// value after.
-    pub after: Value,
-}
-
-/// what a note does to one entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct EntryChange {
-    /// what happens.
-    pub change: ChangeKind,
-    /// the entry.
-    pub entry: EntryName,
-    /// fields that differ, by name.
-    pub fields: Vec<FieldChange>,
-}
-
 /// what a note does to a configuration, entry by entry in the order of the note.
 pub fn diff(note: &ReleaseNote, configuration: &Configuration) -> Vec<EntryChange> {
     let mut changes = Vec::new();
--- a/src/schema/checker.rs
+++ b/src/schema/checker.rs
@@ -13,7 +13,8 @@
 const SCHEMA_TEXT: &str = include_str!("../../schemas/wire.json");
 
 /// definitions that arrive from outside and are checked before they are read.
-const CHECKED: [&str; 6] = ["Settings", "ReleaseNote", "OpenBody", "TurnBody", "CallBody", "EndBody"];
+const CHECKED: [&str; 8] =
+    ["Settings", "ReleaseNote", "OpenBody", "TurnBody", "CallBody", "EndBody", "DrainBody", "PoisonLiftBody"];
 
 static VALIDATORS: LazyLock<HashMap<&'static str, Validator>> =
     LazyLock::new(|| build_validators().expect("schemas/wire.json is a valid schema"));
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -13,6 +13,21 @@
     ///version that the note makes
     pub version: u64,
 }
+///a typed refusal of the administration API (RFC 9457)
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AdminProblem {
+    ///stable code
+    pub code: ::std::string::String,
+    ///a sentence for people
+    pub detail: ::std::string::String,
+    ///faults with their places
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub findings: ::std::vec::Vec<FindingRow>,
+    pub ran: Ran,
+    ///when to come back
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_after_ms: ::std::option::Option<u64>,
+}
 ///an agent program that a workspace runs
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct AgentProgramEntry {
@@ -165,6 +180,65 @@
     ///number of the request
     pub id: u64,
 }
+///what happens to an entry
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ChangeKind {
+    #[serde(rename = "added")]
+    Added,
+    #[serde(rename = "changed")]
+    Changed,
+    #[serde(rename = "withdrawn")]
+    Withdrawn,
+}
+impl ::std::fmt::Display for ChangeKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Added => f.write_str("added"),
+            Self::Changed => f.write_str("changed"),
+            Self::Withdrawn => f.write_str("withdrawn"),
+        }
+    }
+}
+impl ::std::str::FromStr for ChangeKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "added" => Ok(Self::Added),
+            "changed" => Ok(Self::Changed),
+            "withdrawn" => Ok(Self::Withdrawn),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ChangeKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ChangeKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///tokens were spent without an answer
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ChargedRecord {
@@ -290,6 +364,12 @@
         }
     }
 }
+///tells an instance to leave
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DrainBody {
+    ///name of the instance
+    pub instance: ::std::string::String,
+}
 ///ends a program
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EndBody {
@@ -332,6 +412,14 @@
         Self::Seal(value)
     }
 }
+///what a note does to one entry
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EntryChange {
+    pub change: ChangeKind,
+    pub entry: EntryName,
+    ///fields that differ, by name
+    pub fields: ::std::vec::Vec<FieldChange>,
+}
 ///kind of an entry
 #[derive(
     ::serde::Deserialize,
@@ -405,6 +493,27 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub workspace: ::std::option::Option<::std::string::String>,
 }
+///one field that differs; a missing value is null
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct FieldChange {
+    ///value after
+    pub after: ::serde_json::Value,
+    ///value before
+    pub before: ::serde_json::Value,
+    ///name
+    pub field: ::std::string::String,
+}
+///one fault of some input
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct FindingRow {
+    ///what is wrong
+    pub detail: ::std::string::String,
+    ///line in the file, from 1
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub line: ::std::option::Option<u64>,
+    ///JSON pointer of the faulty value
+    pub place: ::std::string::String,
+}
 ///`FlamingostandWireAndSettingsTypes`
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -540,6 +649,18 @@
     ///last turn
     pub turn: u32,
 }
+///one instance as the administration API shows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceRow {
+    pub health: MemberHealth,
+    ///name
+    pub name: ::std::string::String,
+    ///its own report; none when it does not answer
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub status: ::std::option::Option<InstanceStatus>,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
 ///who and where this instance is
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct InstanceSettings {
@@ -572,6 +693,14 @@
     ///availability zone
     pub zone: ::std::string::String,
 }
+///configuration in force on one instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceVersion {
+    ///name
+    pub name: ::std::string::String,
+    ///version
+    pub version: u64,
+}
 ///a call is about to run
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct IntendedRecord {
@@ -1379,6 +1508,12 @@
     ///whether an operator lifted it
     pub lifted: bool,
 }
+///lets a content run again
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PoisonLiftBody {
+    ///digest of the content
+    pub digest: ::std::string::String,
+}
 ///asks for a sign of life
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Probe {
@@ -1637,6 +1772,32 @@
         Self::ImagedMessages(value)
     }
 }
+///a note is in force from a version on
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseAccepted {
+    ///whether the note was accepted before
+    pub repeated: bool,
+    ///version
+    pub version: u64,
+}
+///findings of a note
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseCheck {
+    ///whether releases accepted since the note was written are among the reasons
+    pub conflict: bool,
+    ///faults with their places; none when the note can be accepted
+    pub findings: ::std::vec::Vec<FindingRow>,
+    ///version that the note was checked against
+    pub version: u64,
+}
+///what a note would change
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseDiff {
+    ///entries in the order of the note
+    pub changes: ::std::vec::Vec<EntryChange>,
+    ///version that the note was compared with
+    pub version: u64,
+}
 ///one thing that a release note adds or changes
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ReleaseEntry {
@@ -1725,6 +1886,14 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub snapshot: ::std::vec::Vec<SnapshotPart>,
 }
+///where the newest release is in force
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseStatus {
+    ///live instances
+    pub instances: ::std::vec::Vec<InstanceVersion>,
+    ///newest version
+    pub version: u64,
+}
 ///what a dispatcher knows of its replica
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReplicaLoad {
