--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -28,6 +28,14 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub retry_after_ms: ::std::option::Option<u64>,
 }
+///this journal holds a slot from here on; what stands before of the slot in this journal does not count
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AdoptedRecord {
+    ///epoch of the slot's object
+    pub epoch: u64,
+    ///slot
+    pub slot: u32,
+}
 ///an agent program that a workspace runs
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct AgentProgramEntry {
@@ -284,8 +292,12 @@
     ///deployment
     pub cluster: ::std::string::String,
     ///news of members
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub records: ::std::vec::Vec<MemberRecord>,
-    pub sender: MemberRecord,
+    pub sender: DatagramSender,
+    ///digest of the members that the sender believes to run
+    #[serde(default)]
+    pub view_digest: u64,
 }
 ///purpose of a datagram
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -296,6 +308,14 @@
     Ack(ProbeAck),
     #[serde(rename = "probe_request")]
     ProbeRequest(ProbeRequest),
+    #[serde(rename = "news")]
+    News(News),
+    #[serde(rename = "sync_buckets")]
+    SyncBuckets(SyncBuckets),
+    #[serde(rename = "sync_names")]
+    SyncNames(SyncNames),
+    #[serde(rename = "sync_wanted")]
+    SyncWanted(SyncWanted),
 }
 impl ::std::convert::From<Probe> for DatagramBody {
     fn from(value: Probe) -> Self {
@@ -312,6 +332,38 @@
         Self::ProbeRequest(value)
     }
 }
+impl ::std::convert::From<News> for DatagramBody {
+    fn from(value: News) -> Self {
+        Self::News(value)
+    }
+}
+impl ::std::convert::From<SyncBuckets> for DatagramBody {
+    fn from(value: SyncBuckets) -> Self {
+        Self::SyncBuckets(value)
+    }
+}
+impl ::std::convert::From<SyncNames> for DatagramBody {
+    fn from(value: SyncNames) -> Self {
+        Self::SyncNames(value)
+    }
+}
+impl ::std::convert::From<SyncWanted> for DatagramBody {
+    fn from(value: SyncWanted) -> Self {
+        Self::SyncWanted(value)
+    }
+}
+///what a datagram says of its sender
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DatagramSender {
+    ///incarnation
+    pub incarnation: ::std::string::String,
+    ///name
+    pub name: ::std::string::String,
+    ///refutation number
+    pub refutation: u32,
+    ///configuration in force
+    pub release_version: u64,
+}
 ///a turn for the dispatcher of a replica
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Dispatch {
@@ -1205,6 +1257,9 @@
     pub cluster: ::std::string::String,
     ///incarnation of the sender
     pub incarnation: ::std::string::String,
+    ///mesh address of the sender
+    #[serde(default)]
+    pub mesh: ::std::string::String,
     ///name of the sender
     pub name: ::std::string::String,
     ///challenge, 32 hexadecimal digits
@@ -1339,6 +1394,13 @@
     ///name of the model
     pub id: ::std::string::String,
 }
+///news that asks for no answer
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct News {
+    ///whether the receiver passes new records on at once
+    #[serde(default)]
+    pub urgent: bool,
+}
 ///opens a program
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OpenBody {
@@ -1372,6 +1434,9 @@
     pub agent_program: ::std::string::String,
     ///reserved for the first turn
     pub allowance_tokens: u64,
+    ///budget that the caller asked for; a repeat must ask for the same
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub asked_budget_tokens: ::std::option::Option<u64>,
     ///budget
     pub budget_tokens: u64,
     ///deadline
@@ -1380,6 +1445,9 @@
     pub max_turns: u32,
     ///model
     pub model: ::std::string::String,
+    ///when it was opened
+    #[serde(default)]
+    pub opened_unix_ms: u64,
     ///parent
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub parent: ::std::option::Option<::std::string::String>,
@@ -1525,6 +1593,9 @@
 pub struct ProbeAck {
     ///number of the probe
     pub sequence: u64,
+    ///whether the record of the prober is unknown to the sender
+    #[serde(default)]
+    pub wants_record: bool,
 }
 ///asks another member to probe
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1721,6 +1792,8 @@
     Imaged(ImagedRecord),
     #[serde(rename = "imaged_messages")]
     ImagedMessages(ImagedMessagesRecord),
+    #[serde(rename = "adopted")]
+    Adopted(AdoptedRecord),
 }
 impl ::std::convert::From<OpenedRecord> for Record {
     fn from(value: OpenedRecord) -> Self {
@@ -1772,6 +1845,11 @@
         Self::ImagedMessages(value)
     }
 }
+impl ::std::convert::From<AdoptedRecord> for Record {
+    fn from(value: AdoptedRecord) -> Self {
+        Self::Adopted(value)
+    }
+}
 ///a note is in force from a version on
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleaseAccepted {
@@ -1907,6 +1985,15 @@
     pub replica: ::std::string::String,
     ///requests inside
     pub running: u32,
+    ///measured time between tokens
+    #[serde(default)]
+    pub token_gap_ms: u64,
+    ///measured speed of reading uncached prompt tokens, zero when unknown
+    #[serde(default)]
+    pub uncached_per_second: u64,
+    ///expected wait of a turn that joins the queue now
+    #[serde(default)]
+    pub wait_ms: u64,
     ///limit in force
     pub window: u32,
 }
@@ -2067,6 +2154,9 @@
     ///incarnation of the owner
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub owner: ::std::option::Option<::std::string::String>,
+    ///name of the owning instance; a newer incarnation of the same name proves the owner gone
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub owner_name: ::std::option::Option<::std::string::String>,
     ///journals that the owner has not yet copied into its own, oldest first
     pub sources: ::std::vec::Vec<JournalSource>,
 }
@@ -2151,6 +2241,30 @@
     pub id: u64,
     pub status: InstanceStatus,
 }
+///digests of the members known, by bucket of their names
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncBuckets {
+    ///digest of each bucket; the number of buckets is a power of two
+    pub digests: ::std::vec::Vec<u32>,
+}
+///members known in one bucket
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncNames {
+    ///number of this bucket
+    pub bucket: u32,
+    ///number of buckets
+    pub bucket_count: u32,
+    ///hash of each name
+    pub names: ::std::vec::Vec<u32>,
+    ///hash of what is known of each, in the order of the names
+    pub versions: ::std::vec::Vec<u32>,
+}
+///asks for records
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncWanted {
+    ///hash of each name
+    pub names: ::std::vec::Vec<u32>,
+}
 ///one event of the time line
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TimelineEvent {
