--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -29,7 +29,7 @@
 static SPAWNER: LazyLock<Spawner> = LazyLock::new(|| Spawner::start(2));
 
 fn standin() -> PlatformStandin {
-    PlatformStandin::start(&SPAWNER, PlatformOptions::default()).unwrap()
+    PlatformStandin::start(&SPAWNER, PlatformOptions::default()).expect("the stand-in starts")
 }
 
 fn client(standin: &PlatformStandin) -> HttpPlatform {
