Tell a dead engine from a silent one, and settle a lost turn quickly

Cause: an engine whose connection timed out counted as died, which feeds the hold on requests that kill their upstreams; a frozen engine held its turn until the deadline; the end of a turn waited up to two call timeouts for the engine's word. Change: ClientError::Refused says that nothing listens; died needs that or another incarnation; until the first token the engine is asked for its load now and then; questions about a failed turn take at most settle_timeout_ms. Conclusion: restarted_engine, silent_engine and slow_first_token of tests/upstream_engine.rs pass.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::panic::AssertUnwindSafe;
@@ -91,6 +92,9 @@
         let limit = Duration::from_millis(self.pool.settings.connect_timeout_ms);
         let stream = match timeout(limit, Async::<TcpStream>::connect(peer)).await {
             None => return Err(ClientError::NotSent("the connection did not open in time".to_owned())),
+            Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ClientError::Refused(error.to_string()));
+            }
             Some(Err(error)) => return Err(ClientError::NotSent(error.to_string())),
             Some(Ok(stream)) => stream,
         };
@@ -174,7 +178,7 @@
 fn is_open(socket: &Socket) -> bool {
     let stream: &TcpStream = socket.get_ref();
     let mut byte = [0_u8; 1];
-    matches!(stream.peek(&mut byte), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    matches!(stream.peek(&mut byte), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// a response whose body is read through counted reads.
--- a/crates/edge/src/error.rs
+++ b/crates/edge/src/error.rs
@@ -26,6 +26,8 @@
 /// why a call got no whole response, and whether the peer can have seen it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientError {
+    /// nothing listens at the peer's address, so no byte of the request was sent.
+    Refused(String),
     /// no byte of the request was sent.
     NotSent(String),
     /// some of the request may have been sent; whether it ran is unknown.
@@ -35,14 +37,14 @@
 impl ClientError {
     /// tells whether the peer certainly saw nothing of the request.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::Refused(_) | Self::NotSent(_))
     }
 }
 
 impl fmt::Display for ClientError {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NotSent(why) => write!(out, "request not sent: {why}"),
+            Self::Refused(why) | Self::NotSent(why) => write!(out, "request not sent: {why}"),
             Self::Broken(why) => write!(out, "request broken off: {why}"),
         }
     }
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -34,14 +34,14 @@
 
 impl Peer {
     fn start(connections: &[&'static [&'static [u8]]]) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let address = listener.local_addr().unwrap();
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("the test's own step succeeds");
+        let address = listener.local_addr().expect("the test's own step succeeds");
         let requests = Arc::new(AtomicUsize::new(0));
         let counted = Arc::clone(&requests);
         let connections = connections.to_vec();
         thread::spawn(move || {
             for answers in connections {
-                let (stream, _) = listener.accept().unwrap();
+                let (stream, _) = listener.accept().expect("the test's own step succeeds");
                 let counted = Arc::clone(&counted);
                 thread::spawn(move || serve(stream, answers, &counted));
             }
@@ -83,11 +83,14 @@
 }
 
 fn request(peer: &Peer) -> Request {
-    Request::new(Method::Get, Url::parse(&format!("http://{}/", peer.address)).unwrap())
+    Request::new(
+        Method::Get,
+        Url::parse(&format!("http://{}/", peer.address)).expect("the test's own step succeeds"),
+    )
 }
 
 fn body(exchange: Result<Exchange, ClientError>) -> Result<Vec<u8>, ReadError> {
-    block_on(exchange.unwrap().bytes(1_000))
+    block_on(exchange.expect("the test's own step succeeds").bytes(1_000))
 }
 
 #[test_case(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nshort"; "shorter than its length")]
@@ -125,7 +128,7 @@
     let peer = Peer { address: listener.local_addr().unwrap(), requests: Arc::default() };
     drop(listener);
     let result = block_on(client().send(peer.address, request(&peer)));
-    assert!(result.is_err_and(|error| error.is_not_sent()));
+    assert!(matches!(&result, Err(error @ ClientError::Refused(_)) if error.is_not_sent()), "{result:?}");
 }
 
 #[test]
--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -43,25 +43,25 @@
 
 fn server() -> SocketAddr {
     let spawner = Spawner::start(THREAD_COUNT);
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-    let address = listener.get_ref().local_addr().unwrap();
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("the test's own step succeeds");
+    let address = listener.get_ref().local_addr().expect("the test's own step succeeds");
     spawner.detach(serve(listener, spawner.clone(), LIMITS, answer));
     address
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let stream = TcpStream::connect(address).expect("the test's own step succeeds");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("the test's own step succeeds");
     stream
 }
 
 /// sends bytes and returns everything that comes back until the server closes.
 fn exchange(address: SocketAddr, sent: &[u8]) -> String {
     let mut stream = connect(address);
-    stream.write_all(sent).unwrap();
+    stream.write_all(sent).expect("the test's own step succeeds");
     let mut received = Vec::new();
-    stream.read_to_end(&mut received).unwrap();
-    String::from_utf8(received).unwrap()
+    stream.read_to_end(&mut received).expect("the test's own step succeeds");
+    String::from_utf8(received).expect("the test's own step succeeds")
 }
 
 fn assert_alive(address: SocketAddr) {
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -21,20 +21,31 @@
 impl Process {
     fn start(kind: &str) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_standin"));
-        let mut child =
-            command.args([kind, "--listen", "127.0.0.1:0"]).stdout(Stdio::piped()).spawn().unwrap();
+        let mut child = command
+            .args([kind, "--listen", "127.0.0.1:0"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the test's own step succeeds");
         let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let address = line.split_whitespace().last().unwrap().parse().unwrap();
+        BufReader::new(child.stdout.take().expect("the test's own step succeeds"))
+            .read_line(&mut line)
+            .expect("the test's own step succeeds");
+        let address = line
+            .split_whitespace()
+            .last()
+            .expect("the test's own step succeeds")
+            .parse()
+            .expect("the test's own step succeeds");
         assert!(line.starts_with(kind), "{line}");
         Self { child, address }
     }
 
     fn ask(&self, head: &str, body: &str) -> String {
-        let mut stream = TcpStream::connect(self.address).unwrap();
+        let mut stream = TcpStream::connect(self.address).expect("the test's own step succeeds");
         let length = body.len();
-        write!(stream, "{head} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-request-id: r1\r\n").unwrap();
-        write!(stream, "content-length: {length}\r\n\r\n{body}").unwrap();
+        write!(stream, "{head} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-request-id: r1\r\n")
+            .expect("the test's own step succeeds");
+        write!(stream, "content-length: {length}\r\n\r\n{body}").expect("the test's own step succeeds");
         let mut answer = Vec::new();
         let _ = stream.read_to_end(&mut answer);
         String::from_utf8_lossy(&answer).into_owned()
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -190,7 +190,9 @@
         };
         let exchange = match sent {
             Ok(exchange) => exchange,
-            Err(ClientError::NotSent(_)) => return Err(PlatformError::Unavailable.into()),
+            Err(ClientError::Refused(_) | ClientError::NotSent(_)) => {
+                return Err(PlatformError::Unavailable.into());
+            }
             Err(ClientError::Broken(_)) => return Err(Attempt::Broken),
         };
         let status = exchange.response.status();
--- a/src/upstream/engine_client.rs
+++ b/src/upstream/engine_client.rs
@@ -41,13 +41,21 @@
     pub connect_timeout_ms: u64,
     /// how long a short call may take.
     pub call_timeout_ms: u64,
-    /// how long a stream may pause between two tokens.
+    /// how long a stream may pause between two tokens, and how often an engine that is still to send the
+    /// first one is asked whether it lives.
     pub token_timeout_ms: u64,
+    /// how long an engine is asked about a turn that failed.
+    pub settle_timeout_ms: u64,
 }
 
 impl Default for EngineClientSettings {
     fn default() -> Self {
-        Self { connect_timeout_ms: 1_000, call_timeout_ms: 2_000, token_timeout_ms: 10_000 }
+        Self {
+            connect_timeout_ms: 1_000,
+            call_timeout_ms: 2_000,
+            token_timeout_ms: 5_000,
+            settle_timeout_ms: 500,
+        }
     }
 }
 
@@ -60,6 +68,19 @@
     incarnations: Mutex<HashMap<SocketAddr, String>>,
 }
 
+/// whether an engine lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Life {
+    /// it answers.
+    Lives,
+    /// it answers, but it is another start than the one last seen.
+    Restarted,
+    /// nothing listens at its address.
+    Gone,
+    /// it does not answer.
+    Silent,
+}
+
 #[derive(Deserialize)]
 struct TokensBody {
     tokens: u64,
@@ -113,19 +134,52 @@
 
     /// cancels a turn and returns the tokens that it generated.
     pub async fn cancel(&self, address: SocketAddr, request_id: &str) -> Result<u64, EngineError> {
-        let path = format!("/v1/streams/{request_id}/cancel");
-        let body: CancelledBody = self.call("cancel", address, Method::Post, &path, Some(&json!({}))).await?;
-        Ok(body.completion_tokens)
+        self.cancel_within(address, request_id, self.settings.call_timeout_ms).await
     }
 
     /// reads the load.
     pub async fn load(&self, address: SocketAddr) -> Result<EngineLoad, EngineError> {
-        let load: EngineLoad = self.call("load", address, Method::Get, "/v1/load", None).await?;
+        self.load_within(address, self.settings.call_timeout_ms).await
+    }
+
+    /// cancels a turn whose end is waited for.
+    pub(super) async fn cancel_within(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+        limit_ms: u64,
+    ) -> Result<u64, EngineError> {
+        let path = format!("/v1/streams/{request_id}/cancel");
+        let body = json!({});
+        let cancelled = self.call_within("cancel", address, Method::Post, &path, Some(&body), limit_ms);
+        let body: CancelledBody = cancelled.await?;
+        Ok(body.completion_tokens)
+    }
+
+    /// reads the load and remembers the start of the engine.
+    async fn load_within(&self, address: SocketAddr, limit_ms: u64) -> Result<EngineLoad, EngineError> {
+        let load: EngineLoad =
+            self.call_within("load", address, Method::Get, "/v1/load", None, limit_ms).await?;
         let mut incarnations = self.incarnations.lock().expect("incarnations lock poisoned");
         incarnations.insert(address, load.incarnation.clone());
         Ok(load)
     }
 
+    /// the start of the engine at `address` that was last seen.
+    pub(super) fn incarnation(&self, address: SocketAddr) -> Option<String> {
+        self.incarnations.lock().expect("incarnations lock poisoned").get(&address).cloned()
+    }
+
+    /// asks an engine that does not answer a turn whether it lives and is still the start `before`.
+    pub(super) async fn life(&self, address: SocketAddr, before: Option<&str>) -> Life {
+        match self.load_within(address, self.settings.settle_timeout_ms).await {
+            Ok(load) if before.is_some_and(|before| before != load.incarnation) => Life::Restarted,
+            Ok(_) => Life::Lives,
+            Err(EngineError::Gone(_)) => Life::Gone,
+            Err(_) => Life::Silent,
+        }
+    }
+
     /// waits for cache events after a number.
     pub async fn cache_events(
         &self,
@@ -188,15 +242,6 @@
         self.call("state", address, Method::Get, "/v1/orders", None).await
     }
 
-    /// tells whether the engine at `address` is another start than the one last seen.
-    pub(super) async fn has_restarted(&self, address: SocketAddr) -> bool {
-        let before = self.incarnations.lock().expect("incarnations lock poisoned").get(&address).cloned();
-        let Ok(load) = self.load(address).await else {
-            return false;
-        };
-        before.is_some_and(|before| before != load.incarnation)
-    }
-
     async fn call<T: DeserializeOwned>(
         &self,
         kind: &'static str,
--- a/src/upstream/engine_error.rs
+++ b/src/upstream/engine_error.rs
@@ -5,6 +5,8 @@
 /// why a call to an engine brought no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineError {
+    /// nothing listens at the engine's address.
+    Gone(String),
     /// no byte of the call was sent.
     NotSent(String),
     /// the call may have taken effect.
@@ -29,6 +31,7 @@
     /// the name under which the result is counted.
     pub(super) fn name(&self) -> &'static str {
         match self {
+            Self::Gone(_) => "gone",
             Self::NotSent(_) => "not_sent",
             Self::Broken(_) => "broken",
             Self::Unknown => "unknown",
@@ -42,6 +45,7 @@
 impl fmt::Display for EngineError {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Gone(why) => write!(out, "nothing listens there: {why}"),
             Self::NotSent(why) => write!(out, "not sent: {why}"),
             Self::Broken(why) => write!(out, "broken off: {why}"),
             Self::Unknown => write!(out, "the engine does not know the subject of the call"),
@@ -57,6 +61,7 @@
 impl From<ClientError> for EngineError {
     fn from(error: ClientError) -> Self {
         match error {
+            ClientError::Refused(why) => Self::Gone(why),
             ClientError::NotSent(why) => Self::NotSent(why),
             ClientError::Broken(why) => Self::Broken(why),
         }
--- a/src/upstream/engine_run.rs
+++ b/src/upstream/engine_run.rs
@@ -23,6 +23,8 @@
 use crate::schema::TurnJob;
 use crate::schema::Usage;
 use crate::upstream::EngineClient;
+use crate::upstream::EngineError;
+use crate::upstream::engine_client::Life;
 use crate::upstream::engine_client::engine_url;
 use crate::upstream::tool_calls::ToolCalls;
 
@@ -99,6 +101,8 @@
     address: SocketAddr,
     request_id: &'a str,
     job: &'a TurnJob,
+    /// the start of the engine that was known when the turn began.
+    incarnation: Option<String>,
     deadline: Instant,
     text: String,
     tool_calls: ToolCalls,
@@ -120,6 +124,7 @@
             address,
             request_id,
             job,
+            incarnation: engine.incarnation(address),
             deadline: Instant::now() + Duration::from_millis(job.deadline_ms),
             text: String::new(),
             tool_calls: ToolCalls::default(),
@@ -140,20 +145,23 @@
                 Err(Stop::Settled(fault, detail)) => return self.failed(fault, detail).await,
                 Err(Stop::Broken(why)) => why,
             };
-            if resumes == MAX_RESUMES {
-                return self.given_up(why).await;
-            }
-            resumes += 1;
-            stop = self.resume(why, on_event).await;
+            stop = if resumes < MAX_RESUMES {
+                resumes += 1;
+                self.resume(why, on_event).await
+            } else {
+                Err(lost(why, self.life().await))
+            };
         }
     }
 
     async fn start(&mut self, on_event: &mut (impl FnMut(JobEvent) + Send)) -> Result<(), Stop> {
         let request = self.request().map_err(|why| Stop::Settled(JobFault::NotSent, why))?;
-        let sent = self.within_deadline(self.engine.client.send_once(self.address, request)).await?;
+        let sent = self.while_alive(self.engine.client.send_once(self.address, request)).await?;
         let exchange = match sent {
             Ok(exchange) => exchange,
-            Err(ClientError::NotSent(why)) => return Err(Stop::Settled(JobFault::NotSent, why)),
+            Err(ClientError::Refused(why) | ClientError::NotSent(why)) => {
+                return Err(Stop::Settled(JobFault::NotSent, why));
+            }
             Err(ClientError::Broken(why)) => return Err(Stop::Broken(why)),
         };
         if exchange.response.status() != StatusCode::Ok {
@@ -233,7 +241,7 @@
     ) -> Result<Result<Option<flamingo_edge::SseEvent>, ClientError>, Stop> {
         // The wait for the first token holds the engine's own queue and is bounded by the deadline alone.
         if self.received_tokens == 0 {
-            return self.within_deadline(events.next()).await;
+            return self.while_alive(events.next()).await;
         }
         let limit = Duration::from_millis(self.engine.settings.token_timeout_ms);
         let next = self.within_deadline(timeout(limit, events.next())).await?;
@@ -289,12 +297,15 @@
         let url = engine_url(self.address, &path);
         let url = url.map_err(|error| Stop::Settled(JobFault::Broken, error.to_string()))?;
         let request = Request::new(Method::Get, url);
-        let sent = self.within_deadline(self.engine.client.send_fresh(self.address, request)).await?;
+        let sent = self.while_alive(self.engine.client.send_fresh(self.address, request)).await?;
         let exchange = match sent {
             Ok(exchange) => exchange,
-            Err(ClientError::NotSent(refused)) => {
+            Err(ClientError::Refused(refused)) => {
                 return Err(Stop::Settled(JobFault::Died, format!("{why}; then: {refused}")));
             }
+            Err(ClientError::NotSent(again)) => {
+                return Err(Stop::Settled(JobFault::Broken, format!("{why}; then: {again}")));
+            }
             Err(ClientError::Broken(again)) => return Err(Stop::Broken(format!("{why}; then: {again}"))),
         };
         if exchange.response.status() == StatusCode::Ok {
@@ -302,20 +313,12 @@
             return self.read(exchange, on_event).await;
         }
         drop(exchange);
-        if self.engine.has_restarted(self.address).await {
-            return Err(Stop::Settled(JobFault::Died, format!("{why}; the engine has restarted")));
-        }
-        Err(Stop::Settled(JobFault::Broken, format!("{why}; the engine does not resume it")))
+        Err(lost(format!("{why}; the engine does not resume it"), self.life().await))
     }
 
-    /// settles a stream that broke again after it was resumed.
-    async fn given_up(self, why: String) -> JobEvent {
-        match self.engine.load(self.address).await {
-            Err(crate::upstream::EngineError::NotSent(refused)) => {
-                self.failed(JobFault::Died, format!("{why}; then: {refused}")).await
-            }
-            _ => self.failed(JobFault::Broken, why).await,
-        }
+    /// whether the engine that took the turn still lives.
+    async fn life(&self) -> Life {
+        self.engine.life(self.address, self.incarnation.as_deref()).await
     }
 
     fn done(self) -> JobEvent {
@@ -343,17 +346,31 @@
                 None => self.job.prompt_tokens + self.received_tokens,
             },
             JobFault::Broken | JobFault::TooLate => {
-                match self.engine.cancel(self.address, self.request_id).await {
+                let limit_ms = self.engine.settings.settle_timeout_ms;
+                match self.engine.cancel_within(self.address, self.request_id, limit_ms).await {
                     Ok(completion_tokens) => self.job.prompt_tokens + completion_tokens,
-                    Err(crate::upstream::EngineError::Unknown) => {
-                        self.job.prompt_tokens + self.received_tokens
-                    }
+                    Err(EngineError::Unknown) => self.job.prompt_tokens + self.received_tokens,
                     Err(_) => self.job.prompt_tokens + self.job.max_tokens,
                 }
             }
         }
     }
 
+    /// waits for an engine that may take its time, as long as it answers other calls.
+    async fn while_alive<T>(&self, work: impl Future<Output = T>) -> Result<T, Stop> {
+        let mut work = Box::pin(work);
+        let limit = Duration::from_millis(self.engine.settings.token_timeout_ms);
+        loop {
+            if let Some(result) = self.within_deadline(timeout(limit, work.as_mut())).await? {
+                return Ok(result);
+            }
+            let life = self.within_deadline(self.life()).await?;
+            if life != Life::Lives {
+                return Err(lost("the engine does not answer the turn".to_owned(), life));
+            }
+        }
+    }
+
     /// runs `work` until the deadline of the turn.
     async fn within_deadline<T>(&self, work: impl Future<Output = T>) -> Result<T, Stop> {
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -361,3 +378,13 @@
         timeout(left, work).await.ok_or_else(late)
     }
 }
+
+/// tells what became of a turn that broke and cannot be resumed.
+fn lost(why: String, life: Life) -> Stop {
+    match life {
+        Life::Gone => Stop::Settled(JobFault::Died, format!("{why}; the engine is gone")),
+        Life::Restarted => Stop::Settled(JobFault::Died, format!("{why}; the engine has restarted")),
+        Life::Lives => Stop::Settled(JobFault::Broken, why),
+        Life::Silent => Stop::Settled(JobFault::Broken, format!("{why}; the engine is silent")),
+    }
+}
--- a/src/upstream/service_client.rs
+++ b/src/upstream/service_client.rs
@@ -141,7 +141,7 @@
                 false => self.client.send_fresh(replica, message).await,
             };
             match sent {
-                Err(ClientError::NotSent(why)) => Attempt::NotRun(why),
+                Err(ClientError::Refused(why) | ClientError::NotSent(why)) => Attempt::NotRun(why),
                 Err(ClientError::Broken(why)) => Attempt::Unclear(why),
                 Ok(exchange) => {
                     let status = exchange.response.status();
--- a/tests/upstream_engine.rs
+++ b/tests/upstream_engine.rs
@@ -216,6 +216,44 @@
     assert_eq!(failed.fault, JobFault::Died);
 }
 
+#[test]
+fn restarted_engine() {
+    let client = client();
+    let engine = quick_engine();
+    let address = engine.address();
+    block_on(client.load(address)).unwrap();
+    drop(engine);
+    // Another start takes the address and knows nothing of the turn, as after a crash that was healed quickly.
+    let options = EngineOptions { listen: address, ..EngineOptions::default() };
+    let engine = loop {
+        match EngineStandin::start(&SPAWNER, options.clone()) {
+            Ok(engine) => break engine,
+            Err(_) => std::thread::sleep(Duration::from_millis(1)),
+        }
+    };
+    engine.control().set_faults(EngineFaults { close_next: 1, ..EngineFaults::default() });
+    let failed = failed(run(&client, address, "r1", &job("lost on the way")).1);
+    assert_eq!(failed.fault, JobFault::Died);
+}
+
+#[test]
+fn silent_engine() {
+    let listener = std::net::TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let failed = failed(run(&client(), address, "r1", &job("into the void")).1);
+    assert_eq!(failed.fault, JobFault::Broken, "it ends long before its deadline: {}", failed.detail);
+}
+
+#[test]
+fn slow_first_token() {
+    let mut options = EngineOptions::default();
+    options.batch.step_us = 800_000;
+    let engine = EngineStandin::start(&SPAWNER, options).unwrap();
+    let job = job("slow answer_tokens=1");
+    let end = run(&client(), engine.address(), "r1", &job).1;
+    assert_eq!(done(end).usage.completion_tokens, 1, "an engine that answers its load is waited for");
+}
+
 #[test]
 fn missed_deadline() {
     let engine = quick_engine();
--- a/tests/upstream_service.rs
+++ b/tests/upstream_service.rs
@@ -28,7 +28,7 @@
 static SPAWNER: LazyLock<Spawner> = LazyLock::new(|| Spawner::start(2));
 
 fn service() -> ServiceStandin {
-    ServiceStandin::start(&SPAWNER, ServiceOptions::default()).unwrap()
+    ServiceStandin::start(&SPAWNER, ServiceOptions::default()).expect("the test's own step succeeds")
 }
 
 fn services(count: usize) -> Vec<ServiceStandin> {
@@ -199,8 +199,10 @@
 /// sends until something answers, as a client without the rule would.
 fn naive_call(client: &Client, replicas: &[SocketAddr], key: &str) {
     for replica in replicas {
-        let mut request =
-            Request::new(Method::Post, Url::parse(&format!("http://{replica}/dispatches")).unwrap());
+        let mut request = Request::new(
+            Method::Post,
+            Url::parse(&format!("http://{replica}/dispatches")).expect("the test's own step succeeds"),
+        );
         request.insert_header("idempotency-key", key);
         request.set_body("{}");
         let answered = block_on(async {
