--- a/src/upstream/engine_client.rs
+++ b/src/upstream/engine_client.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use async_io::Timer;
 use flamingo_edge::Client;
 use flamingo_edge::ClientSettings;
 use flamingo_edge::timeout;
@@ -34,6 +35,9 @@
 /// the longest silence on a connection; runs and waits have their own timeouts.
 const MAX_SILENCE_MS: u64 = 3_600_000;
 
+/// how long to wait before asking again an engine that broke off the question whether it lives.
+const ENDING_PAUSE: Duration = Duration::from_millis(50);
+
 /// timeouts of an engine client.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineClientSettings {
@@ -172,7 +176,13 @@
 
     /// asks an engine that does not answer a turn whether it lives and is still the start `before`.
     pub(super) async fn life(&self, address: SocketAddr, before: Option<&str>) -> Life {
-        match self.load_within(address, self.settings.settle_timeout_ms).await {
+        let mut load = self.load_within(address, self.settings.settle_timeout_ms).await;
+        if matches!(load, Err(EngineError::Broken(_))) {
+            // A process that ends may still take a connection in the moment before its listener closes.
+            Timer::after(ENDING_PAUSE).await;
+            load = self.load_within(address, self.settings.settle_timeout_ms).await;
+        }
+        match load {
             Ok(load) if before.is_some_and(|before| before != load.incarnation) => Life::Restarted,
             Ok(_) => Life::Lives,
             Err(EngineError::Gone(_)) => Life::Gone,
