Give each stand-in of a test an address of its own

Cause: dead_replica failed in 1 of 12 runs: the port of the dropped stand-in was taken by one of another test's, which broke the call off. Change: each stand-in listens on its own loopback address.

--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -124,7 +124,7 @@
 
 #[test]
 fn absent_peer() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::new(127, 1, 0, 1), 0)).unwrap();
     let peer = Peer { address: listener.local_addr().unwrap(), requests: Arc::default() };
     drop(listener);
     let result = block_on(client().send(peer.address, request(&peer)));
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -1,6 +1,9 @@
 //! the platform client against the platform stand-in.
 
+use std::net::SocketAddr;
 use std::sync::LazyLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,8 +31,16 @@
 
 static SPAWNER: LazyLock<Spawner> = LazyLock::new(|| Spawner::start(2));
 
+/// a loopback address that no other stand-in of this test takes when it is free again.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    SocketAddr::from(([127, 1, high, low], 0))
+}
+
 fn standin() -> PlatformStandin {
-    PlatformStandin::start(&SPAWNER, PlatformOptions::default()).expect("the stand-in starts")
+    let options = PlatformOptions { listen: own_address(), ..PlatformOptions::default() };
+    PlatformStandin::start(&SPAWNER, options).expect("the stand-in starts")
 }
 
 fn client(standin: &PlatformStandin) -> HttpPlatform {
--- a/tests/upstream_engine.rs
+++ b/tests/upstream_engine.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::LazyLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -28,8 +30,17 @@
 
 static SPAWNER: LazyLock<Spawner> = LazyLock::new(|| Spawner::start(2));
 
+/// a loopback address that no other stand-in of this test takes when it is free again.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    SocketAddr::from(([127, 1, high, low], 0))
+}
+
 fn quick_engine() -> EngineStandin {
-    let mut options = EngineOptions { orphan_grace_ms: 100, load_lag_ms: 0, ..EngineOptions::default() };
+    let listen = own_address();
+    let mut options =
+        EngineOptions { listen, orphan_grace_ms: 100, load_lag_ms: 0, ..EngineOptions::default() };
     options.batch.step_us = 1_000;
     EngineStandin::start(&SPAWNER, options).expect("the stand-in starts")
 }
--- a/tests/upstream_service.rs
+++ b/tests/upstream_service.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::LazyLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 use async_io::block_on;
 use flamingo_edge::Client;
@@ -27,8 +29,16 @@
 
 static SPAWNER: LazyLock<Spawner> = LazyLock::new(|| Spawner::start(2));
 
+/// a loopback address that no other stand-in of this test takes when it is free again.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    SocketAddr::from(([127, 1, high, low], 0))
+}
+
 fn service() -> ServiceStandin {
-    ServiceStandin::start(&SPAWNER, ServiceOptions::default()).expect("the test's own step succeeds")
+    let options = ServiceOptions { listen: own_address(), ..ServiceOptions::default() };
+    ServiceStandin::start(&SPAWNER, options).expect("the test's own step succeeds")
 }
 
 fn services(count: usize) -> Vec<ServiceStandin> {
