End a cancelled turn at once, and drop idle connections to peers that are gone

Cause: a cancel that overtook its own request found nothing at the engine, and the turn went on; a silent engine held a cancelled turn until its deadline. Connections to replaced replicas stayed in the pool for ever.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_dup::Arc as SharedIo;
 use async_io::Async;
@@ -23,6 +24,11 @@
 /// the longest line taken from a streamed body.
 const MAX_LINE_BYTES: u64 = 4 * 1024 * 1024;
 
+/// connections given back between two sweeps of the idle ones.
+const PUTS_PER_SWEEP: u64 = 256;
+/// how long an idle connection is kept.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
 /// timeouts and pool size of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientSettings {
@@ -39,7 +45,14 @@
 #[derive(Debug)]
 struct Pool {
     settings: ClientSettings,
-    idle: Mutex<HashMap<SocketAddr, Vec<Socket>>>,
+    idle: Mutex<Idle>,
+}
+
+/// kept connections, the most recently used of each peer last.
+#[derive(Debug, Default)]
+struct Idle {
+    peers: HashMap<SocketAddr, Vec<(Instant, Socket)>>,
+    put_count: u64,
 }
 
 /// an HTTP client that keeps connections and never hands out a short body as whole.
@@ -51,7 +64,13 @@
 impl Client {
     /// builds a client with no open connections.
     pub fn new(settings: ClientSettings) -> Self {
-        Self { pool: Arc::new(Pool { settings, idle: Mutex::new(HashMap::new()) }) }
+        Self { pool: Arc::new(Pool { settings, idle: Mutex::default() }) }
+    }
+
+    /// connections kept for later requests.
+    pub fn idle_count(&self) -> usize {
+        let idle = self.pool.idle.lock().expect("pool lock poisoned");
+        idle.peers.values().map(Vec::len).sum()
     }
 
     /// sends a request that may be repeated; a kept connection that turns out closed is replaced.
@@ -155,22 +174,37 @@
 impl Pool {
     fn take(&self, peer: SocketAddr) -> Option<Socket> {
         let mut idle = self.idle.lock().expect("pool lock poisoned");
-        let sockets = idle.get_mut(&peer)?;
-        while let Some(socket) = sockets.pop() {
+        let sockets = idle.peers.get_mut(&peer)?;
+        while let Some((_, socket)) = sockets.pop() {
             if is_open(&socket) {
                 return Some(socket);
             }
         }
-        idle.remove(&peer);
+        idle.peers.remove(&peer);
         None
     }
 
     fn put(&self, socket: Socket, peer: SocketAddr) {
+        let now = Instant::now();
         let mut idle = self.idle.lock().expect("pool lock poisoned");
-        let sockets = idle.entry(peer).or_default();
+        idle.put_count += 1;
+        if idle.put_count.is_multiple_of(PUTS_PER_SWEEP) {
+            idle.sweep(now);
+        }
+        let sockets = idle.peers.entry(peer).or_default();
         if sockets.len() < self.settings.idle_per_peer {
-            sockets.push(socket);
+            sockets.push((now, socket));
+        }
+    }
+}
+
+impl Idle {
+    /// drops connections that closed or were not used for long, such as those to peers that are gone.
+    fn sweep(&mut self, now: Instant) {
+        for sockets in self.peers.values_mut() {
+            sockets.retain(|(since, socket)| now.duration_since(*since) < MAX_IDLE && is_open(socket));
         }
+        self.peers.retain(|_, sockets| !sockets.is_empty());
     }
 }
 
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -170,6 +170,21 @@
     assert_eq!(peer.request_count(), 2, "a kept connection is left alone");
 }
 
+#[test]
+fn swept_connections() {
+    let gone: Vec<Peer> = (0..3).map(|_| Peer::start(&[&[WHOLE]])).collect();
+    let busy = Peer::start(&[&[WHOLE; 600]]);
+    let client = client();
+    for peer in &gone {
+        // The peer closes after its only answer.
+        assert_eq!(body(block_on(client.send(peer.address, request(peer)))).unwrap(), b"ok");
+    }
+    for _ in 0..600 {
+        assert_eq!(body(block_on(client.send(busy.address, request(&busy)))).unwrap(), b"ok");
+    }
+    assert_eq!(client.idle_count(), 1, "connections to peers that are gone are not kept");
+}
+
 #[test]
 fn crossed_answer() {
     // What follows an answer on a kept connection must not be taken for the next one.
--- a/src/upstream/engine_client.rs
+++ b/src/upstream/engine_client.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -26,6 +27,7 @@
 use crate::upstream::EngineOrders;
 use crate::upstream::EngineState;
 use crate::upstream::Export;
+use crate::upstream::cancels::Cancels;
 use crate::upstream::engine_run::EngineRun;
 
 /// most bytes of a reply that is not streamed.
@@ -68,6 +70,7 @@
 pub struct EngineClient {
     pub(super) settings: EngineClientSettings,
     pub(super) client: Client,
+    pub(super) cancels: Cancels,
     /// the start of each engine that was last seen, to notice one that died and came back.
     incarnations: Mutex<HashMap<SocketAddr, String>>,
 }
@@ -113,7 +116,7 @@
             silence_timeout_ms: MAX_SILENCE_MS,
             idle_per_peer: IDLE_CONNECTIONS,
         });
-        Self { settings, client, incarnations: Mutex::new(HashMap::new()) }
+        Self { settings, client, cancels: Cancels::default(), incarnations: Mutex::default() }
     }
 
     /// runs a turn and reports its tokens, then exactly one `Done` or `Failed`.
@@ -137,10 +140,19 @@
     }
 
     /// cancels a turn and returns the tokens that it generated.
+    ///
+    /// A `run` of this client that waits for the turn ends at once as cancelled, whatever the engine does.
     pub async fn cancel(&self, address: SocketAddr, request_id: &str) -> Result<u64, EngineError> {
+        self.cancels.cancel(request_id);
         self.cancel_within(address, request_id, self.settings.call_timeout_ms).await
     }
 
+    /// forgets what is known of engines other than these.
+    pub fn retain(&self, addresses: &BTreeSet<SocketAddr>) {
+        let mut incarnations = self.incarnations.lock().expect("incarnations lock poisoned");
+        incarnations.retain(|address, _| addresses.contains(address));
+    }
+
     /// reads the load.
     pub async fn load(&self, address: SocketAddr) -> Result<EngineLoad, EngineError> {
         self.load_within(address, self.settings.call_timeout_ms).await
--- a/src/upstream/engine_run.rs
+++ b/src/upstream/engine_run.rs
@@ -6,6 +6,7 @@
 use flamingo_edge::Exchange;
 use flamingo_edge::SseReader;
 use flamingo_edge::timeout;
+use futures_lite::future;
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
@@ -24,6 +25,7 @@
 use crate::schema::Usage;
 use crate::upstream::EngineClient;
 use crate::upstream::EngineError;
+use crate::upstream::cancels::Cancellable;
 use crate::upstream::engine_client::Life;
 use crate::upstream::engine_client::engine_url;
 use crate::upstream::tool_calls::ToolCalls;
@@ -110,6 +112,7 @@
     finish_reason: Option<String>,
     usage: Option<Usage>,
     retry_after_ms: Option<u64>,
+    cancellable: Cancellable,
 }
 
 impl<'a> EngineRun<'a> {
@@ -132,6 +135,7 @@
             finish_reason: None,
             usage: None,
             retry_after_ms: None,
+            cancellable: engine.cancels.register(request_id),
         }
     }
 
@@ -341,11 +345,10 @@
         match fault {
             JobFault::Refused | JobFault::Leaving | JobFault::NotSent | JobFault::Overloaded => 0,
             JobFault::Died | JobFault::Poison => self.job.prompt_tokens + self.received_tokens,
-            JobFault::Cancelled => match &self.usage {
-                Some(usage) => usage.prompt_tokens + usage.completion_tokens,
-                None => self.job.prompt_tokens + self.received_tokens,
-            },
-            JobFault::Broken | JobFault::TooLate => {
+            JobFault::Broken | JobFault::TooLate | JobFault::Cancelled => {
+                if let Some(usage) = &self.usage {
+                    return usage.prompt_tokens + usage.completion_tokens;
+                }
                 let limit_ms = self.engine.settings.settle_timeout_ms;
                 match self.engine.cancel_within(self.address, self.request_id, limit_ms).await {
                     Ok(completion_tokens) => self.job.prompt_tokens + completion_tokens,
@@ -371,11 +374,16 @@
         }
     }
 
-    /// runs `work` until the deadline of the turn.
+    /// runs `work` until the turn is cancelled or its deadline has passed.
     async fn within_deadline<T>(&self, work: impl Future<Output = T>) -> Result<T, Stop> {
         let left = self.deadline.saturating_duration_since(Instant::now());
+        let cancelled = async {
+            self.cancellable.cancelled().await;
+            Err(Stop::Settled(JobFault::Cancelled, "the turn is no longer wanted".to_owned()))
+        };
+        let work = future::or(cancelled, async { Ok(work.await) });
         let late = || Stop::Settled(JobFault::TooLate, "the deadline of the turn has passed".to_owned());
-        timeout(left, work).await.ok_or_else(late)
+        timeout(left, work).await.unwrap_or_else(|| Err(late()))
     }
 }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! clients of the model engines and the plain services; they repeat nothing that may not be repeated.
 
+mod cancels;
 mod engine_client;
 mod engine_error;
 mod engine_run;
--- a/tests/upstream_engine.rs
+++ b/tests/upstream_engine.rs
@@ -292,6 +292,24 @@
     assert_eq!(engine.control().inside_count(), 0);
 }
 
+#[test]
+fn cancelled_early() {
+    // The engine has not even taken the turn, and never will.
+    let listener = std::net::TcpListener::bind(own_address()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = EngineClient::new(EngineClientSettings::default());
+    let job = job("into the void");
+    let mut end = None;
+    let run = client.run(address, "r1", &job, |event| end = Some(event));
+    let cancel = async {
+        let _ = listener.accept().unwrap();
+        client.cancel(address, "r1").await
+    };
+    let (_, cancelled) = block_on(futures_lite::future::zip(run, cancel));
+    assert!(cancelled.is_err(), "a silent engine confirms nothing: {cancelled:?}");
+    assert_eq!(failed(end.unwrap()).fault, JobFault::Cancelled);
+}
+
 #[test]
 fn hang_up() {
     let engine = quick_engine();
@@ -346,17 +364,25 @@
     });
 }
 
-#[test]
-fn fenced_order() {
-    let engine = quick_engine();
+#[test_case(true; "checked")]
+#[test_case(false; "ignored")]
+fn fenced_order(checks_fencing: bool) {
+    let options = EngineOptions { listen: own_address(), checks_fencing, ..EngineOptions::default() };
+    let engine = EngineStandin::start(&SPAWNER, options).expect("the engine answers");
     let client = client();
     let address = engine.address();
     let wanted = EngineState { models: vec!["reader".to_owned()], ..EngineState::default() };
     block_on(async {
         assert_eq!(client.order(address, 5, &wanted).await.as_ref(), Ok(&wanted));
-        let refused = client.order(address, 4, &EngineState::default()).await;
-        assert_eq!(refused, Err(EngineError::OldFence { fence: 5 }));
-        let orders = client.state(address).await.unwrap();
-        assert_eq!((orders.fence, orders.state), (5, wanted));
+        let older = EngineState { role: "prefill".to_owned(), ..EngineState::default() };
+        let ordered = client.order(address, 4, &older).await;
+        let orders = client.state(address).await.expect("the engine answers");
+        if checks_fencing {
+            assert_eq!(ordered, Err(EngineError::OldFence { fence: 5 }));
+            assert_eq!((orders.fence, orders.state), (5, wanted));
+        } else {
+            assert_eq!(ordered, Ok(older.clone()));
+            assert_eq!((orders.fence, orders.state), (4, older));
+        }
     });
 }
