Read the view page by page when new, and test the mesh against faulty peers

Change: a new instance asks others for pages of records until it has read all; membership is divided into detection, gossip and comparison. Ruled out: a larger share of the byte rate for comparisons, since the lists and not the records took it.

--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,6 +3,9 @@
 //! Pure decision code: the time and each input are arguments, the results are actions.
 
 mod byte_budget;
+mod comparison;
+mod detection;
+mod gossip;
 mod local_health;
 #[expect(clippy::module_inception, reason = "the main type of the folder has the folder's name")]
 mod membership;
--- a/src/membership/prober.rs
+++ b/src/membership/prober.rs
@@ -40,6 +40,11 @@
 }
 
 impl Prober {
+    /// numbers probes from `start`, so that answers to an earlier start of the instance match none of them.
+    pub fn new(start: u32) -> Self {
+        Self { next_sequence: u64::from(start), ..Self::default() }
+    }
+
     /// numbers the next probe.
     pub fn sequence(&mut self) -> u64 {
         self.next_sequence += 1;
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -102,6 +102,17 @@
     found.filter_map(|entry| record_of(own, peers, entry.name)).collect()
 }
 
+/// records of running members in the order of their names.
+pub(super) fn page(own: &OwnState, peers: &PeerTable, after: &str, most: usize) -> Vec<MemberRecord> {
+    let mut names: Vec<&str> = entries(own, peers)
+        .filter(|entry| !entry.is_gone && entry.name > after)
+        .map(|entry| entry.name)
+        .collect();
+    names.sort_unstable();
+    names.truncate(most);
+    names.into_iter().filter_map(|name| record_of(own, peers, name)).collect()
+}
+
 fn record_of(own: &OwnState, peers: &PeerTable, name: &str) -> Option<MemberRecord> {
     if name == own.member.name {
         return Some(own.record());
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -234,6 +234,10 @@
     SyncNames(SyncNames),
     #[serde(rename = "sync_wanted")]
     SyncWanted(SyncWanted),
+    #[serde(rename = "sync_page")]
+    SyncPage(SyncPage),
+    #[serde(rename = "sync_records")]
+    SyncRecords(SyncRecords),
 }
 impl ::std::convert::From<Probe> for DatagramBody {
     fn from(value: Probe) -> Self {
@@ -270,6 +274,16 @@
         Self::SyncWanted(value)
     }
 }
+impl ::std::convert::From<SyncPage> for DatagramBody {
+    fn from(value: SyncPage) -> Self {
+        Self::SyncPage(value)
+    }
+}
+impl ::std::convert::From<SyncRecords> for DatagramBody {
+    fn from(value: SyncRecords) -> Self {
+        Self::SyncRecords(value)
+    }
+}
 ///what a datagram says of its sender
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DatagramSender {
@@ -2057,6 +2071,20 @@
     ///hash of what is known of each, in the order of the names
     pub versions: ::std::vec::Vec<u32>,
 }
+///asks for the records of running members in the order of their names
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncPage {
+    ///name after which to begin
+    pub after: ::std::string::String,
+}
+///answers a page; the records stand in the datagram
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SyncRecords {
+    ///name after which the page begins
+    pub after: ::std::string::String,
+    ///last name of the page; empty when no record follows
+    pub last: ::std::string::String,
+}
 ///asks for records
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SyncWanted {
--- a/tests/mesh_connections.rs
+++ b/tests/mesh_connections.rs
@@ -1,113 +1,21 @@
 //! connections of the mesh over loopback sockets.
+
 #![allow(clippy::unwrap_used, reason = "a test fails where it unwraps")]
 
-use std::net::SocketAddr;
-use std::str::FromStr;
-use std::sync::Arc;
+mod mesh_support;
+
+use std::net::TcpListener;
+use std::thread;
 use std::time::Duration;
 
-use async_channel::Receiver;
-use async_channel::Sender;
-use flamingo_edge::Spawner;
-use flamingo_edge::timeout;
 use flamingostand::ids::Incarnation;
-use flamingostand::mesh::Mesh;
-use flamingostand::mesh::MeshHandler;
-use flamingostand::mesh::MeshKey;
 use flamingostand::mesh::MeshLimits;
-use flamingostand::mesh::MeshSettings;
-use flamingostand::mesh::PeerIdentity;
-use flamingostand::schema::MeshMessage;
-use flamingostand::schema::ReleasePull;
-use flamingostand::timeline::Timeline;
+use flamingostand::mesh::SendError;
 use futures_lite::future::block_on;
-
-/// how long a test waits for something that must happen.
-const WAIT: Duration = Duration::from_secs(20);
-const KEY: &str = "0101010101010101010101010101010101010101010101010101010101010101";
-#[expect(dead_code)]
-const OTHER_KEY: &str = "0202020202020202020202020202020202020202020202020202020202020202";
-
-enum Event {
-    Message(PeerIdentity, Box<MeshMessage>),
-    Closed(PeerIdentity),
-}
-
-struct Recorder(Sender<Event>);
-
-impl MeshHandler for Recorder {
-    fn on_message(&self, from: &PeerIdentity, message: MeshMessage) {
-        let _ = self.0.try_send(Event::Message(from.clone(), Box::new(message)));
-    }
-
-    fn on_closed(&self, peer: &PeerIdentity) {
-        let _ = self.0.try_send(Event::Closed(peer.clone()));
-    }
-}
-
-struct Instance {
-    mesh: Arc<Mesh>,
-    events: Receiver<Event>,
-    incarnation: Incarnation,
-}
-
-impl Instance {
-    fn start(name: &str, limits: MeshLimits) -> Self {
-        Self::start_at("127.0.0.1:0".parse().unwrap(), name, "test", KEY, limits)
-    }
-
-    fn start_at(listen: SocketAddr, name: &str, cluster: &str, key: &str, limits: MeshLimits) -> Self {
-        let (sender, events) = async_channel::unbounded();
-        let incarnation = Incarnation::start_now();
-        let settings = MeshSettings {
-            listen,
-            cluster: cluster.to_owned(),
-            key: MeshKey::from_str(key).unwrap(),
-            incarnation: incarnation.clone(),
-            name: name.to_owned(),
-            limits,
-        };
-        let timeline = Arc::new(Timeline::new(name));
-        let spawner = Spawner::start(1);
-        let mesh = Mesh::start(spawner, settings, timeline, Arc::new(Recorder(sender))).unwrap();
-        Self { mesh, events, incarnation }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.mesh.local_address()
-    }
-
-    fn message(&self) -> (PeerIdentity, MeshMessage) {
-        loop {
-            if let Event::Message(from, message) = self.event() {
-                return (from, *message);
-            }
-        }
-    }
-
-    fn closed(&self) -> PeerIdentity {
-        loop {
-            if let Event::Closed(peer) = self.event() {
-                return peer;
-            }
-        }
-    }
-
-    fn event(&self) -> Event {
-        block_on(timeout(WAIT, self.events.recv())).expect("nothing happened").unwrap()
-    }
-}
-
-fn pull(version: u64) -> MeshMessage {
-    MeshMessage::ReleasePull(ReleasePull { after_version: version, id: 0 })
-}
-
-fn version(message: &MeshMessage) -> u64 {
-    match message {
-        MeshMessage::ReleasePull(pull) => pull.after_version,
-        _ => panic!("unexpected message"),
-    }
-}
+use mesh_support::Instance;
+use mesh_support::KEY;
+use mesh_support::pull;
+use mesh_support::version;
 
 #[test]
 fn echoes_in_order() {
@@ -140,3 +48,72 @@
     assert_eq!(b.closed().incarnation, a.incarnation);
     assert_eq!(a.closed().connection, connection);
 }
+
+#[test]
+fn other_start_refused() {
+    let a = Instance::start("a", MeshLimits::default());
+    let b = Instance::start("b", MeshLimits::default());
+    let earlier = Incarnation::from("earlier");
+    let connection = a.mesh.send(b.address(), Some(&earlier), pull(1)).unwrap();
+    let lost = a.closed();
+    assert_eq!((lost.connection, lost.incarnation), (connection, earlier.clone()));
+    a.mesh.send(b.address(), Some(&b.incarnation), pull(2)).unwrap();
+    assert_eq!(version(&b.message().1), 2);
+    assert_eq!(a.mesh.send(b.address(), Some(&earlier), pull(3)), Err(SendError::OtherIncarnation));
+}
+
+#[test]
+fn reconnects_after_loss() {
+    let a = Instance::start("a", MeshLimits::default());
+    let b = Instance::start("b", MeshLimits::default());
+    let address = b.address();
+    let first = a.mesh.send(address, None, pull(1)).unwrap();
+    assert_eq!(version(&b.message().1), 1);
+    block_on(b.mesh.close());
+    assert_eq!(a.closed().connection, first);
+    drop(b);
+    let b = Instance::start_at(address, "b", "test", KEY, MeshLimits::default());
+    let second = a.mesh.send(address, Some(&b.incarnation), pull(2)).unwrap();
+    assert_ne!(first, second);
+    assert_eq!(version(&b.message().1), 2);
+}
+
+#[test]
+fn backs_off_when_unreachable() {
+    let a = Instance::start("a", MeshLimits::default());
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let connection = a.mesh.send(closed, None, pull(1)).unwrap();
+    assert_eq!(a.closed().connection, connection);
+    assert!(matches!(a.mesh.send(closed, None, pull(2)), Err(SendError::Unreachable { .. })));
+    let b = Instance::start_at(closed, "b", "test", KEY, MeshLimits::default());
+    let mut number = 2;
+    while a.mesh.send(closed, None, pull(number)).is_err() {
+        number += 1;
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(version(&b.message().1), number);
+}
+
+#[test]
+fn idle_connection_closed() {
+    let limits = MeshLimits { ping_ms: 50, idle_ms: 100, ..MeshLimits::default() };
+    let a = Instance::start("a", limits);
+    let b = Instance::start("b", limits);
+    a.mesh.send(b.address(), None, pull(1)).unwrap();
+    assert_eq!(version(&b.message().1), 1);
+    assert_eq!(b.closed().incarnation, a.incarnation);
+    assert_eq!(a.closed().incarnation, b.incarnation);
+    a.mesh.send(b.address(), None, pull(2)).unwrap();
+    assert_eq!(version(&b.message().1), 2);
+}
+
+#[test]
+fn dead_peer_disconnected() {
+    let a = Instance::start("a", MeshLimits::default());
+    let b = Instance::start("b", MeshLimits::default());
+    a.mesh.send(b.address(), None, pull(1)).unwrap();
+    assert_eq!(version(&b.message().1), 1);
+    a.mesh.disconnect(&b.incarnation);
+    assert_eq!(a.closed().incarnation, b.incarnation);
+    assert_eq!(b.closed().incarnation, a.incarnation);
+}
