Gather accusations after a pause, and test membership under faults

Change: after a pause as long as a suspicion, accusations are gathered for 200 ms and the gravest is answered. Scenarios in a small language, convergence over random schedules, ten minutes at 5 % loss, the byte rate, and older starts. Ruled out: counting deaths heard after the refutation, which overrides the hold.

--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -135,7 +135,8 @@
     /// merges one record.
     pub(super) fn learn(&mut self, now_ms: u64, record: &MemberRecord, gossips: bool, sender_is_gone: bool) {
         if record.name == self.own.member.name {
-            self.on_accusation(now_ms, record);
+            let accusation = self.own.accuse(record, now_ms);
+            self.answer_accusation(accusation);
             return;
         }
         // An instance that is itself taken for dead has to refute before its suspicions count.
@@ -179,8 +180,8 @@
         }
     }
 
-    pub(super) fn on_accusation(&mut self, now_ms: u64, record: &MemberRecord) {
-        match self.own.accuse(record, now_ms) {
+    pub(super) fn answer_accusation(&mut self, accusation: Accusation) {
+        match accusation {
             Accusation::None => {}
             Accusation::Refuted => {
                 self.health.doubt();
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -27,6 +27,8 @@
 
 /// a gap between two inputs after which this instance takes itself for paused.
 const PAUSE_MS: u64 = 400;
+/// how long an instance that was paused for long gathers what is believed of it before it refutes.
+const LEARN_MS: u64 = 200;
 /// members that are asked to probe a target that did not answer.
 const RELAY_COUNT: usize = 3;
 /// members that hear at once of this instance's own departure.
@@ -136,6 +138,9 @@
         self.health.doubt();
         self.suspicions.extend_all(gap_ms + self.settings.suspicion_ms);
         self.doubt_until_ms = now_ms + self.settings.suspicion_ms;
+        if gap_ms >= self.settings.suspicion_ms {
+            self.own.learn_until(now_ms + LEARN_MS);
+        }
         self.next_sync_ms = now_ms;
         self.has_agreed = false;
         for name in self.some_running(RELAY_COUNT, None) {
@@ -178,6 +183,8 @@
         if self.own.has_left() || self.own.is_superseded() {
             return;
         }
+        let accusation = self.own.end_learning(now_ms);
+        self.answer_accusation(accusation);
         if self.own.end_hold(now_ms) {
             self.announce_own();
         }
--- a/src/membership/own_state.rs
+++ b/src/membership/own_state.rs
@@ -36,12 +36,24 @@
     /// when the last deaths were learned of, oldest first.
     deaths_ms: Vec<u64>,
     held_until_ms: Option<u64>,
+    /// until when accusations are only gathered, after a pause.
+    learning_until_ms: Option<u64>,
+    /// the gravest accusation gathered.
+    gathered: Option<(u32, MemberHealth)>,
     superseded: bool,
 }
 
 impl OwnState {
     pub fn new(member: Member) -> Self {
-        Self { member, refutation: 0, deaths_ms: Vec::new(), held_until_ms: None, superseded: false }
+        Self {
+            member,
+            refutation: 0,
+            deaths_ms: Vec::new(),
+            held_until_ms: None,
+            learning_until_ms: None,
+            gathered: None,
+            superseded: false,
+        }
     }
 
     pub fn is_superseded(&self) -> bool {
@@ -83,17 +95,28 @@
         if record.incarnation.as_str() < own || self.has_left() || record.refutation < self.refutation {
             return Accusation::None;
         }
-        match record.health {
-            MemberHealth::Suspect => {
-                // The refutation of a death covers a suspicion that was raised before it.
-                if self.held_until_ms.is_some() {
-                    return Accusation::None;
-                }
-                self.refutation = record.refutation + 1;
-                Accusation::Refuted
-            }
-            MemberHealth::Dead => self.note_death(record.refutation, now_ms),
-            MemberHealth::Alive | MemberHealth::Left => Accusation::None,
+        let accuses = matches!(record.health, MemberHealth::Suspect | MemberHealth::Dead);
+        if accuses && self.learning_until_ms.is_some() {
+            self.gather(record.refutation, record.health);
+            return Accusation::None;
+        }
+        self.answer(record.refutation, record.health, now_ms)
+    }
+
+    /// gathers accusations until a time, to answer the gravest: old suspicions may arrive before the later death.
+    pub fn learn_until(&mut self, until_ms: u64) {
+        self.learning_until_ms = Some(until_ms);
+    }
+
+    /// answers the gravest accusation gathered, once its time has come.
+    pub fn end_learning(&mut self, now_ms: u64) -> Accusation {
+        if self.learning_until_ms.is_none_or(|until_ms| now_ms < until_ms) {
+            return Accusation::None;
+        }
+        self.learning_until_ms = None;
+        match self.gathered.take() {
+            Some((refutation, health)) => self.answer(refutation, health, now_ms),
+            None => Accusation::None,
         }
     }
 
@@ -108,6 +131,27 @@
         true
     }
 
+    fn gather(&mut self, refutation: u32, health: MemberHealth) {
+        let (highest, gravest) = self.gathered.unwrap_or((refutation, health));
+        let gravest = if health == MemberHealth::Dead { health } else { gravest };
+        self.gathered = Some((highest.max(refutation), gravest));
+    }
+
+    fn answer(&mut self, refutation: u32, health: MemberHealth, now_ms: u64) -> Accusation {
+        match health {
+            MemberHealth::Suspect => {
+                // The refutation of a death covers a suspicion that was raised before it.
+                if self.held_until_ms.is_some() {
+                    return Accusation::None;
+                }
+                self.refutation = refutation + 1;
+                Accusation::Refuted
+            }
+            MemberHealth::Dead => self.note_death(refutation, now_ms),
+            MemberHealth::Alive | MemberHealth::Left => Accusation::None,
+        }
+    }
+
     fn note_death(&mut self, refutation: u32, now_ms: u64) -> Accusation {
         self.refutation = refutation;
         if self.held_until_ms.is_some() {
--- a/tests/membership_network/mod.rs
+++ b/tests/membership_network/mod.rs
@@ -52,6 +52,8 @@
     pub deaths: Vec<(u64, usize, String)>,
     /// time spent in membership itself.
     pub handle_time: Duration,
+    /// largest datagram sent, headers included.
+    pub largest_bytes: u64,
     in_flight: BTreeMap<(u64, u64), (usize, usize, Box<Datagram>)>,
     random: StdRng,
     sent_count: u64,
@@ -85,6 +87,7 @@
             loss_percent: 0,
             deaths: Vec::new(),
             handle_time: Duration::ZERO,
+            largest_bytes: 0,
             in_flight: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
             sent_count: 0,
@@ -293,6 +296,7 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, datagram: Box<Datagram>) {
         let bytes = counted_bytes(&datagram) as u64;
+        self.largest_bytes = self.largest_bytes.max(bytes);
         let second = self.now_ms / 1000;
         let node = self.nodes.get_mut(&from).unwrap();
         node.sent_bytes += bytes;
--- /dev/null
+++ b/tests/membership_promises.rs
@@ -0,0 +1,187 @@
+//! what membership promises whatever fails: views converge, nobody is taken for dead without a cause, and the byte rate is kept.
+
+#![allow(clippy::unwrap_used, reason = "a test fails where it unwraps")]
+
+mod membership_network;
+
+use std::net::SocketAddr;
+
+use flamingostand::ids::Incarnation;
+use flamingostand::membership::MembershipAction;
+use flamingostand::membership::MembershipInput;
+use flamingostand::schema::Datagram;
+use membership_network::Network;
+use membership_network::address;
+use proptest::prelude::*;
+use test_case::test_case;
+
+const COUNT: usize = 7;
+/// what an instance may send within any second: its rate, what it saved up, and its credit.
+const MOST_SECOND_BYTES: u64 = 2 * 4096;
+
+/// one thing that goes wrong, or right again.
+#[derive(Clone, Debug)]
+enum Event {
+    Crash(usize),
+    Restart(usize),
+    Freeze(usize, u64),
+    Cut(usize, usize),
+    Heal,
+    Loss(u32),
+    Run(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        1 => (0..COUNT).prop_map(Event::Crash),
+        2 => (0..COUNT).prop_map(Event::Restart),
+        1 => (0..COUNT, 100..6_000_u64).prop_map(|(index, for_ms)| Event::Freeze(index, for_ms)),
+        3 => (0..COUNT, 0..COUNT).prop_map(|(from, to)| Event::Cut(from, to)),
+        1 => Just(Event::Heal),
+        1 => (0..30_u32).prop_map(Event::Loss),
+        4 => (50..4_000_u64).prop_map(Event::Run),
+    ]
+}
+
+fn apply(network: &mut Network, event: &Event) {
+    match *event {
+        Event::Crash(index) => network.crash(index),
+        Event::Restart(index) => {
+            network.add(index);
+            network.list(index, 0..COUNT);
+        }
+        Event::Freeze(index, for_ms) if network.nodes.contains_key(&index) => network.freeze(index, for_ms),
+        Event::Freeze(..) => {}
+        Event::Cut(from, to) => {
+            network.cuts.insert((from, to));
+        }
+        Event::Heal => network.cuts.clear(),
+        Event::Loss(percent) => network.loss_percent = percent,
+        Event::Run(for_ms) => network.run(for_ms),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(ProptestConfig::default().cases / 8))]
+
+    #[test]
+    fn views_converge(seed in any::<u64>(), events in prop::collection::vec(event(), 1..25)) {
+        let mut network = Network::start(COUNT, seed);
+        for event in &events {
+            apply(&mut network, event);
+        }
+        network.cuts.clear();
+        network.loss_percent = 0;
+        prop_assert!(network.run_until(300_000, Network::converged).is_some());
+        network.run(5_000);
+        network.deaths.clear();
+        network.run(20_000);
+        prop_assert!(network.converged());
+        prop_assert!(network.deaths.is_empty());
+        let latest: Vec<&Incarnation> = network.nodes.values().map(|node| &node.view.me).collect();
+        for node in network.nodes.values() {
+            let alive = node.view.members.iter().filter(|member| !member.is_gone());
+            prop_assert!(alive.map(|member| &member.incarnation).eq(latest.iter().copied()));
+        }
+        for node in network.nodes.values() {
+            prop_assert!(node.worst_second_bytes <= MOST_SECOND_BYTES);
+        }
+    }
+}
+
+#[test_case(9, 21)]
+#[test_case(9, 22)]
+#[test_case(30, 23)]
+fn no_false_death(count: usize, seed: u64) {
+    let mut network = Network::start(count, seed);
+    assert!(network.run_until(60_000, Network::converged).is_some());
+    network.loss_percent = 5;
+    network.run(600_000);
+    assert_eq!(network.deaths, []);
+}
+
+#[test]
+fn byte_rate_kept() {
+    let mut network = Network::start(30, 31);
+    network.run(20_000);
+    for round in 0..10 {
+        network.reset_counts();
+        for index in 0..10 {
+            network.add(3 * index + round % 3);
+            network.list(3 * index + round % 3, 0..30);
+        }
+        network.run(10_000);
+        for node in network.nodes.values() {
+            // Ten seconds at the rate, and what may be saved up before them.
+            assert!(node.sent_bytes <= 11 * 4096);
+        }
+    }
+}
+
+#[test]
+fn versions_are_reported() {
+    let mut network = Network::start(9, 41);
+    assert!(network.run_until(10_000, Network::converged).is_some());
+    network.input(4, MembershipInput::ReleaseInForce(7));
+    let seen = |now: &Network| {
+        now.nodes
+            .values()
+            .all(|node| node.view.find_by_mesh(address(4)).is_some_and(|member| member.release_version == 7))
+    };
+    assert!(network.run_until(5_000, seen).is_some());
+    network.run(1_000);
+    let counts: Vec<u64> = network.nodes.values().map(|node| node.view_count).collect();
+    network.run(10_000);
+    assert!(network.nodes.values().map(|node| node.view_count).eq(counts), "a view without a change");
+}
+
+#[test]
+fn older_start_superseded() {
+    let mut network = Network::start(9, 51);
+    assert!(network.run_until(10_000, Network::converged).is_some());
+    let mut older = network.nodes.remove(&8).unwrap();
+    network.add(8);
+    network.list(8, 0..9);
+    assert!(network.run_until(10_000, Network::converged).is_some());
+    // The older start was frozen, wakes and asks as before; the answers tell it what happened.
+    let woken = older.membership.handle(network.now_ms, MembershipInput::Tick);
+    let mut superseded = false;
+    for action in woken {
+        let MembershipAction::Send { to, datagram } = action else {
+            continue;
+        };
+        for answer in answers(&mut network, to, datagram) {
+            let input = MembershipInput::Datagram { from: to, datagram: answer };
+            for action in older.membership.handle(network.now_ms, input) {
+                if let MembershipAction::View(view) = action {
+                    superseded |= view.own().is_none();
+                }
+            }
+        }
+    }
+    assert!(superseded);
+    network.run(5_000);
+    assert!(network.converged());
+    let newer = network.nodes[&8].view.me.clone();
+    assert!(network.nodes.values().all(|node| node.view.find(&newer).is_some()));
+}
+
+/// what the instance at `to` sends back to entry 8.
+fn answers(network: &mut Network, to: SocketAddr, datagram: Box<Datagram>) -> Vec<Box<Datagram>> {
+    let index = (0..9).find(|index| address(*index) == to).unwrap();
+    let now_ms = network.now_ms;
+    let input = MembershipInput::Datagram { from: address(8), datagram };
+    let actions = network.nodes.get_mut(&index).unwrap().membership.handle(now_ms, input);
+    let sends = actions.into_iter().filter_map(|action| match action {
+        MembershipAction::Send { to, datagram } if to == address(8) => Some(datagram),
+        _ => None,
+    });
+    sends.collect()
+}
+
+#[test]
+fn datagrams_stay_small() {
+    let mut network = Network::start(100, 61);
+    network.run(30_000);
+    assert!(network.largest_bytes <= 1_200 + 28);
+}
