--- a/tests/membership_promises.rs
+++ b/tests/membership_promises.rs
@@ -151,7 +151,7 @@
             continue;
         };
         for answer in answers(&mut network, to, datagram) {
-            let input = MembershipInput::Datagram { from: to, datagram: answer };
+            let input = MembershipInput::Datagram { from: to, datagram: Box::new(answer) };
             for action in older.membership.handle(network.now_ms, input) {
                 if let MembershipAction::View(view) = action {
                     superseded |= view.own().is_none();
@@ -167,13 +167,13 @@
 }
 
 /// what the instance at `to` sends back to entry 8.
-fn answers(network: &mut Network, to: SocketAddr, datagram: Box<Datagram>) -> Vec<Box<Datagram>> {
+fn answers(network: &mut Network, to: SocketAddr, datagram: Box<Datagram>) -> Vec<Datagram> {
     let index = (0..9).find(|index| address(*index) == to).unwrap();
     let now_ms = network.now_ms;
     let input = MembershipInput::Datagram { from: address(8), datagram };
     let actions = network.nodes.get_mut(&index).unwrap().membership.handle(now_ms, input);
     let sends = actions.into_iter().filter_map(|action| match action {
-        MembershipAction::Send { to, datagram } if to == address(8) => Some(datagram),
+        MembershipAction::Send { to, datagram } if to == address(8) => Some(*datagram),
         _ => None,
     });
     sends.collect()
