Shrink the buffers of mesh connections

Cause: 3,000 connections at the design size took 435 MB, as the web socket library holds 128 KiB each to read; frames were also copied for each send. Change: 4 KiB to read, nothing held back to write, frames moved and not copied. Ruled out: fewer connections by closing idle ones sooner, which would break requests that wait long for their answer.

--- a/src/mesh/handshake.rs
+++ b/src/mesh/handshake.rs
@@ -33,6 +33,8 @@
 const MAX_GREETING_BYTES: usize = 4096;
 /// room for the tag beside the largest frame.
 const TAG_ROOM_BYTES: usize = 64;
+/// bytes that a connection reads at a time.
+const READ_BUFFER_BYTES: usize = 4096;
 /// address in the upgrade request; both ends ignore it.
 const UPGRADE_URL: &str = "ws://flamingostand/mesh";
 
@@ -122,7 +124,12 @@
 }
 
 fn config(max_bytes: usize) -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(max_bytes)).max_frame_size(Some(max_bytes))
+    // The library's own buffers are 128 KiB each, and an instance holds thousands of connections.
+    WebSocketConfig::default()
+        .max_message_size(Some(max_bytes))
+        .max_frame_size(Some(max_bytes))
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .write_buffer_size(0)
 }
 
 fn hello(settings: &MeshSettings, own_mesh: SocketAddr) -> MeshHello {
--- a/src/mesh/mesh.rs
+++ b/src/mesh/mesh.rs
@@ -30,6 +30,7 @@
 use crate::mesh::frame;
 use crate::mesh::handshake::Session;
 use crate::mesh::link::Link;
+use crate::mesh::out_queue::Rejected;
 use crate::schema::MeshFrame;
 use crate::schema::MeshMessage;
 use crate::timeline::Timeline;
@@ -89,23 +90,18 @@
         message: MeshMessage,
     ) -> Result<ConnectionId, SendError> {
         let (class, frame) = self.encode(message)?;
-        let mut link = self.shared.link_to(to)?;
-        if let Some(expected) = expected {
-            link.expect(expected)?;
-        }
-        let result = link.queue.push(class, frame.clone());
-        if result == Err(SendError::Closed) {
-            // The connection was closing as idle; a new one takes its place.
-            self.shared.forget_outgoing(&link);
-            link = self.shared.link_to(to)?;
-            if let Some(expected) = expected {
-                link.expect(expected)?;
+        let link = self.shared.link_to(to, expected)?;
+        let (link, result) = match link.queue.push(class, frame) {
+            Err(Rejected { error: SendError::Closed, frame }) => {
+                // The connection was closing as idle; a new one takes its place.
+                self.shared.forget_outgoing(&link);
+                let link = self.shared.link_to(to, expected)?;
+                let result = link.queue.push(class, frame);
+                (link, result)
             }
-            link.queue.push(class, frame)?;
-        } else {
-            settle(&link, result)?;
-        }
-        link.touch();
+            result => (link, result),
+        };
+        settle(&link, result)?;
         Ok(link.id)
     }
 
@@ -114,9 +110,7 @@
         let (class, frame) = self.encode(message)?;
         let links = self.shared.links.load();
         let link = links.by_id.get(&peer.connection).ok_or(SendError::Closed)?;
-        settle(link, link.queue.push(class, frame))?;
-        link.touch();
-        Ok(())
+        settle(link, link.queue.push(class, frame))
     }
 
     /// ends all connections with an instance at once, as it is known to be gone.
@@ -158,12 +152,20 @@
 }
 
 /// ends a connection whose peer does not read.
-fn settle(link: &Link, result: Result<(), SendError>) -> Result<(), SendError> {
-    if result == Err(SendError::Overloaded) {
-        metrics::counter!("mesh_slow_peers_total").increment(1);
-        link.abort();
+fn settle(link: &Link, result: Result<(), Rejected>) -> Result<(), SendError> {
+    match result {
+        Ok(()) => {
+            link.touch();
+            Ok(())
+        }
+        Err(rejected) => {
+            if rejected.error == SendError::Overloaded {
+                metrics::counter!("mesh_slow_peers_total").increment(1);
+                link.abort();
+            }
+            Err(rejected.error)
+        }
     }
-    result
 }
 
 /// what the tasks of one mesh share.
@@ -269,8 +271,20 @@
         backoff.until_ms = now_ms + rand::rng().random_range(pause_ms / 2..=pause_ms * 3 / 2);
     }
 
-    /// the link for new messages to an address, made if there is none.
-    fn link_to(self: &Arc<Self>, to: SocketAddr) -> Result<Arc<Link>, SendError> {
+    /// the link for new messages to an address, made if there is none, and bound to the expected start.
+    fn link_to(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        expected: Option<&Incarnation>,
+    ) -> Result<Arc<Link>, SendError> {
+        let link = self.find_or_dial(to)?;
+        if let Some(expected) = expected {
+            link.expect(expected)?;
+        }
+        Ok(link)
+    }
+
+    fn find_or_dial(self: &Arc<Self>, to: SocketAddr) -> Result<Arc<Link>, SendError> {
         if let Some(link) = self.links.load().outgoing.get(&to) {
             return Ok(Arc::clone(link));
         }
--- a/src/mesh/out_queue.rs
+++ b/src/mesh/out_queue.rs
@@ -18,6 +18,13 @@
     Close,
 }
 
+/// a frame that was not queued.
+#[derive(Debug)]
+pub(super) struct Rejected {
+    pub error: SendError,
+    pub frame: Vec<u8>,
+}
+
 /// frames that wait for one peer, bounded by their bytes.
 #[derive(Debug)]
 pub(super) struct OutQueue {
@@ -43,13 +50,13 @@
     }
 
     /// adds a frame; never waits.
-    pub fn push(&self, class: Class, frame: Vec<u8>) -> Result<(), SendError> {
+    pub fn push(&self, class: Class, frame: Vec<u8>) -> Result<(), Rejected> {
         let mut waiting = self.waiting.lock().expect("queue lock poisoned");
         if waiting.closed {
-            return Err(SendError::Closed);
+            return Err(Rejected { error: SendError::Closed, frame });
         }
         if waiting.queued_bytes + frame.len() > self.max_bytes {
-            return Err(SendError::Overloaded);
+            return Err(Rejected { error: SendError::Overloaded, frame });
         }
         waiting.queued_bytes += frame.len();
         match class {
--- a/tests/membership_promises.rs
+++ b/tests/membership_promises.rs
@@ -16,6 +16,7 @@
 use test_case::test_case;
 
 const COUNT: usize = 7;
+const LONGEST_FREEZE_MS: u64 = 6_000;
 /// what an instance may send within any second: its rate, what it saved up, and its credit.
 const MOST_SECOND_BYTES: u64 = 2 * 4096;
 
@@ -35,7 +36,7 @@
     prop_oneof![
         1 => (0..COUNT).prop_map(Event::Crash),
         2 => (0..COUNT).prop_map(Event::Restart),
-        1 => (0..COUNT, 100..6_000_u64).prop_map(|(index, for_ms)| Event::Freeze(index, for_ms)),
+        1 => (0..COUNT, 100..LONGEST_FREEZE_MS).prop_map(|(index, for_ms)| Event::Freeze(index, for_ms)),
         3 => (0..COUNT, 0..COUNT).prop_map(|(from, to)| Event::Cut(from, to)),
         1 => Just(Event::Heal),
         1 => (0..30_u32).prop_map(Event::Loss),
@@ -76,6 +77,8 @@
         }
         network.cuts.clear();
         network.loss_percent = 0;
+        // The longest freeze ends before all is right again.
+        network.run(LONGEST_FREEZE_MS);
         prop_assert!(network.run_until(300_000, Network::converged).is_some());
         network.run(5_000);
         network.deaths.clear();
