Serve messages both ways over one connection and mend races of dialing

Change: an accepted connection serves sends to its peer; a link is dialed after its first message waits; an abandoned dial sets no backoff; a newer start is dialed anew.

--- a/src/mesh/accept.rs
+++ b/src/mesh/accept.rs
@@ -41,7 +41,8 @@
 async fn greet(shared: Arc<Shared>, stream: Async<TcpStream>, address: SocketAddr) {
     let id = shared.next_connection();
     let limit = Duration::from_millis(shared.settings.limits.handshake_timeout_ms);
-    let handshake = handshake::accept(stream, &shared.settings, shared.own_mesh, address, id);
+    // Boxed, so that its room is free again while the connection lives.
+    let handshake = Box::pin(handshake::accept(stream, &shared.settings, shared.own_mesh, address, id));
     let session = timeout(limit, handshake).await.unwrap_or(Err(Refusal::TooSlow));
     shared.stranger_count.fetch_sub(1, Ordering::Relaxed);
     let session = match session {
@@ -52,7 +53,7 @@
             return;
         }
     };
-    let link = Arc::new(Link::new(id, address, shared.settings.limits.max_queued_bytes));
+    let link = Arc::new(Link::new(id, session.peer.mesh, shared.settings.limits.max_queued_bytes));
     link.identify(session.peer.clone());
     shared.add_accepted(&link);
     shared.carry(link, session, false).await;
--- a/src/mesh/dial.rs
+++ b/src/mesh/dial.rs
@@ -20,9 +20,10 @@
     let connect = timeout(limit, connect(&shared, &link));
     let abort = async {
         link.aborted().await;
-        Some(Err(Refusal::Broken))
+        Some(Err(Refusal::Aborted))
     };
-    match future::or(connect, abort).await.unwrap_or(Err(Refusal::TooSlow)) {
+    // Boxed, so that its room is free again while the connection lives.
+    match Box::pin(future::or(connect, abort)).await.unwrap_or(Err(Refusal::TooSlow)) {
         Ok(session) => {
             shared.reached(link.address);
             shared.carry(link, session, true).await;
@@ -30,8 +31,8 @@
         Err(refusal) => {
             let reason: &'static str = refusal.into();
             metrics::counter!("mesh_connect_failures_total", "reason" => reason).increment(1);
-            // Another start of the peer is no reason to wait: it can be reached.
-            if refusal != Refusal::OtherIncarnation {
+            // Neither another start of the peer nor this end's own doing is a reason to wait.
+            if !matches!(refusal, Refusal::OtherIncarnation | Refusal::Aborted) {
                 shared.failed(link.address);
             }
             shared.end(&link);
--- a/src/mesh/handshake.rs
+++ b/src/mesh/handshake.rs
@@ -55,6 +55,8 @@
     WrongKey,
     /// another start of the instance answered.
     OtherIncarnation,
+    /// this end gave the connection up.
+    Aborted,
     /// the peer took too long.
     TooSlow,
 }
--- a/src/mesh/mesh.rs
+++ b/src/mesh/mesh.rs
@@ -90,16 +90,13 @@
         message: MeshMessage,
     ) -> Result<ConnectionId, SendError> {
         let (class, frame) = self.encode(message)?;
-        let link = self.shared.link_to(to, expected)?;
-        let (link, result) = match link.queue.push(class, frame) {
-            Err(Rejected { error: SendError::Closed, frame }) => {
+        let (link, result) = match self.shared.push_to(to, expected, class, frame)? {
+            (link, Err(Rejected { error: SendError::Closed, frame })) => {
                 // The connection was closing as idle; a new one takes its place.
                 self.shared.forget_outgoing(&link);
-                let link = self.shared.link_to(to, expected)?;
-                let result = link.queue.push(class, frame);
-                (link, result)
+                self.shared.push_to(to, expected, class, frame)?
             }
-            result => (link, result),
+            pushed => pushed,
         };
         settle(&link, result)?;
         Ok(link.id)
@@ -190,6 +187,13 @@
     outgoing: BTreeMap<SocketAddr, Arc<Link>>,
 }
 
+/// the link to an address.
+struct Found {
+    link: Arc<Link>,
+    /// whether it was made just now and has to be dialed.
+    is_new: bool,
+}
+
 /// when an address that could not be reached is tried again.
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
@@ -208,11 +212,12 @@
         self.links.load().by_id.len()
     }
 
-    /// adds a connection that a peer made.
+    /// adds a connection that a peer made; it serves messages to the peer too, unless there is one already.
     pub fn add_accepted(&self, link: &Arc<Link>) {
         self.links.rcu(|links| {
             let mut links = Links::clone(links);
             links.by_id.insert(link.id, Arc::clone(link));
+            links.outgoing.entry(link.address).or_insert_with(|| Arc::clone(link));
             links
         });
     }
@@ -271,41 +276,60 @@
         backoff.until_ms = now_ms + rand::rng().random_range(pause_ms / 2..=pause_ms * 3 / 2);
     }
 
-    /// the link for new messages to an address, made if there is none, and bound to the expected start.
-    fn link_to(
+    /// queues a frame on the link to an address, made if there is none, and bound to the expected start.
+    fn push_to(
         self: &Arc<Self>,
         to: SocketAddr,
         expected: Option<&Incarnation>,
-    ) -> Result<Arc<Link>, SendError> {
-        let link = self.find_or_dial(to)?;
+        class: frame::Class,
+        frame: Vec<u8>,
+    ) -> Result<(Arc<Link>, Result<(), Rejected>), SendError> {
+        let mut found = self.find_or_make(to, expected)?;
         if let Some(expected) = expected {
-            link.expect(expected)?;
+            match found.link.expect(expected) {
+                Ok(()) => {}
+                // The peer has started again, and the end of its old connection has not been seen yet.
+                Err(_) if found.link.peer().incarnation < *expected => {
+                    found.link.abort();
+                    self.forget_outgoing(&found.link);
+                    found = self.find_or_make(to, Some(expected))?;
+                    found.link.expect(expected)?;
+                }
+                Err(error) => return Err(error),
+            }
         }
-        Ok(link)
+        let result = found.link.queue.push(class, frame);
+        if found.is_new {
+            // Not before the frame waits: the dial may fail at once and end the link.
+            self.spawner.detach(dial::run(Arc::clone(self), Arc::clone(&found.link)));
+        }
+        Ok((found.link, result))
     }
 
-    fn find_or_dial(self: &Arc<Self>, to: SocketAddr) -> Result<Arc<Link>, SendError> {
+    fn find_or_make(&self, to: SocketAddr, expected: Option<&Incarnation>) -> Result<Found, SendError> {
         if let Some(link) = self.links.load().outgoing.get(&to) {
-            return Ok(Arc::clone(link));
+            return Ok(Found { link: Arc::clone(link), is_new: false });
         }
         let dialing = self.dialing.lock().expect("mesh lock poisoned");
         if let Some(link) = self.links.load().outgoing.get(&to) {
-            return Ok(Arc::clone(link));
+            return Ok(Found { link: Arc::clone(link), is_new: false });
         }
         let now_ms = self.now_ms();
         if let Some(backoff) = dialing.get(&to).filter(|backoff| now_ms < backoff.until_ms) {
             return Err(SendError::Unreachable { retry_after_ms: backoff.until_ms - now_ms });
         }
         let link = Arc::new(Link::new(self.next_connection(), to, self.settings.limits.max_queued_bytes));
+        if let Some(expected) = expected {
+            // Bound before others can find it, so the maker always dials it.
+            link.expect(expected)?;
+        }
         self.links.rcu(|links| {
             let mut links = Links::clone(links);
             links.by_id.insert(link.id, Arc::clone(&link));
             links.outgoing.insert(to, Arc::clone(&link));
             links
         });
-        drop(dialing);
-        self.spawner.detach(dial::run(Arc::clone(self), Arc::clone(&link)));
-        Ok(link)
+        Ok(Found { link, is_new: true })
     }
 
     fn now_ms(&self) -> u64 {
