--- a/crates/bench/src/outcome.rs
+++ b/crates/bench/src/outcome.rs
@@ -32,6 +32,8 @@
     pub prompt_tokens: u64,
     /// prompt tokens that some replica had computed before.
     pub reusable_tokens: u64,
+    /// prompt tokens that the router believed to be in the cache.
+    pub believed_tokens: u64,
     /// prompt tokens found in the cache.
     pub cached_tokens: u64,
 }
--- a/crates/bench/src/prefix_cache.rs
+++ b/crates/bench/src/prefix_cache.rs
@@ -121,6 +121,22 @@
         self.changes.push(CacheChange::Held(boundary));
     }
 
+    /// drops what a program that ended left behind, up to the first part that others use.
+    pub fn release(&mut self, chain: &[Boundary]) {
+        for boundary in chain.iter().rev() {
+            let Some(node) = self.nodes.get(&boundary.digest) else { continue };
+            if node.children > 0 || node.pins > 0 {
+                return;
+            }
+            let node = (node.used, node.tokens, node.parent);
+            self.leaves.remove(&(node.0, boundary.digest));
+            self.nodes.remove(&boundary.digest);
+            self.used_tokens -= node.1;
+            self.touch(node.2, |parent| parent.children -= 1);
+            self.changes.push(CacheChange::Dropped(boundary.digest));
+        }
+    }
+
     /// drops everything.
     pub fn clear(&mut self) {
         *self = Self::new(self.capacity_tokens);
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -117,6 +117,7 @@
     instance: usize,
     excluded: Vec<String>,
     reusable_tokens: u64,
+    believed_tokens: u64,
 }
 
 /// the state of a run.
@@ -285,6 +286,7 @@
             instance,
             excluded: Vec::new(),
             reusable_tokens,
+            believed_tokens: 0,
         };
         self.turns.insert(ticket, turn);
         self.submit(ticket);
@@ -311,6 +313,7 @@
         let replica = self.control.replica(&choice.replica);
         turn.replica = Some(replica);
         turn.first_token_us = None;
+        turn.believed_tokens = choice.cached_tokens;
         job.replica = choice.replica;
         job.cached_tokens = choice.cached_tokens;
         if self.control.policy == Policy::Ours {
@@ -547,6 +550,7 @@
             completion_tokens: usage.completion_tokens,
             prompt_tokens: usage.prompt_tokens,
             reusable_tokens: turn.reusable_tokens,
+            believed_tokens: turn.believed_tokens,
             cached_tokens: usage.cached_tokens,
         });
     }
@@ -568,6 +572,7 @@
         let instance = self.instance(thread.program);
         let now_ms = self.now_ms();
         self.control.routers[instance].handle(now_ms, RouterInput::Ended { program: thread.name.clone() });
+        self.release(&thread);
         if let Some(parent) = thread.parent {
             let Some(parent_thread) = self.threads.get_mut(&parent) else { return };
             parent_thread.open_children -= 1;
@@ -589,6 +594,20 @@
         });
     }
 
+    /// tells the engines that a program's own part of the cache is not needed again.
+    fn release(&mut self, thread: &Thread) {
+        if self.control.policy != Policy::Ours {
+            return;
+        }
+        let kept = match thread.parent.and_then(|parent| self.threads.get(&parent)) {
+            Some(parent) if thread.shape.inherits => parent.chain.len(),
+            _ => 1,
+        };
+        for engine in &mut self.engines {
+            engine.cache_mut().release(&thread.chain[kept..]);
+        }
+    }
+
     fn tick(&mut self) {
         self.after(TICK_US, Event::Tick);
         if self.control.policy != Policy::Ours {
--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -50,6 +50,10 @@
     pub small: Latency,
     /// prompt tokens computed again, as a share of prompt tokens.
     pub wasted_share: f64,
+    /// prompt tokens that had been computed but were not believed to be where the turn went, as a share.
+    pub moved_share: f64,
+    /// prompt tokens that were believed to be cached but were not, as a share.
+    pub mistaken_share: f64,
     /// programs completed a second.
     pub goodput: f64,
     /// programs that gave up or were still under way at the end.
@@ -74,6 +78,10 @@
         let prompt_tokens: u64 = turns().map(|turn| turn.prompt_tokens).sum();
         let wasted_tokens: u64 =
             turns().map(|turn| turn.reusable_tokens.saturating_sub(turn.cached_tokens)).sum();
+        let moved_tokens: u64 =
+            turns().map(|turn| turn.reusable_tokens.saturating_sub(turn.believed_tokens)).sum();
+        let mistaken_tokens: u64 =
+            turns().map(|turn| turn.believed_tokens.saturating_sub(turn.cached_tokens)).sum();
         let completed =
             outcome.programs.iter().filter(|program| program.completed && span.holds(program.ended_us));
         let gave_up = outcome.programs.iter().filter(|program| !program.completed).count() as u64;
@@ -88,6 +96,8 @@
             medium: size("medium"),
             small: size("small"),
             wasted_share: wasted_tokens as f64 / prompt_tokens.max(1) as f64,
+            moved_share: moved_tokens as f64 / prompt_tokens.max(1) as f64,
+            mistaken_share: mistaken_tokens as f64 / prompt_tokens.max(1) as f64,
             goodput: completed.count() as f64 / ((span.to_us - span.from_us) as f64 / 1e6),
             lost: gave_up + outcome.unfinished,
             refusals: outcome.refusals,
--- a/src/dispatch/load_belief.rs
+++ b/src/dispatch/load_belief.rs
@@ -14,6 +14,9 @@
 /// time between tokens before one was measured.
 const ASSUMED_GAP_MS: f64 = 30.0;
 
+/// share of its window that a replica without a current report is assumed to have in use.
+const SILENT_LOAD: f64 = 0.5;
+
 /// length that an answer is expected to have.
 const EXPECTED_TOKENS: f64 = 200.0;
 
@@ -68,14 +71,13 @@
 
     /// expected time until a turn that goes there now is answered.
     pub fn expected_ms(&self, now_ms: u64, uncached_tokens: u64) -> f64 {
-        let current = self.is_current(now_ms);
         let per_token_ms = self.ms_per_token();
         let gap_ms =
             if self.report.token_gap_ms > 0 { self.report.token_gap_ms as f64 } else { ASSUMED_GAP_MS };
         let turn_ms = gap_ms * EXPECTED_TOKENS;
         let read_ms = (uncached_tokens + self.recent_tokens) as f64 * per_token_ms;
-        if !current {
-            return read_ms + turn_ms;
+        if !self.is_current(now_ms) {
+            return read_ms + turn_ms + turn_ms * SILENT_LOAD;
         }
         read_ms + turn_ms + self.report.wait_ms as f64 + self.slot_wait_ms(turn_ms)
     }
@@ -92,7 +94,7 @@
         let window = f64::from(self.report.window.max(1));
         let inside = f64::from(self.report.running) + self.recent.len() as f64;
         let excess = (inside - window + 1.0).max(0.0);
-        let crowding_ms = inside / window * turn_ms * 0.1;
+        let crowding_ms = inside / window * turn_ms;
         excess * turn_ms / window + crowding_ms
     }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -43,6 +43,7 @@
 pub use replica_state::ReplicaState;
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryPlan;
+pub use router::MAX_DOUBTFUL_MS;
 pub use router::Router;
 pub use router_io::Choice;
 pub use router_io::Replica;
--- a/src/dispatch/replica_queue.rs
+++ b/src/dispatch/replica_queue.rs
@@ -19,8 +19,11 @@
 /// answers are expected to be this long before a workspace has been seen.
 const INITIAL_COMPLETION_TOKENS: u64 = 256;
 
-/// prompt tokens that a turn gains in rank for each millisecond that it waits.
-const AGEING_TOKENS_PER_MS: u64 = 20;
+/// waiting time that each token of service so far is worth in the order inside a workspace.
+const SERVICE_MS_PER_TOKEN: u64 = 5;
+
+/// origin of the ranks, so that service never takes one below zero.
+const RANK_ORIGIN_MS: u64 = 1 << 62;
 
 /// failures in a row after which a replica's queue is handed back to the owners.
 const MAX_FAILURES_IN_A_ROW: u32 = 3;
@@ -315,8 +318,11 @@
     job.prompt_tokens.saturating_sub(job.cached_tokens).max(1)
 }
 
-/// place inside the workspace: least service first, with ageing.
+/// place inside the workspace: programs that have used most go first, with ageing.
+///
+/// Finishing what was begun keeps few programs under way, and with them few prefixes.
 fn rank(now_ms: u64, job: &TurnJob) -> u64 {
     let arrived_ms = now_ms.saturating_sub(job.waited_ms);
-    job.program_service_tokens.saturating_add(arrived_ms.saturating_mul(AGEING_TOKENS_PER_MS))
+    let advance_ms = job.program_service_tokens.saturating_mul(SERVICE_MS_PER_TOKEN);
+    (RANK_ORIGIN_MS + arrived_ms).saturating_sub(advance_ms)
 }
--- a/src/dispatch/replica_state.rs
+++ b/src/dispatch/replica_state.rs
@@ -27,6 +27,8 @@
     pub load: LoadBelief,
     /// whether it fails or lags behind the others.
     pub health: ReplicaHealth,
+    /// prompt tokens of this router's live programs that ran there last.
+    pub resident_tokens: u64,
     /// when events of its cache were last lost.
     pub gap_at_ms: Option<u64>,
     warm_from_ms: Option<u64>,
@@ -40,6 +42,7 @@
             load: LoadBelief::new(&replica.name),
             replica,
             health: ReplicaHealth::new(),
+            resident_tokens: 0,
             gap_at_ms: None,
             warm_from_ms: cold_since_ms,
             said_leaving_ms: None,
--- a/src/dispatch/router.rs
+++ b/src/dispatch/router.rs
@@ -20,7 +20,7 @@
 use crate::schema::TurnJob;
 
 /// most candidates that are taken from the beliefs about caches.
-const MAX_AFFINE: usize = 8;
+const MAX_AFFINE: usize = 16;
 
 /// share of a pool that may be ejected at once, in percent.
 const MAX_EJECTED_PERCENT: usize = 40;
@@ -28,9 +28,21 @@
 /// a replica this many times slower than the median of its pool is ejected.
 const SLOW_FACTOR: u64 = 3;
 
+/// age at which a belief is dropped when events of the replica's cache were lost since.
+pub const MAX_DOUBTFUL_MS: u64 = 300_000;
+
+/// price of leaving a prefix behind: what recomputing it costs everyone, not the turn alone.
+const MOVE_MS_PER_TOKEN: f64 = 10.0;
+
+/// price of adding to the live prefixes of a replica, whose memory is limited.
+const RESIDENT_MS_PER_TOKEN: f64 = 0.03;
+
 /// cost of crossing to another zone and back.
 const FAR_ZONE_MS: f64 = 3.0;
 
+/// programs that start with the same prefix before it counts as shared.
+const MIN_SHARING_PROGRAMS: u32 = 16;
+
 /// time after which a program that was not heard of is forgotten.
 const MAX_PROGRAM_IDLE_MS: u64 = 3_600_000;
 
@@ -42,6 +54,15 @@
 struct ProgramState {
     chain: PrefixChain,
     seen_ms: u64,
+    counted: bool,
+    home: Option<Home>,
+}
+
+/// where a program ran last.
+#[derive(Clone, Copy, Debug)]
+struct Home {
+    replica: ReplicaKey,
+    tokens: u64,
 }
 
 /// a replica that could run a turn.
@@ -108,7 +129,9 @@
             }
             RouterInput::Failed { replica, fault } => self.failed(now_ms, &replica, fault),
             RouterInput::Ended { program } => {
-                self.programs.remove(&program);
+                if let Some(home) = self.programs.remove(&program).and_then(|program| program.home) {
+                    self.leave(home);
+                }
             }
         }
     }
@@ -118,6 +141,12 @@
         let program = self.programs.entry(job.program.clone()).or_default();
         program.chain.extend(&job.messages);
         program.seen_ms = now_ms;
+        if !program.counted {
+            program.counted = true;
+            for boundary in program.chain.boundaries() {
+                self.cache.count_program(boundary.digest);
+            }
+        }
         self.choices += 1;
         let mut random = SplitMix::new(xxh3_64_with_seed(job.program.as_bytes(), self.choices));
         let excluded: Vec<ReplicaKey> =
@@ -156,6 +185,7 @@
         random: &mut SplitMix,
     ) -> Option<Candidate> {
         let affine = self.affine(now_ms, &job.program);
+        let shared_tokens = self.shared_tokens(&job.program);
         let mut drawn = Vec::new();
         self.pools.get(&job.model)?.draw(random, &mut drawn);
         let mut best: Option<Candidate> = None;
@@ -165,7 +195,7 @@
             if !fits || excluded.contains(&key) || state.is_leaving(now_ms) {
                 continue;
             }
-            keep_better(&mut best, self.candidate(now_ms, job, key, cached_tokens));
+            keep_better(&mut best, self.candidate(now_ms, job, key, cached_tokens, shared_tokens));
         }
         for key in drawn {
             let state = &self.replicas[key];
@@ -176,7 +206,7 @@
             if random.share() >= state.warm_share(now_ms) {
                 continue;
             }
-            keep_better(&mut best, self.candidate(now_ms, job, key, 0));
+            keep_better(&mut best, self.candidate(now_ms, job, key, 0, shared_tokens));
         }
         best
     }
@@ -191,7 +221,7 @@
                 continue;
             }
             let kept = if state.health.admits(now_ms) { &mut best } else { &mut best_out };
-            keep_better(kept, self.candidate(now_ms, job, *key, 0));
+            keep_better(kept, self.candidate(now_ms, job, *key, 0, job.prompt_tokens));
         }
         best.or(best_out)
     }
@@ -210,19 +240,43 @@
                 }
                 let Some(state) = self.replicas.get(holder.replica) else { continue };
                 let doubtful = state.gap_at_ms.is_some_and(|gap_ms| gap_ms >= holder.seen_ms);
-                let tokens = if doubtful { boundary.tokens / 2 } else { boundary.tokens };
-                found.push((holder.replica, tokens));
+                if doubtful && now_ms.saturating_sub(holder.seen_ms) > MAX_DOUBTFUL_MS {
+                    continue;
+                }
+                found.push((holder.replica, boundary.tokens));
             }
         }
         found
     }
 
-    fn candidate(&self, now_ms: u64, job: &TurnJob, key: ReplicaKey, cached_tokens: u64) -> Candidate {
+    /// length of the part of the prompt that many programs share.
+    fn shared_tokens(&self, program: &str) -> u64 {
+        let Some(program) = self.programs.get(program) else { return 0 };
+        let shared = |boundary: &&Boundary| self.cache.program_count(boundary.digest) >= MIN_SHARING_PROGRAMS;
+        program.chain.boundaries().find(shared).map_or(0, |boundary| boundary.tokens)
+    }
+
+    /// a replica with what the turn is expected to cost there.
+    ///
+    /// A prefix that many programs share is not counted: each replica reads it once and keeps it,
+    /// so a hot prefix spreads over the pool.
+    fn candidate(
+        &self,
+        now_ms: u64,
+        job: &TurnJob,
+        key: ReplicaKey,
+        cached_tokens: u64,
+        shared_tokens: u64,
+    ) -> Candidate {
         let state = &self.replicas[key];
         let cached_tokens = cached_tokens.min(job.prompt_tokens);
-        let uncached_tokens = job.prompt_tokens - cached_tokens;
         let zone_ms = if state.replica.zone == self.own_zone { 0.0 } else { FAR_ZONE_MS };
-        let expected_ms = state.load.expected_ms(now_ms, uncached_tokens) + zone_ms;
+        let known_tokens = cached_tokens.max(shared_tokens.min(job.prompt_tokens));
+        let unknown_tokens = job.prompt_tokens - known_tokens;
+        let move_ms = unknown_tokens as f64 * MOVE_MS_PER_TOKEN;
+        let resident_ms = state.resident_tokens as f64 * RESIDENT_MS_PER_TOKEN;
+        let turn_ms = state.load.expected_ms(now_ms, unknown_tokens);
+        let expected_ms = turn_ms + zone_ms + move_ms + resident_ms;
         Candidate { key, cached_tokens, expected_ms }
     }
 
@@ -315,12 +369,24 @@
         }
         let Some(program) = self.programs.get_mut(program) else { return };
         program.seen_ms = now_ms;
+        let home = Home { replica: key, tokens: prompt_tokens };
+        let before = program.home.replace(home);
+        self.replicas[key].resident_tokens += prompt_tokens;
         for boundary in program.chain.boundaries() {
             if boundary.tokens > cached_tokens && boundary.tokens < prompt_tokens {
                 self.cache.remove(boundary.digest, key);
             }
         }
         self.cache.insert(program.chain.last().digest, key, now_ms);
+        if let Some(before) = before {
+            self.leave(before);
+        }
+    }
+
+    fn leave(&mut self, home: Home) {
+        if let Some(state) = self.replicas.get_mut(home.replica) {
+            state.resident_tokens = state.resident_tokens.saturating_sub(home.tokens);
+        }
     }
 
     fn failed(&mut self, now_ms: u64, replica: &str, fault: JobFault) {
@@ -360,7 +426,17 @@
             return;
         }
         self.next_sweep_ms = now_ms + SWEEP_MS;
-        self.programs.retain(|_, program| now_ms.saturating_sub(program.seen_ms) <= MAX_PROGRAM_IDLE_MS);
+        let mut left = Vec::new();
+        self.programs.retain(|_, program| {
+            let keep = now_ms.saturating_sub(program.seen_ms) <= MAX_PROGRAM_IDLE_MS;
+            if !keep {
+                left.extend(program.home);
+            }
+            keep
+        });
+        for home in left {
+            self.leave(home);
+        }
     }
 
     fn state_mut(&mut self, replica: &str) -> Option<&mut ReplicaState> {
