--- /dev/null
+++ b/tests/owner_histories.rs
@@ -0,0 +1,38 @@
+//! seeded histories of owners under faults, against a naive reference.
+
+use test_case::test_case;
+
+mod support;
+
+use support::owner_world::Plan;
+use support::owner_world::World;
+
+/// histories of one case.
+const CASE_HISTORIES: u64 = 250;
+
+fn run(seed: u64) {
+    if let Err(why) = World::new(Plan::seeded(seed)).run() {
+        panic!("seed {seed}: {why}");
+    }
+}
+
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(6)]
+#[test_case(7)]
+fn histories_hold(part: u64) {
+    for seed in part * CASE_HISTORIES..(part + 1) * CASE_HISTORIES {
+        run(seed);
+    }
+}
+
+#[test_case(2475; "repeat after not_run")]
+#[test_case(3693; "look up while draining")]
+#[test_case(3815; "late write of deleted entry")]
+fn failed_before(seed: u64) {
+    run(seed);
+}
