--- a/src/journal/journal_writer.rs
+++ b/src/journal/journal_writer.rs
@@ -14,6 +14,7 @@
 use crate::schema::EntryBody;
 use crate::schema::JournalEntry;
 use crate::schema::Record;
+use crate::schema::Seal;
 
 /// first wait after a commit that the platform did not take.
 const FIRST_RETRY_MS: u64 = 50;
@@ -54,6 +55,8 @@
     written_bytes: u64,
     sealed: bool,
     fence_wanted: bool,
+    closing: bool,
+    closed: bool,
     started: u64,
     settled: u64,
 }
@@ -100,6 +103,8 @@
             written_bytes: 0,
             sealed: false,
             fence_wanted: false,
+            closing: false,
+            closed: false,
             started: 0,
             settled: 0,
         }
@@ -162,6 +167,16 @@
         self.first_number += 1;
     }
 
+    /// the owner stops by itself: its last entry is a seal of its own.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// whether nothing is left to write, the own seal included.
+    pub fn is_closed(&self) -> bool {
+        (self.closed || self.next_number == 1) && self.flight.is_none()
+    }
+
     /// asks for proof that this journal is not sealed by now; returns what `is_fenced` is asked with.
     ///
     /// A commit that starts from now on is such a proof; without one the next number is read.
@@ -193,11 +208,16 @@
             return Some(JournalStep::Call(request));
         }
         let gathered = self.next_number == 1 || now.ms >= self.last_commit_ms + self.gather_ms;
-        if (self.pending.is_empty() && !self.fence_wanted) || !gathered {
+        let closing = self.closing && !self.closed && self.next_number > 1;
+        if (self.pending.is_empty() && !self.fence_wanted && !closing) || !gathered {
             return None;
         }
         let key = journal_key(&self.me, self.next_number);
-        let flight = if self.pending.is_empty() { Flight::probe(now) } else { self.take_batch(now) };
+        let flight = match (self.pending.is_empty(), closing) {
+            (false, _) => self.take_batch(now),
+            (true, true) => self.own_seal(now),
+            (true, false) => Flight::probe(now),
+        };
         let request = match flight.probe {
             true => PlatformRequest::Get { key },
             false => PlatformRequest::Create { key, value: flight.value.clone() },
@@ -263,6 +283,18 @@
         None
     }
 
+    /// a seal of the owner's own, after which nothing of this incarnation can be on its way.
+    fn own_seal(&mut self, now: Now) -> Flight {
+        let mark = format!("{}-{}", self.me, self.next_number);
+        let entry = JournalEntry {
+            incarnation: self.me.to_string(),
+            mark: mark.clone(),
+            body: EntryBody::Seal(Seal { by: self.me.to_string() }),
+        };
+        self.closed = true;
+        Flight { value: encode(&entry), mark, probe: false, ..Flight::probe(now) }
+    }
+
     fn commit(&mut self, now: Now) -> JournalStep {
         let records = self.flight.take().map(|flight| flight.records).unwrap_or_default();
         self.next_number += 1;
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod journal_reader;
 mod journal_writer;
+mod sweeper;
 
 pub use codec::JOURNAL_PREFIX;
 pub use codec::decode;
@@ -16,3 +17,4 @@
 pub use journal_reader::ReadStep;
 pub use journal_writer::JournalStep;
 pub use journal_writer::JournalWriter;
+pub use sweeper::Sweeper;
--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -5,6 +5,7 @@
 use crate::ids::SlotId;
 use crate::journal::JournalStep;
 use crate::journal::JournalWriter;
+use crate::journal::Sweeper;
 use crate::journal::journal_key;
 use crate::owner::Action;
 use crate::owner::Input;
@@ -49,13 +50,25 @@
     ownership: Ownership,
     programs: Programs,
     poison: PoisonStore,
+    sweeper: Sweeper,
     calls: PlatformCalls,
     waiting: Waiting,
     steps: Vec<OwnershipStep>,
     fenced: Vec<FencedAnswer>,
     trim: Trim,
     leaving_since_ms: Option<u64>,
-    stopped: bool,
+    stage: Stage,
+}
+
+/// how far the life of an owner has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// it serves.
+    Running,
+    /// it has given everything away and writes its own seal.
+    Closing,
+    /// it does nothing any more.
+    Stopped,
 }
 
 /// an answer that waits for proof that no other owner has taken over.
@@ -84,7 +97,7 @@
 
 impl Owner {
     /// an owner that holds no slot yet.
-    pub fn new(settings: OwnerSettings, _now: Now) -> Self {
+    pub fn new(settings: OwnerSettings, now: Now) -> Self {
         let limits = ProgramLimits::new(&settings.state, &settings.limits, settings.slot_count);
         let ownership = OwnershipSettings {
             me: settings.me.clone(),
@@ -102,13 +115,14 @@
             ownership: Ownership::new(ownership),
             programs: Programs::new(limits, settings.name.clone()),
             poison: PoisonStore::new(),
+            sweeper: Sweeper::new(settings.me.clone(), settings.state.sweep_ms, now),
             calls: PlatformCalls::default(),
             waiting: Waiting::default(),
             steps: Vec::new(),
             fenced: Vec::new(),
             trim: Trim::default(),
             leaving_since_ms: None,
-            stopped: false,
+            stage: Stage::Running,
             settings,
         }
     }
@@ -116,9 +130,16 @@
     /// takes one input and says what is to be done.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Action> {
         let mut out = Outbox::new(self.journal.appended());
-        if self.stopped {
-            self.refuse_after_stop(input, &mut out);
-            return out.actions;
+        match self.stage {
+            Stage::Running => {}
+            Stage::Closing => {
+                self.handle_closing(now, input, &mut out);
+                return out.actions;
+            }
+            Stage::Stopped => {
+                self.refuse_after_stop(input, &mut out);
+                return out.actions;
+            }
         }
         self.programs.set_stalled(self.journal.stalled_ms(now) > STALL_MS);
         self.take(now, input, &mut out);
@@ -208,6 +229,7 @@
                 }
             }
             Some(Purpose::Ownership(call)) => self.ownership.reply(now, call, result, &mut self.steps),
+            Some(Purpose::Sweep) => self.sweeper.reply(now, result),
             Some(Purpose::Trim) => self.trimmed(now, &result),
             Some(Purpose::Poison) => {
                 let (news, next) = self.poison.reply(now, result);
@@ -242,16 +264,17 @@
             if let Some(step) = step {
                 self.journal_step(now, step, out);
             }
-            if self.stopped || !(progress || committing || given || cleared) {
+            if self.stage != Stage::Running || !(progress || committing || given || cleared) {
                 break;
             }
         }
-        if self.stopped {
+        if self.stage != Stage::Running {
             return;
         }
         self.release_fenced(now, out);
         self.keep_poison(now, out);
         self.trim(now, out);
+        self.sweep(now, out);
         self.publish(out);
         self.consider_left(now, out);
     }
@@ -405,6 +428,16 @@
         out.actions.push(self.calls.start(Purpose::Trim, request));
     }
 
+    fn sweep(&mut self, now: Now, out: &mut Outbox) {
+        if self.leaving_since_ms.is_some() {
+            return;
+        }
+        let Some(view) = self.ownership.view() else { return };
+        if let Some(request) = self.sweeper.poll(now, view) {
+            out.actions.push(self.calls.start(Purpose::Sweep, request));
+        }
+    }
+
     fn trimmed(&mut self, now: Now, result: &PlatformResult) {
         self.trim.deleting = false;
         match result {
@@ -439,21 +472,62 @@
     fn consider_left(&mut self, now: Now, out: &mut Outbox) {
         let Some(since_ms) = self.leaving_since_ms else { return };
         let late = now.ms >= since_ms + self.settings.limits.drain_timeout_ms;
-        let quiet = self.programs.is_all_quiet() && self.journal.is_idle() && self.fenced.is_empty();
+        let quiet = self.programs.is_all_quiet() && self.fenced.is_empty() && self.journal.is_idle();
         let alone = quiet && !self.ownership.has_successor();
-        if (self.ownership.is_empty() && self.fenced.is_empty()) || alone || late {
-            out.actions.push(Action::Left);
+        let empty = self.ownership.is_empty() && quiet;
+        if late {
+            self.leave(out);
+        } else if empty || alone {
+            // From here on nothing may be appended: what follows the seal would not count.
+            self.stage = Stage::Closing;
             self.refuse_all(out);
-            self.stopped = true;
+            self.journal.close();
+            self.close(now, out);
+        }
+    }
+
+    /// writes the own seal, which lets the journal be deleted whole.
+    fn close(&mut self, now: Now, out: &mut Outbox) {
+        if self.journal.is_closed() {
+            self.leave(out);
+            return;
+        }
+        if let Some(JournalStep::Call(request)) = self.journal.poll(now) {
+            out.actions.push(self.calls.start(Purpose::Journal, request));
+        }
+    }
+
+    fn leave(&mut self, out: &mut Outbox) {
+        self.refuse_all(out);
+        self.stage = Stage::Stopped;
+        out.actions.push(Action::Left);
+    }
+
+    fn handle_closing(&mut self, now: Now, input: Input, out: &mut Outbox) {
+        match input {
+            Input::Platform { call, result } => {
+                let journal = self.calls.finish(call) == Some(Purpose::Journal);
+                if journal && self.journal.reply(now, &result).is_some() {
+                    self.leave(out);
+                    return;
+                }
+            }
+            other => self.refuse_after_stop(other, out),
+        }
+        let since_ms = self.leaving_since_ms.unwrap_or(now.ms);
+        if now.ms >= since_ms + self.settings.limits.drain_timeout_ms {
+            self.leave(out);
+            return;
         }
+        self.close(now, out);
     }
 
     /// another incarnation sealed the journal: nothing more is released from here.
     fn stop(&mut self, out: &mut Outbox) {
-        if self.stopped {
+        if self.stage == Stage::Stopped {
             return;
         }
-        self.stopped = true;
+        self.stage = Stage::Stopped;
         out.records.clear();
         self.refuse_all(out);
         out.actions.push(Action::Deposed);
--- a/src/owner/platform_calls.rs
+++ b/src/owner/platform_calls.rs
@@ -15,6 +15,8 @@
     Trim,
     /// contents that are held back.
     Poison,
+    /// the search for journals that nobody needs.
+    Sweep,
 }
 
 /// calls to the platform that are under way.
--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -126,6 +126,11 @@
         self.propose();
     }
 
+    /// the members as last seen.
+    pub fn view(&self) -> Option<&MemberView> {
+        self.view.as_deref()
+    }
+
     /// this instance is leaving: every slot goes to another member.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2090,6 +2090,9 @@
     ///largest journal entry; the platform holds values up to a megabyte
     #[serde(default = "defaults::default_u64::<u64, 786432>")]
     pub max_entry_bytes: u64,
+    ///time between two searches for journals that nobody needs
+    #[serde(default = "defaults::default_u64::<u64, 60000>")]
+    pub sweep_ms: u64,
     ///how long an owner stays dead before a takeover is tried
     #[serde(default = "defaults::default_u64::<u64, 300>")]
     pub takeover_delay_ms: u64,
@@ -2104,6 +2107,7 @@
             gather_ms: defaults::default_u64::<u64, 5>(),
             handover_delay_ms: defaults::default_u64::<u64, 1500>(),
             max_entry_bytes: defaults::default_u64::<u64, 786432>(),
+            sweep_ms: defaults::default_u64::<u64, 60000>(),
             takeover_delay_ms: defaults::default_u64::<u64, 300>(),
         }
     }
@@ -2390,6 +2394,7 @@
             gather_ms: 5_u64,
             handover_delay_ms: 1500_u64,
             max_entry_bytes: 786432_u64,
+            sweep_ms: 60000_u64,
             takeover_delay_ms: 300_u64,
         }
     }
