--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -275,7 +275,13 @@
                 self.reconcile(slot, steps);
             }
             WriteOutcome::Lost { version, object } => {
-                row.write = None;
+                let given = row.write.take().is_some_and(|write| write.kind == WriteKind::Give);
+                if given {
+                    // An earlier attempt took effect and the slot has moved on, perhaps back to here: what
+                    // stands in memory is old.
+                    row.phase = Phase::Idle;
+                    steps.push(OwnershipStep::Given(slot));
+                }
                 row.observe(version, object);
                 self.reconcile(slot, steps);
             }
--- a/tests/support/owner_world/caller.rs
+++ b/tests/support/owner_world/caller.rs
@@ -5,6 +5,7 @@
 use flamingostand::schema::ForwardedCall;
 use flamingostand::schema::ForwardedEnd;
 use flamingostand::schema::ForwardedOpen;
+use flamingostand::schema::ForwardedState;
 use flamingostand::schema::ForwardedTurn;
 use flamingostand::schema::OpenBody;
 use flamingostand::schema::OwnerEvent;
@@ -22,6 +23,7 @@
     Open,
     Turn { whole_list: bool, stream: bool },
     Call { service: &'static str, idempotent: bool, wait: bool },
+    Look,
     End,
 }
 
@@ -125,6 +127,7 @@
                 };
                 OwnerRequest::Call(ForwardedCall { program, workspace, body })
             }
+            Step::Look => OwnerRequest::State(ForwardedState { program, workspace }),
             Step::End => {
                 OwnerRequest::End(ForwardedEnd { program, workspace, reason: "finished".to_owned() })
             }
@@ -134,7 +137,17 @@
     /// takes the answer to the current request and checks it against the own record.
     pub fn answer(&mut self, event: &OwnerEvent) -> Result<Next, String> {
         match event {
-            OwnerEvent::Token(_) | OwnerEvent::State(_) => Ok(Next::Again),
+            OwnerEvent::Token(_) => Ok(Next::Again),
+            OwnerEvent::State(state) => {
+                self.check(&state.history.digest, state.history.turn)?;
+                if state.spent_tokens + state.reserved_tokens > state.budget_tokens {
+                    return Err(format!(
+                        "{}: {} spent and {} reserved",
+                        self.program, state.spent_tokens, state.reserved_tokens
+                    ));
+                }
+                Ok(Next::Go)
+            }
             OwnerEvent::Opened(opened) => {
                 self.check(&opened.history.digest, opened.history.turn)?;
                 Ok(Next::Go)
@@ -172,6 +185,9 @@
 
     fn refused(&mut self, problem: &Problem) -> Result<Next, String> {
         match problem.code.as_str() {
+            // A sub-agent may come before its parent.
+            "unknown_program" if self.at == 0 && self.parent.is_some() => Ok(Next::Again),
+            "program_ended" if self.parent.is_some() => Ok(self.stop(problem)),
             "not_owner"
             | "owner_moved"
             | "slot_moving"
@@ -185,7 +201,7 @@
                 self.tries += 1;
                 Ok(if self.tries > 20 { self.stop(problem) } else { Next::Again })
             }
-            "budget_exhausted" | "turn_limit" | "poison_held" | "program_ended" => Ok(self.stop(problem)),
+            "budget_exhausted" | "turn_limit" | "poison_held" => Ok(self.stop(problem)),
             code => Err(format!("{} at step {}: {code}: {}", self.program, self.at, problem.detail)),
         }
     }
--- a/tests/support/owner_world/world.rs
+++ b/tests/support/owner_world/world.rs
@@ -251,8 +251,12 @@
     fn add_callers(&mut self) {
         for index in 0..self.plan.programs {
             let program = format!("p{index}-{}", self.plan.seed);
-            let caller = self.script(program, None);
+            let caller = self.script(program.clone(), None);
             self.add_caller(caller, 400);
+            if self.rng.random_bool(0.4) {
+                let child = self.script(format!("{program}.chapter"), Some(program));
+                self.add_caller(child, 900);
+            }
         }
     }
 
@@ -274,6 +278,9 @@
                 let service = ["mail", "pay"][self.rng.random_range(0..2)];
                 steps.push(Step::Call { service, idempotent: false, wait: self.rng.random_bool(0.8) });
             }
+            if self.rng.random_bool(0.2) {
+                steps.push(Step::Look);
+            }
             if self.rng.random_bool(0.15) {
                 steps.push(Step::Call {
                     service: "alarm",
