--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -537,8 +537,7 @@
     }
 
     fn refuse_all(&mut self, out: &mut Outbox) {
-        for index in 0..self.settings.slot_count {
-            let slot = SlotId(index);
+        for slot in self.programs.held_slots() {
             for ticket in self.programs.close_slot(slot, out) {
                 out.refuse(ticket, owner_moved(slot));
             }
--- a/src/program/call.rs
+++ b/src/program/call.rs
@@ -1,9 +1,13 @@
+use crate::program::tokens::json_bytes;
 use crate::schema::CallAnswer;
 use crate::schema::CallImage;
 use crate::schema::CallState;
 use crate::schema::IntendedRecord;
 use crate::schema::ResolvedRecord;
 
+/// bytes of a call beside what was sent and answered, more or less.
+const CALL_BYTES: u64 = 512;
+
 /// one call of a program: its intent, its outcome, and what is in flight.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -110,6 +114,13 @@
         }
     }
 
+    /// bytes of what is kept of it, more or less.
+    pub fn kept_bytes(&self) -> u64 {
+        let body = if self.resolved.is_some() { 0 } else { json_bytes(&self.intended.body) };
+        let answer = self.resolved.as_ref().map_or(0, |resolved| json_bytes(&resolved.body));
+        CALL_BYTES + body + answer
+    }
+
     /// its part of a snapshot.
     pub fn image(&self) -> CallImage {
         CallImage { intended: self.intended.clone(), resolved: self.resolved.iter().cloned().collect() }
--- a/src/program/calls.rs
+++ b/src/program/calls.rs
@@ -21,6 +21,7 @@
 use crate::program::refuse;
 use crate::program::requests::Accepted;
 use crate::program::timers::Timer;
+use crate::program::tokens::json_bytes;
 use crate::program::turns::COMMIT_WAIT_MS;
 use crate::schema::CallBody;
 use crate::schema::CallState;
@@ -42,6 +43,9 @@
 /// look-ups before an outcome stays unknown.
 const MAX_LOOK_UPS: u32 = 10;
 
+/// largest body of a service's answer that is kept and replayed.
+const MAX_KEPT_BYTES: u64 = 384 * 1024;
+
 /// status of a service that refused for now.
 const STATUS_TOO_MANY: u16 = 429;
 
@@ -98,7 +102,7 @@
             let detail = format!("no service {}", body.service);
             return Err(Box::new(refuse(404, "unknown_service", detail)));
         }
-        let bytes = body.body.to_string().len() as u64;
+        let bytes = json_bytes(&body.body);
         if bytes > self.limits.max_turn_bytes {
             let detail = format!("the body has {bytes} bytes of {}", self.limits.max_turn_bytes);
             return Err(Box::new(refuse(413, "call_too_large", detail)));
@@ -310,6 +314,8 @@
     ) {
         let Some(call) = self.call_mut(id, name) else { return };
         call.phase = CallPhase::Resolving { since_ms: now.ms };
+        let bytes = json_bytes(&body);
+        let body = if bytes > MAX_KEPT_BYTES { too_large(bytes) } else { body };
         let record = ResolvedRecord { program: id.to_string(), call: name.to_owned(), state, status, body };
         self.append(id, record, out);
         self.timers.set(now.ms + COMMIT_WAIT_MS, Timer::Call(id.clone(), name.to_owned()));
@@ -472,6 +478,11 @@
     }
 }
 
+/// stands in for an answer that no journal entry could hold.
+fn too_large(bytes: u64) -> Value {
+    serde_json::json!({ "error": format!("the service's answer of {bytes} bytes is too large to keep") })
+}
+
 /// whether a service says that it ran nothing.
 fn ran_nothing(status: u16, body: &Value) -> bool {
     matches!(status, STATUS_TOO_MANY | STATUS_UNAVAILABLE) && body["ran"] == "not_run"
--- a/src/program/programs.rs
+++ b/src/program/programs.rs
@@ -59,10 +59,18 @@
 
     /// takes the configuration in force.
     pub fn configure(&mut self, now: Now, configuration: Arc<Configuration>) {
-        self.configuration = configuration;
-        let roots: Vec<ProgramId> = self.ids().filter(|id| id.is_root()).collect();
-        for root in roots {
-            self.arm_deadline(now, &root);
+        let old = std::mem::replace(&mut self.configuration, configuration);
+        let mut sooner = Vec::new();
+        for (id, program) in self.slots.values().flat_map(|slot| &slot.programs) {
+            let before = RunBounds::new(&program.opened, &old).deadline_unix_ms;
+            let after = RunBounds::new(&program.opened, &self.configuration).deadline_unix_ms;
+            // A later deadline is found when the timer of the earlier one fires.
+            if id.is_root() && after < before {
+                sooner.push(id.clone());
+            }
+        }
+        for id in sooner {
+            self.arm_deadline(now, &id);
         }
     }
 
@@ -76,6 +84,11 @@
         self.slots.contains_key(&slot)
     }
 
+    /// slots whose state is in memory.
+    pub fn held_slots(&self) -> Vec<SlotId> {
+        self.slots.keys().copied().collect()
+    }
+
     /// programs held.
     pub fn len(&self) -> usize {
         self.slots.values().map(|slot| slot.programs.len()).sum()
@@ -255,7 +268,7 @@
                     state.programs.remove(&id);
                 }
             }
-            Record::Imaged(_) | Record::ImagedMessages(_) | Record::Adopted(_) => {}
+            Record::Imaged(_) | Record::ImagedMessages(_) | Record::ImagedCalls(_) | Record::Adopted(_) => {}
         }
     }
 
--- a/src/program/replay.rs
+++ b/src/program/replay.rs
@@ -5,6 +5,7 @@
 use crate::program::Program;
 use crate::program::SlotPrograms;
 use crate::program::call::Call;
+use crate::schema::CallImage;
 use crate::schema::ChatMessage;
 use crate::schema::ImagedRecord;
 use crate::schema::Record;
@@ -24,6 +25,7 @@
 struct Image {
     record: ImagedRecord,
     messages: Vec<ChatMessage>,
+    calls: Vec<CallImage>,
 }
 
 impl Replay {
@@ -112,7 +114,8 @@
             }
             Record::Imaged(record) => {
                 let id = ProgramId::from(record.program.as_str());
-                self.images.insert(id.clone(), Image { record: record.clone(), messages: Vec::new() });
+                let image = Image { record: record.clone(), messages: Vec::new(), calls: Vec::new() };
+                self.images.insert(id.clone(), image);
                 self.finish_image(&id);
             }
             Record::ImagedMessages(record) => {
@@ -124,16 +127,21 @@
                 }
                 self.finish_image(&id);
             }
+            Record::ImagedCalls(record) => {
+                let id = ProgramId::from(record.program.as_str());
+                if let Some(image) = self.images.get_mut(&id) {
+                    image.calls.extend(record.calls.iter().cloned());
+                }
+                self.finish_image(&id);
+            }
             Record::Adopted(_) => {}
         }
     }
 
     fn finish_image(&mut self, id: &ProgramId) {
-        let whole = self
-            .images
-            .get(id)
-            .is_some_and(|image| image.messages.len() == image.record.message_count as usize);
-        if !whole {
+        let Some(image) = self.images.get(id) else { return };
+        let messages_whole = image.messages.len() == image.record.message_count as usize;
+        if !messages_whole || image.calls.len() < image.record.call_count as usize {
             return;
         }
         if let Some(image) = self.images.remove(id) {
@@ -161,7 +169,7 @@
         program.last_usage = record.last_usage;
         program.last_finish_reason = record.last_finish_reason;
         program.last_new_messages = record.last_new_messages;
-        for call in record.calls {
+        for call in record.calls.into_iter().chain(self.calls) {
             let resolved = call.resolved.into_iter().next();
             program.calls.insert(call.intended.call.clone(), Call::restore(call.intended, resolved));
         }
@@ -182,6 +190,7 @@
         Record::Forgotten(record) => Some(&record.program),
         Record::Imaged(record) => Some(&record.program),
         Record::ImagedMessages(record) => Some(&record.program),
+        Record::ImagedCalls(record) => Some(&record.program),
         Record::Adopted(_) => None,
     }
 }
--- a/src/program/snapshot.rs
+++ b/src/program/snapshot.rs
@@ -10,6 +10,7 @@
 use crate::schema::AdoptedRecord;
 use crate::schema::ChargedRecord;
 use crate::schema::ChatMessage;
+use crate::schema::ImagedCallsRecord;
 use crate::schema::ImagedMessagesRecord;
 use crate::schema::ImagedRecord;
 
@@ -148,7 +149,6 @@
 
 /// appends the snapshot of one program and returns its size, more or less.
 fn image(program: &Program, part_bytes: u64, out: &mut Outbox) -> u64 {
-    let calls = program.calls.values().map(|call| call.image()).collect();
     out.append(ImagedRecord {
         program: program.opened.program.clone(),
         opened: program.opened.clone(),
@@ -161,7 +161,8 @@
         last_finish_reason: program.last_finish_reason.clone(),
         last_new_messages: program.last_new_messages,
         children: Vec::new(),
-        calls,
+        calls: Vec::new(),
+        call_count: program.calls.len() as u32,
         ended: program.ended.iter().cloned().collect(),
     });
     let mut first = 0;
@@ -176,7 +177,30 @@
         });
         first += part.len();
     }
-    total_bytes + 1
+    total_bytes + image_calls(program, part_bytes, out) + 1
+}
+
+/// appends the calls of a snapshot in parts and returns their size, more or less.
+fn image_calls(program: &Program, part_bytes: u64, out: &mut Outbox) -> u64 {
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    let mut total_bytes = 0;
+    for call in program.calls.values() {
+        let image = call.image();
+        let size = call.kept_bytes();
+        if !part.is_empty() && bytes + size > part_bytes {
+            let calls = std::mem::take(&mut part);
+            out.append(ImagedCallsRecord { program: program.opened.program.clone(), calls });
+            bytes = 0;
+        }
+        part.push(image);
+        bytes += size;
+        total_bytes += size;
+    }
+    if !part.is_empty() {
+        out.append(ImagedCallsRecord { program: program.opened.program.clone(), calls: part });
+    }
+    total_bytes
 }
 
 /// the longest run of messages within `part_bytes`, at least one.
--- a/src/program/tokens.rs
+++ b/src/program/tokens.rs
@@ -1,3 +1,5 @@
+use serde::Serialize;
+
 use crate::schema::ChatMessage;
 
 /// bytes of a message's JSON that make one token.
@@ -17,11 +19,11 @@
     tokens
 }
 
-/// bytes of a message's JSON.
-pub(super) fn json_bytes(message: &ChatMessage) -> u64 {
+/// bytes of the JSON of a message or a body.
+pub(super) fn json_bytes<T: Serialize>(value: &T) -> u64 {
     let mut counter = ByteCounter { count: 0 };
-    // The counter never fails, and a message always serialises.
-    let _ = serde_json::to_writer(&mut counter, message);
+    // The counter never fails, and what came as JSON serialises.
+    let _ = serde_json::to_writer(&mut counter, value);
     counter.count
 }
 
--- a/src/program/turns.rs
+++ b/src/program/turns.rs
@@ -50,6 +50,9 @@
 /// attempts of one turn that may have run.
 const MAX_BROKEN_ATTEMPTS: u32 = 3;
 
+/// largest answer that a journal entry holds beside the new messages.
+const MAX_ANSWER_BYTES: u64 = 384 * 1024;
+
 /// first wait after an attempt that ran nothing.
 const FIRST_BACKOFF_MS: u64 = 20;
 
@@ -308,6 +311,13 @@
             tool_call_id: None,
             tool_calls: done.tool_calls,
         };
+        let answer_bytes = json_bytes(&answer);
+        if answer_bytes > MAX_ANSWER_BYTES {
+            let detail = format!("the answer of {answer_bytes} bytes is too large to keep");
+            self.charge(id, charged, out);
+            self.fail_turn(id, Problem { ran: Ran::Ran, ..refuse(502, "answer_too_large", detail) }, out);
+            return;
+        }
         let next_prompt = turn.prompt_tokens + message_tokens(&answer);
         let record = TurnedRecord {
             program: id.to_string(),
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -554,6 +554,14 @@
     ///last committed turn
     pub turn: u32,
 }
+///part of the calls of a snapshot
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ImagedCallsRecord {
+    ///calls
+    pub calls: ::std::vec::Vec<CallImage>,
+    ///program
+    pub program: ::std::string::String,
+}
 ///part of the messages of a snapshot
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ImagedMessagesRecord {
@@ -569,6 +577,9 @@
 pub struct ImagedRecord {
     ///reserved
     pub allowance_tokens: u64,
+    ///calls that follow in parts
+    #[serde(default)]
+    pub call_count: u32,
     ///calls
     pub calls: ::std::vec::Vec<CallImage>,
     ///sub-agents
@@ -1708,6 +1719,8 @@
     ImagedMessages(ImagedMessagesRecord),
     #[serde(rename = "adopted")]
     Adopted(AdoptedRecord),
+    #[serde(rename = "imaged_calls")]
+    ImagedCalls(ImagedCallsRecord),
 }
 impl ::std::convert::From<OpenedRecord> for Record {
     fn from(value: OpenedRecord) -> Self {
@@ -1764,6 +1777,11 @@
         Self::Adopted(value)
     }
 }
+impl ::std::convert::From<ImagedCallsRecord> for Record {
+    fn from(value: ImagedCallsRecord) -> Self {
+        Self::ImagedCalls(value)
+    }
+}
 ///one thing that a release note adds or changes
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ReleaseEntry {
