--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -6,13 +6,18 @@
 use crate::journal::JournalStep;
 use crate::journal::JournalWriter;
 use crate::journal::Sweeper;
-use crate::journal::journal_key;
 use crate::owner::Action;
 use crate::owner::Input;
 use crate::owner::OwnerSettings;
+use crate::owner::fenced::FencedAnswer;
 use crate::owner::platform_calls::PlatformCalls;
 use crate::owner::platform_calls::Purpose;
 use crate::owner::poison_store::PoisonStore;
+use crate::owner::refusals::busy;
+use crate::owner::refusals::not_owner;
+use crate::owner::refusals::owner_moved;
+use crate::owner::refusals::stopped;
+use crate::owner::upkeep::Trim;
 use crate::owner::waiting::Waiting;
 use crate::owner::waiting::WaitingRequest;
 use crate::owner::waiting::program_of;
@@ -20,49 +25,43 @@
 use crate::ownership::OwnershipSettings;
 use crate::ownership::OwnershipStep;
 use crate::ownership::Place;
-use crate::platform::PlatformRequest;
 use crate::platform::PlatformResult;
 use crate::program::Outbox;
 use crate::program::ProgramLimits;
 use crate::program::Programs;
 use crate::program::Replay;
-use crate::program::refuse;
-use crate::schema::OwnerEvent;
 use crate::schema::OwnerRequest;
-use crate::schema::Problem;
-use crate::schema::Ran;
+use crate::schema::PoisonHeld;
 use crate::timeline::What;
 
 /// a commit that takes longer than this means that the platform does not take writes.
-const STALL_MS: u64 = 2000;
-
-/// how long an answer waits for proof that no other owner has taken over.
-const FENCE_WAIT_MS: u64 = 5000;
+pub(super) const STALL_MS: u64 = 2000;
 
 /// wait before a request for a slot of another owner is sent again.
-const RETRY_MOVED_MS: u64 = 50;
+pub(super) const RETRY_MOVED_MS: u64 = 50;
 
 /// the owner of programs at this instance.
 #[derive(Debug)]
 pub struct Owner {
-    settings: OwnerSettings,
-    journal: JournalWriter,
-    ownership: Ownership,
-    programs: Programs,
-    poison: PoisonStore,
-    sweeper: Sweeper,
-    calls: PlatformCalls,
-    waiting: Waiting,
-    steps: Vec<OwnershipStep>,
-    fenced: Vec<FencedAnswer>,
-    trim: Trim,
-    leaving_since_ms: Option<u64>,
-    stage: Stage,
+    pub(super) settings: OwnerSettings,
+    pub(super) journal: JournalWriter,
+    pub(super) ownership: Ownership,
+    pub(super) programs: Programs,
+    pub(super) poison: PoisonStore,
+    pub(super) sweeper: Sweeper,
+    pub(super) calls: PlatformCalls,
+    pub(super) waiting: Waiting,
+    pub(super) steps: Vec<OwnershipStep>,
+    pub(super) slots_due: bool,
+    pub(super) fenced: Vec<FencedAnswer>,
+    pub(super) trim: Trim,
+    pub(super) leaving_since_ms: Option<u64>,
+    pub(super) stage: Stage,
 }
 
 /// how far the life of an owner has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
+pub(super) enum Stage {
     /// it serves.
     Running,
     /// it has given everything away and writes its own seal.
@@ -71,30 +70,6 @@
     Stopped,
 }
 
-/// an answer that waits for proof that no other owner has taken over.
-#[derive(Debug)]
-struct FencedAnswer {
-    fence: u64,
-    ticket: u64,
-    event: OwnerEvent,
-    until_ms: u64,
-}
-
-/// the clean-up of this incarnation's own journal.
-#[derive(Debug, Default)]
-struct Trim {
-    /// last entry that can go.
-    through: u64,
-    /// whether a deletion is in flight.
-    deleting: bool,
-    /// when the next deletion is tried after a failure.
-    retry_at_ms: u64,
-    /// entries written when the last snapshot was whole.
-    entries_then: u64,
-    /// bytes written when the last snapshot was whole.
-    bytes_then: u64,
-}
-
 impl Owner {
     /// an owner that holds no slot yet.
     pub fn new(settings: OwnerSettings, now: Now) -> Self {
@@ -119,6 +94,7 @@
             calls: PlatformCalls::default(),
             waiting: Waiting::default(),
             steps: Vec::new(),
+            slots_due: true,
             fenced: Vec::new(),
             trim: Trim::default(),
             leaving_since_ms: None,
@@ -178,11 +154,12 @@
     }
 
     /// contents that are held back or were.
-    pub fn poison(&self) -> Vec<crate::schema::PoisonHeld> {
+    pub fn poison(&self) -> Vec<PoisonHeld> {
         self.programs.poison()
     }
 
     fn take(&mut self, now: Now, input: Input, out: &mut Outbox) {
+        self.slots_due |= matches!(&input, Input::Members(_) | Input::Tick | Input::Leave);
         match input {
             Input::Members(view) => self.ownership.members(view),
             Input::Configuration(configuration) => self.programs.configure(now, configuration),
@@ -228,7 +205,10 @@
                     self.journal_step(now, step, out);
                 }
             }
-            Some(Purpose::Ownership(call)) => self.ownership.reply(now, call, result, &mut self.steps),
+            Some(Purpose::Ownership(call)) => {
+                self.slots_due = true;
+                self.ownership.reply(now, call, result, &mut self.steps);
+            }
             Some(Purpose::Sweep) => self.sweeper.reply(now, result),
             Some(Purpose::Trim) => self.trimmed(now, &result),
             Some(Purpose::Poison) => {
@@ -248,23 +228,18 @@
     fn advance(&mut self, now: Now, out: &mut Outbox) {
         loop {
             self.move_records(out);
-            self.ownership.poll(now, &mut self.steps);
-            let steps = std::mem::take(&mut self.steps);
-            let progress = !steps.is_empty();
-            for step in steps {
-                self.ownership_step(now, step, out);
-            }
-            self.serve_waiting(now, out);
+            let moved = self.move_slots(now, out);
             self.hold_fenced(now, out);
             let given = self.give_drained(now);
             let cleared = self.snapshot(now, out);
+            self.slots_due |= given || cleared;
             self.move_records(out);
             let step = self.journal.poll(now);
             let committing = step.is_some();
             if let Some(step) = step {
                 self.journal_step(now, step, out);
             }
-            if self.stage != Stage::Running || !(progress || committing || given || cleared) {
+            if self.stage != Stage::Running || !(moved || committing || self.slots_due) {
                 break;
             }
         }
@@ -279,14 +254,31 @@
         self.consider_left(now, out);
     }
 
-    fn move_records(&mut self, out: &mut Outbox) {
+    /// looks at the slots when something about them may have changed.
+    fn move_slots(&mut self, now: Now, out: &mut Outbox) -> bool {
+        if std::mem::take(&mut self.slots_due) {
+            self.ownership.poll(now, &mut self.steps);
+        } else if self.steps.is_empty() {
+            return false;
+        }
+        let steps = std::mem::take(&mut self.steps);
+        let moved = !steps.is_empty();
+        self.slots_due = moved;
+        for step in steps {
+            self.ownership_step(now, step, out);
+        }
+        self.serve_waiting(now, out);
+        moved
+    }
+
+    pub(super) fn move_records(&mut self, out: &mut Outbox) {
         for record in out.records.drain(..) {
             self.journal.append(record);
         }
         out.appended = self.journal.appended();
     }
 
-    fn journal_step(&mut self, now: Now, step: JournalStep, out: &mut Outbox) {
+    pub(super) fn journal_step(&mut self, now: Now, step: JournalStep, out: &mut Outbox) {
         match step {
             JournalStep::Call(request) => out.actions.push(self.calls.start(Purpose::Journal, request)),
             JournalStep::Committed(records) => {
@@ -342,25 +334,6 @@
         }
     }
 
-    fn hold_fenced(&mut self, now: Now, out: &mut Outbox) {
-        for (ticket, event) in out.fenced.drain(..) {
-            let fence = self.journal.fence();
-            self.fenced.push(FencedAnswer { fence, ticket, event, until_ms: now.ms + FENCE_WAIT_MS });
-        }
-    }
-
-    fn release_fenced(&mut self, now: Now, out: &mut Outbox) {
-        for answer in std::mem::take(&mut self.fenced) {
-            if self.journal.is_fenced(answer.fence) {
-                out.answer(answer.ticket, answer.event);
-            } else if now.ms >= answer.until_ms {
-                out.refuse(answer.ticket, platform_unavailable());
-            } else {
-                self.fenced.push(answer);
-            }
-        }
-    }
-
     fn serve_waiting(&mut self, now: Now, out: &mut Outbox) {
         if self.waiting.is_empty() {
             return;
@@ -391,61 +364,6 @@
         given
     }
 
-    /// copies adopted state, and starts a snapshot of everything when the journal has grown.
-    fn snapshot(&mut self, now: Now, out: &mut Outbox) -> bool {
-        let adopted = self.programs.take_adopted(self.journal.committed());
-        for slot in &adopted {
-            self.ownership.clear_sources(now, *slot);
-        }
-        if let Some(through) = self.programs.take_compacted(self.journal.committed()) {
-            self.trim.through = through;
-            self.trim.entries_then = self.journal.last_number();
-            self.trim.bytes_then = self.journal.written_bytes();
-        }
-        let entries = self.journal.last_number() - self.trim.entries_then;
-        let bytes = self.journal.written_bytes() - self.trim.bytes_then;
-        let grown = entries >= u64::from(self.settings.state.compact_entries)
-            || bytes >= self.settings.state.compact_bytes;
-        let adopting = self.programs.adopting().next().is_some();
-        if grown && !adopting && !self.programs.is_compacting() {
-            self.programs.start_compaction(self.journal.appended(), self.journal.last_number());
-        }
-        let room = self.settings.state.max_entry_bytes / 2;
-        if self.journal.pending_bytes() < room {
-            self.programs.snapshot(room, out);
-        }
-        !adopted.is_empty()
-    }
-
-    fn trim(&mut self, now: Now, out: &mut Outbox) {
-        let first = self.journal.first_number();
-        let due = first <= self.trim.through && !self.trim.deleting && now.ms >= self.trim.retry_at_ms;
-        if !due || self.ownership.needs_old_entries() {
-            return;
-        }
-        self.trim.deleting = true;
-        let request = PlatformRequest::Delete { key: journal_key(&self.settings.me, first) };
-        out.actions.push(self.calls.start(Purpose::Trim, request));
-    }
-
-    fn sweep(&mut self, now: Now, out: &mut Outbox) {
-        if self.leaving_since_ms.is_some() {
-            return;
-        }
-        let Some(view) = self.ownership.view() else { return };
-        if let Some(request) = self.sweeper.poll(now, view) {
-            out.actions.push(self.calls.start(Purpose::Sweep, request));
-        }
-    }
-
-    fn trimmed(&mut self, now: Now, result: &PlatformResult) {
-        self.trim.deleting = false;
-        match result {
-            Ok(_) | Err(crate::platform::PlatformError::NotFound) => self.journal.deleted_first(),
-            Err(_) => self.trim.retry_at_ms = now.ms + STALL_MS,
-        }
-    }
-
     fn keep_poison(&mut self, now: Now, out: &mut Outbox) {
         for action in &out.actions {
             if let Action::Poison(held) = action {
@@ -469,59 +387,6 @@
         }
     }
 
-    fn consider_left(&mut self, now: Now, out: &mut Outbox) {
-        let Some(since_ms) = self.leaving_since_ms else { return };
-        let late = now.ms >= since_ms + self.settings.limits.drain_timeout_ms;
-        let quiet = self.programs.is_all_quiet() && self.fenced.is_empty() && self.journal.is_idle();
-        let alone = quiet && !self.ownership.has_successor();
-        let empty = self.ownership.is_empty() && quiet;
-        if late {
-            self.leave(out);
-        } else if empty || alone {
-            // From here on nothing may be appended: what follows the seal would not count.
-            self.stage = Stage::Closing;
-            self.refuse_all(out);
-            self.journal.close();
-            self.close(now, out);
-        }
-    }
-
-    /// writes the own seal, which lets the journal be deleted whole.
-    fn close(&mut self, now: Now, out: &mut Outbox) {
-        if self.journal.is_closed() {
-            self.leave(out);
-            return;
-        }
-        if let Some(JournalStep::Call(request)) = self.journal.poll(now) {
-            out.actions.push(self.calls.start(Purpose::Journal, request));
-        }
-    }
-
-    fn leave(&mut self, out: &mut Outbox) {
-        self.refuse_all(out);
-        self.stage = Stage::Stopped;
-        out.actions.push(Action::Left);
-    }
-
-    fn handle_closing(&mut self, now: Now, input: Input, out: &mut Outbox) {
-        match input {
-            Input::Platform { call, result } => {
-                let journal = self.calls.finish(call) == Some(Purpose::Journal);
-                if journal && self.journal.reply(now, &result).is_some() {
-                    self.leave(out);
-                    return;
-                }
-            }
-            other => self.refuse_after_stop(other, out),
-        }
-        let since_ms = self.leaving_since_ms.unwrap_or(now.ms);
-        if now.ms >= since_ms + self.settings.limits.drain_timeout_ms {
-            self.leave(out);
-            return;
-        }
-        self.close(now, out);
-    }
-
     /// another incarnation sealed the journal: nothing more is released from here.
     fn stop(&mut self, out: &mut Outbox) {
         if self.stage == Stage::Stopped {
@@ -536,7 +401,7 @@
         out.actions.push(Action::Event { what: What::Deposed, program: None, subject, detail });
     }
 
-    fn refuse_all(&mut self, out: &mut Outbox) {
+    pub(super) fn refuse_all(&mut self, out: &mut Outbox) {
         for slot in self.programs.held_slots() {
             for ticket in self.programs.close_slot(slot, out) {
                 out.refuse(ticket, owner_moved(slot));
@@ -553,43 +418,13 @@
         }
     }
 
-    fn refuse_after_stop(&self, input: Input, out: &mut Outbox) {
+    pub(super) fn refuse_after_stop(&self, input: Input, out: &mut Outbox) {
         if let Input::Request { ticket, request } = input {
             out.refuse(ticket, not_owner(program_of(&request).slot(self.settings.slot_count)));
         }
     }
 }
 
-/// a slot that another instance serves: nothing ran here.
-fn not_owner(slot: SlotId) -> Problem {
-    let problem = refuse(421, "not_owner", format!("slot {slot} is served by another instance"));
-    Problem { retry_after_ms: Some(RETRY_MOVED_MS), ..problem }
-}
-
-/// a slot that moved while a request waited: its new owner answers the same request.
-fn owner_moved(slot: SlotId) -> Problem {
-    let problem = refuse(421, "owner_moved", format!("slot {slot} moved to another instance"));
-    Problem { retry_after_ms: Some(RETRY_MOVED_MS), ran: Ran::Unknown, ..problem }
-}
-
-/// the owner was replaced while an answer waited for proof that it was not; it had started nothing.
-fn stopped() -> Problem {
-    let problem = refuse(421, "owner_moved", "another instance took over");
-    Problem { retry_after_ms: Some(RETRY_MOVED_MS), ran: Ran::Unknown, ..problem }
-}
-
-/// the platform does not answer, so that nothing can be said for certain.
-fn platform_unavailable() -> Problem {
-    let problem = refuse(503, "platform_unavailable", "the platform does not answer");
-    Problem { retry_after_ms: Some(STALL_MS), ran: Ran::Unknown, ..problem }
-}
-
-/// too many requests wait, or one waited for too long.
-fn busy() -> Problem {
-    let problem = refuse(503, "slot_moving", "the slot is being moved; nothing ran");
-    Problem { retry_after_ms: Some(RETRY_MOVED_MS), ..problem }
-}
-
 fn slot_event(what: What, slot: SlotId, detail: &str, out: &mut Outbox) {
     let subject = Some(format!("slot/{:06}", slot.0));
     out.actions.push(Action::Event { what, program: None, subject, detail: detail.to_owned() });
--- a/src/ownership/handover.rs
+++ b/src/ownership/handover.rs
@@ -29,10 +29,10 @@
             return;
         }
         let limit = if self.leaving { MAX_LEAVING_HANDOVERS } else { MAX_HANDOVERS };
-        let draining = self.rows.iter().filter(|row| row.phase == Phase::Draining).count();
-        if draining >= limit {
+        if self.draining.len() >= limit {
             return;
         }
+        self.draining.insert(slot);
         self.rows[slot.0 as usize].phase = Phase::Draining;
         self.changed = true;
         steps.push(OwnershipStep::Drain(slot, true));
@@ -43,6 +43,7 @@
         if self.leaving || self.next_owner(slot).is_some() {
             return;
         }
+        self.draining.remove(&slot);
         self.rows[slot.0 as usize].phase = Phase::Serving;
         self.changed = true;
         steps.push(OwnershipStep::Drain(slot, false));
@@ -50,13 +51,7 @@
 
     /// slots that wait until nothing of them is under way.
     pub fn draining(&self) -> Vec<SlotId> {
-        let mut slots = Vec::new();
-        for (index, row) in self.rows.iter().enumerate() {
-            if row.phase == Phase::Draining && row.write.is_none() {
-                slots.push(SlotId(index as u32));
-            }
-        }
-        slots
+        self.draining.iter().copied().collect()
     }
 
     /// gives a drained slot away; all of its records stand in the entries up to `through`.
@@ -65,6 +60,7 @@
     /// one may still take effect.
     pub fn give(&mut self, now: Now, slot: SlotId, through: u64) -> bool {
         let Some((owner, name)) = self.next_owner(slot) else { return false };
+        self.draining.remove(&slot);
         let me = self.settings.me.to_string();
         let row = &mut self.rows[slot.0 as usize];
         let object = SlotObject {
--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::clock::Now;
@@ -97,6 +98,7 @@
     pub(super) feed: SlotFeed,
     pub(super) readers: BTreeMap<SourceKey, JournalReader>,
     pub(super) gone_since: BTreeMap<Incarnation, u64>,
+    pub(super) draining: BTreeSet<SlotId>,
     pub(super) leaving: bool,
     pub(super) changed: bool,
     pub(super) deposed: bool,
@@ -114,6 +116,7 @@
             feed: SlotFeed::default(),
             readers: BTreeMap::new(),
             gone_since: BTreeMap::new(),
+            draining: BTreeSet::new(),
             leaving: false,
             changed: true,
             deposed: false,
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod call;
 mod calls;
+mod jobs;
 mod limits;
 mod outbox;
 mod poison;
@@ -16,9 +17,11 @@
 mod requests;
 mod slot_programs;
 mod snapshot;
+mod spending;
 mod timers;
 mod tokens;
 mod turn;
+mod turn_place;
 mod turns;
 
 pub use limits::ProgramLimits;
--- a/src/program/turns.rs
+++ b/src/program/turns.rs
@@ -5,7 +5,6 @@
 use crate::program::Outbox;
 use crate::program::Program;
 use crate::program::Programs;
-use crate::program::budget;
 use crate::program::refusal::RETRY_OUTAGE_MS;
 use crate::program::refusal::RETRY_SOON_MS;
 use crate::program::refusal::refuse_for;
@@ -15,25 +14,19 @@
 use crate::program::timers::Timer;
 use crate::program::tokens::history_tokens;
 use crate::program::tokens::json_bytes;
-use crate::program::tokens::message_tokens;
 use crate::program::turn::TurnInFlight;
 use crate::program::turn::TurnPhase;
 use crate::program::turn::Waiter;
-use crate::schema::ChargedRecord;
+use crate::program::turn_place::Place;
+use crate::program::turn_place::place;
 use crate::schema::ChatMessage;
 use crate::schema::ForwardedTurn;
-use crate::schema::JobDone;
-use crate::schema::JobEvent;
-use crate::schema::JobFailed;
-use crate::schema::JobFault;
 use crate::schema::OwnerEvent;
 use crate::schema::Problem;
 use crate::schema::Ran;
 use crate::schema::ReservedRecord;
-use crate::schema::Role;
 use crate::schema::Token;
 use crate::schema::TurnAnswer;
-use crate::schema::TurnBody;
 use crate::schema::TurnJob;
 use crate::schema::TurnedRecord;
 use crate::timeline::What;
@@ -41,39 +34,9 @@
 /// tokens to generate when the caller names no bound.
 const DEFAULT_MAX_TOKENS: u64 = 4096;
 
-/// context of a model that the configuration no longer names.
-const DEFAULT_CONTEXT_TOKENS: u64 = 400_000;
-
-/// attempts of one turn, those that ran nothing included.
-const MAX_ATTEMPTS: u32 = 8;
-
-/// attempts of one turn that may have run.
-const MAX_BROKEN_ATTEMPTS: u32 = 3;
-
-/// largest answer that a journal entry holds beside the new messages.
-const MAX_ANSWER_BYTES: u64 = 384 * 1024;
-
-/// first wait after an attempt that ran nothing.
-const FIRST_BACKOFF_MS: u64 = 20;
-
 /// how long an answer waits for its commit before its callers are sent away for now.
 pub(super) const COMMIT_WAIT_MS: u64 = 5000;
 
-/// what a turn request means for the history.
-enum Place {
-    /// it repeats the last answered turn.
-    Last,
-    /// it repeats the turn in flight.
-    InFlight,
-    /// it extends the history.
-    Next {
-        /// new messages.
-        messages: Vec<ChatMessage>,
-        /// digest of the whole prompt.
-        request: Digest,
-    },
-}
-
 impl Programs {
     pub(super) fn turn(
         &mut self,
@@ -185,7 +148,7 @@
     }
 
     /// reserves what the next attempt may spend and starts it, once the reservation lasts.
-    fn attempt_turn(&mut self, now: Now, id: &ProgramId, out: &mut Outbox) {
+    pub(super) fn attempt_turn(&mut self, now: Now, id: &ProgramId, out: &mut Outbox) {
         let Some(bounds) = self.bounds(id) else { return };
         if now.unix_ms >= bounds.deadline_unix_ms {
             self.fail_turn(id, refuse(409, "deadline", "the deadline of the run has passed"), out);
@@ -269,81 +232,6 @@
         out.actions.push(Action::Job { job, turn: Box::new(job_turn) });
     }
 
-    /// a job made progress.
-    pub fn job(&mut self, now: Now, job: u64, event: JobEvent, out: &mut Outbox) {
-        let Some(id) = self.jobs.get(&job).cloned() else { return };
-        match event {
-            JobEvent::Token(token) => self.stream(&id, token, out),
-            JobEvent::Done(done) => {
-                self.jobs.remove(&job);
-                self.job_done(now, &id, done, out);
-            }
-            JobEvent::Failed(failed) => {
-                self.jobs.remove(&job);
-                self.job_failed(now, &id, &failed, out);
-            }
-        }
-    }
-
-    fn stream(&mut self, id: &ProgramId, token: Token, out: &mut Outbox) {
-        let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) else { return };
-        turn.text.push_str(&token.text);
-        if let Some(ticket) = turn.streaming() {
-            out.piece(ticket, OwnerEvent::Token(token));
-        }
-    }
-
-    fn job_done(&mut self, now: Now, id: &ProgramId, done: JobDone, out: &mut Outbox) {
-        let Some(bounds) = self.bounds(id) else { return };
-        let Some(program) = self.program(id) else { return };
-        let Some(turn) = program.turn_in_flight() else { return };
-        let used = done.usage.prompt_tokens + done.usage.completion_tokens;
-        let charged = used.min(turn.held_tokens);
-        if program.is_ending() {
-            self.charge(id, charged, out);
-            self.drop_turn(id);
-            return;
-        }
-        let answer = ChatMessage {
-            role: Role::Assistant,
-            content: Some(serde_json::Value::String(done.text)),
-            name: None,
-            tool_call_id: None,
-            tool_calls: done.tool_calls,
-        };
-        let answer_bytes = json_bytes(&answer);
-        if answer_bytes > MAX_ANSWER_BYTES {
-            let detail = format!("the answer of {answer_bytes} bytes is too large to keep");
-            self.charge(id, charged, out);
-            self.fail_turn(id, Problem { ran: Ran::Ran, ..refuse(502, "answer_too_large", detail) }, out);
-            return;
-        }
-        let next_prompt = turn.prompt_tokens + message_tokens(&answer);
-        let record = TurnedRecord {
-            program: id.to_string(),
-            turn: turn.turn,
-            request_digest: turn.request.to_string(),
-            messages: turn.messages.clone(),
-            answer,
-            finish_reason: done.finish_reason,
-            usage: done.usage,
-            charged_tokens: charged,
-            allowance_tokens: 0,
-        };
-        let slot = &self.slots[&self.slot_of(id)];
-        let last_turn = slot.turns(&id.root()) >= bounds.max_turns;
-        let free = self.free_tokens(id, bounds.budget_tokens).saturating_sub(charged);
-        let wanted = if last_turn { 0 } else { next_prompt + self.limits.allowance_tokens };
-        let allowance_tokens = wanted.min(free);
-        let record = TurnedRecord { allowance_tokens, ..record };
-        if let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) {
-            turn.held_tokens = charged + allowance_tokens;
-            turn.phase = TurnPhase::Committing { since_ms: now.ms };
-        }
-        self.append(id, record, out);
-        self.timers.set(now.ms + COMMIT_WAIT_MS, Timer::Turn(id.clone()));
-    }
-
     pub(super) fn turn_committed(
         &mut self,
         _now: Now,
@@ -363,72 +251,7 @@
         }
     }
 
-    fn job_failed(&mut self, now: Now, id: &ProgramId, failed: &JobFailed, out: &mut Outbox) {
-        let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) else { return };
-        let request = turn.request;
-        if !turn.text.is_empty() {
-            turn.stream_broken = true;
-        }
-        let spent = failed.spent_tokens.min(turn.held_tokens);
-        let was_cancelled = matches!(turn.phase, TurnPhase::Running { cancelled: true, .. });
-        let abandoned = turn.waiters.is_empty();
-        match failed.fault {
-            JobFault::Died => {
-                turn.deaths += 1;
-                turn.broken += 1;
-            }
-            JobFault::Broken => turn.broken += 1,
-            JobFault::Cancelled if !was_cancelled => turn.broken += 1,
-            _ => {}
-        }
-        let (attempts, broken, accepted_ms) = (turn.attempts, turn.broken, turn.accepted_ms);
-        self.charge(id, spent, out);
-        if failed.fault == JobFault::Died {
-            self.count_death(now, id, request, out);
-        }
-        if abandoned || self.program(id).is_none_or(Program::is_ending) {
-            self.drop_turn(id);
-            return;
-        }
-        if failed.fault == JobFault::Poison || self.poison.is_held(&request.to_string()) {
-            self.fail_turn(id, ran(poison_held(request), broken), out);
-            return;
-        }
-        let retry_after_ms = failed.retry_after_ms.unwrap_or(RETRY_OUTAGE_MS);
-        match failed.fault {
-            JobFault::Overloaded | JobFault::TooLate => {
-                let problem = refuse_for(503, "overloaded", failed.detail.clone(), retry_after_ms);
-                self.fail_turn(id, ran(problem, broken), out);
-            }
-            JobFault::Refused | JobFault::Leaving | JobFault::NotSent => {
-                let in_time = now.ms < accepted_ms + self.limits.request_timeout_ms;
-                if attempts < MAX_ATTEMPTS && in_time {
-                    self.back_off_turn(now, id, FIRST_BACKOFF_MS << attempts.min(6));
-                    return;
-                }
-                let problem = refuse_for(503, "no_replica", failed.detail.clone(), retry_after_ms);
-                self.fail_turn(id, ran(problem, broken), out);
-            }
-            JobFault::Broken | JobFault::Died | JobFault::Cancelled | JobFault::Poison => {
-                if broken < MAX_BROKEN_ATTEMPTS && attempts < MAX_ATTEMPTS {
-                    self.attempt_turn(now, id, out);
-                    return;
-                }
-                let problem = refuse_for(502, "upstream_failed", failed.detail.clone(), retry_after_ms);
-                self.fail_turn(id, ran(problem, broken), out);
-            }
-        }
-    }
-
-    fn count_death(&mut self, now: Now, id: &ProgramId, request: Digest, out: &mut Outbox) {
-        let held = self.poison.count_death(&request.to_string(), now.unix_ms);
-        if self.poison.is_held(&held.digest) {
-            out.event(What::PoisonChanged, id, format!("content {} is held back", held.digest));
-        }
-        out.actions.push(Action::Poison(held));
-    }
-
-    fn back_off_turn(&mut self, now: Now, id: &ProgramId, wait_ms: u64) {
+    pub(super) fn back_off_turn(&mut self, now: Now, id: &ProgramId, wait_ms: u64) {
         let at_ms = now.ms + wait_ms;
         if let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) {
             turn.phase = TurnPhase::BackingOff { at_ms };
@@ -510,7 +333,7 @@
         }
     }
 
-    fn fail_turn(&mut self, id: &ProgramId, problem: Problem, out: &mut Outbox) {
+    pub(super) fn fail_turn(&mut self, id: &ProgramId, problem: Problem, out: &mut Outbox) {
         let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) else { return };
         let waiters = std::mem::take(&mut turn.waiters);
         out.event(What::TurnFailed, id, problem.detail.clone());
@@ -522,7 +345,7 @@
         self.drop_turn(id);
     }
 
-    fn drop_turn(&mut self, id: &ProgramId) {
+    pub(super) fn drop_turn(&mut self, id: &ProgramId) {
         let Some(program) = self.program_mut(id) else { return };
         if let Some(live) = &mut program.live {
             live.turn = None;
@@ -530,47 +353,7 @@
         program.settle();
     }
 
-    /// settles tokens that were spent without an answer; they come out of the durable reservation.
-    fn charge(&mut self, id: &ProgramId, spent: u64, out: &mut Outbox) {
-        if spent == 0 {
-            return;
-        }
-        let Some(program) = self.program_mut(id) else { return };
-        program.spent_tokens += spent;
-        program.allowance_tokens = program.allowance_tokens.saturating_sub(spent);
-        if let Some(turn) = program.turn_in_flight_mut() {
-            turn.held_tokens = turn.held_tokens.saturating_sub(spent);
-        }
-        let allowance_tokens = program.allowance_tokens;
-        let record = ChargedRecord { program: id.to_string(), charged_tokens: spent, allowance_tokens };
-        self.append(id, record, out);
-    }
-
-    fn free_tokens(&self, id: &ProgramId, budget_tokens: u64) -> u64 {
-        let Some(slot) = self.slots.get(&self.slot_of(id)) else { return 0 };
-        let free = budget::free_tokens(slot, id, budget_tokens);
-        // A sub-agent may have a smaller share of its own.
-        let Some(program) = slot.programs.get(id) else { return 0 };
-        free.min(program.opened.budget_tokens.saturating_sub(program.spent_tokens))
-    }
-
-    fn reclaim_tokens(&mut self, id: &ProgramId, out: &mut Outbox) {
-        let Some(slot) = self.slots.get(&self.slot_of(id)) else { return };
-        for relative in budget::reclaimable(slot, id) {
-            let Some(program) = self.program_mut(&relative) else { continue };
-            program.allowance_tokens = 0;
-            let turn = program.turn + 1;
-            let record = ReservedRecord { program: relative.to_string(), turn, allowance_tokens: 0 };
-            self.append(&relative, record, out);
-        }
-    }
-
-    fn context_tokens(&self, id: &ProgramId) -> u64 {
-        let model = self.program(id).and_then(|program| self.configuration.models.get(&program.opened.model));
-        model.map_or(DEFAULT_CONTEXT_TOKENS, |model| model.context_tokens)
-    }
-
-    fn turn_answer(&self, id: &ProgramId, replayed: bool) -> Option<TurnAnswer> {
+    pub(super) fn turn_answer(&self, id: &ProgramId, replayed: bool) -> Option<TurnAnswer> {
         let program = self.program(id)?;
         Some(TurnAnswer {
             program: id.to_string(),
@@ -586,71 +369,13 @@
     }
 }
 
-/// finds what a turn request means for the history of a program.
-fn place(program: &Program, body: TurnBody) -> Result<Place, Box<Problem>> {
-    let (base, known) = match &body.extends {
-        Some(text) => {
-            let digest: Digest = text.parse().map_err(|error: anyhow::Error| {
-                let problem = refuse(400, "invalid_turn", error.to_string());
-                Box::new(Problem { place: Some("/extends".to_owned()), ..problem })
-            })?;
-            (digest, None)
-        }
-        None => whole_list_base(program, &body.messages),
-    };
-    let mut digest = base;
-    let mut new_from = (body.extends.is_some() && base == program.digest).then_some(0);
-    for (index, message) in body.messages.iter().enumerate() {
-        if known.is_some_and(|skipped| index + skipped == program.messages.len()) && digest == program.digest
-        {
-            new_from = Some(index);
-        }
-        digest = digest.extend(message);
-    }
-    if known.is_some_and(|skipped| body.messages.len() + skipped == program.messages.len())
-        && digest == program.digest
-    {
-        new_from = Some(body.messages.len());
-    }
-    let fits = |turn: u32| body.turn.is_none_or(|asked| asked == turn);
-    if program.last_request == Some(digest) && fits(program.turn) {
-        return Ok(Place::Last);
-    }
-    if let Some(turn) = program.turn_in_flight()
-        && turn.request == digest
-        && fits(turn.turn)
-    {
-        return Ok(Place::InFlight);
-    }
-    match new_from {
-        Some(index) if fits(program.turn + 1) => {
-            let mut messages = body.messages;
-            Ok(Place::Next { messages: messages.split_off(index), request: digest })
-        }
-        _ => Err(Box::new(other_history(program))),
-    }
-}
-
-/// digest before the first message of a whole list, and how many stored messages it leaves out.
-fn whole_list_base(program: &Program, messages: &[ChatMessage]) -> (Digest, Option<usize>) {
-    match program.system_message() {
-        Some(system) if messages.first() != Some(&system) => (Digest::EMPTY.extend(&system), Some(1)),
-        _ => (Digest::EMPTY, Some(0)),
-    }
-}
-
-fn other_history(program: &Program) -> Problem {
-    let detail = "the turn does not extend the committed history";
-    Problem { known: Some(program.history()), ..refuse(409, "history_mismatch", detail) }
-}
-
-fn poison_held(request: Digest) -> Problem {
+pub(super) fn poison_held(request: Digest) -> Problem {
     let detail =
         format!("the content {request} killed upstreams and is held back until an operator lifts it");
     refuse(422, "poison_held", detail)
 }
 
 /// a refusal after `broken` attempts that may have run.
-fn ran(problem: Problem, broken: u32) -> Problem {
+pub(super) fn ran(problem: Problem, broken: u32) -> Problem {
     if broken == 0 { problem } else { Problem { ran: Ran::Unknown, ..problem } }
 }
