Bound what a takeover may cost an idle program; add named scenarios

A takeover counts as spent what was reserved ahead, since the last owner may have used it. The reservation for the next turn covered its whole prompt, so one takeover could take a small run's whole budget: the first form of the takeover scenario ended in budget_exhausted with 15 of 1,000 tokens spent. It is now made only when it is at most a sixteenth of what is left; other turns commit their reservation by themselves.

The scenarios found that a repeat of a turn that was cancelled by the end of its program waited for the job's end; it is refused at once now.

--- a/src/program/budget.rs
+++ b/src/program/budget.rs
@@ -36,6 +36,17 @@
     }
 }
 
+/// most that is reserved ahead of a turn, as a part of what is left: a takeover counts it as spent.
+const ALLOWANCE_PARTS: u64 = 16;
+
+/// tokens to reserve for the next turn together with another record, when `wanted` would cover it.
+///
+/// Nothing is reserved when that would put too much of the run at stake; the turn then commits its
+/// reservation by itself.
+pub(super) fn allowance_tokens(wanted: u64, free: u64) -> u64 {
+    if wanted <= free / ALLOWANCE_PARTS { wanted } else { 0 }
+}
+
 /// tokens that `id` may reserve in place of what it has reserved now.
 pub(super) fn free_tokens(slot: &SlotPrograms, id: &ProgramId, budget_tokens: u64) -> u64 {
     let root = id.root();
--- a/src/program/jobs.rs
+++ b/src/program/jobs.rs
@@ -5,6 +5,7 @@
 use crate::program::Outbox;
 use crate::program::Program;
 use crate::program::Programs;
+use crate::program::budget;
 use crate::program::refusal::RETRY_OUTAGE_MS;
 use crate::program::refusal::refuse_for;
 use crate::program::refuse;
@@ -105,8 +106,8 @@
         let slot = &self.slots[&self.slot_of(id)];
         let last_turn = slot.turns(&id.root()) >= bounds.max_turns;
         let free = self.free_tokens(id, bounds.budget_tokens).saturating_sub(charged);
-        let wanted = if last_turn { 0 } else { next_prompt + self.limits.allowance_tokens };
-        let allowance_tokens = wanted.min(free);
+        let wanted = next_prompt + self.limits.allowance_tokens;
+        let allowance_tokens = if last_turn { 0 } else { budget::allowance_tokens(wanted, free) };
         let record = TurnedRecord { allowance_tokens, ..record };
         if let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) {
             turn.held_tokens = charged + allowance_tokens;
--- a/src/program/requests.rs
+++ b/src/program/requests.rs
@@ -4,6 +4,7 @@
 use crate::program::Outbox;
 use crate::program::Program;
 use crate::program::Programs;
+use crate::program::budget;
 use crate::program::refusal::RETRY_OUTAGE_MS;
 use crate::program::refusal::RETRY_SOON_MS;
 use crate::program::refusal::refuse_for;
@@ -110,7 +111,7 @@
                 let detail = "an identifier with a point belongs to a sub-agent and needs its parent";
                 return Err(Box::new(refuse(400, "invalid_program", detail)));
             }
-            record.allowance_tokens = first.min(record.budget_tokens);
+            record.allowance_tokens = budget::allowance_tokens(first, record.budget_tokens);
             return Ok(record);
         };
         let parent = ProgramId::from(parent.as_str());
@@ -131,8 +132,8 @@
         record.max_turns = bounds.max_turns;
         record.deadline_unix_ms = bounds.deadline_unix_ms;
         let state = &self.slots[&self.slot_of(id)];
-        let free = super::budget::free_tokens(state, id, bounds.budget_tokens);
-        record.allowance_tokens = first.min(free).min(record.budget_tokens);
+        let free = budget::free_tokens(state, id, bounds.budget_tokens).min(record.budget_tokens);
+        record.allowance_tokens = budget::allowance_tokens(first, free);
         Ok(record)
     }
 
--- a/src/program/turns.rs
+++ b/src/program/turns.rs
@@ -60,6 +60,9 @@
                 }
                 Ok(())
             }
+            Place::InFlight if program.is_ending() => {
+                Err(Box::new(refuse(409, "program_ended", "the program has ended")))
+            }
             Place::InFlight => {
                 self.join_turn(&id, waiter, out);
                 Ok(())
--- a/tests/support/owner_world/mod.rs
+++ b/tests/support/owner_world/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod platform;
+pub mod script;
 pub mod upstreams;
 pub mod world;
 
--- /dev/null
+++ b/tests/support/owner_world/script.rs
@@ -0,0 +1,438 @@
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use datadriven::TestCase;
+use flamingostand::clock::Now;
+use flamingostand::ids::Digest;
+use flamingostand::ids::Incarnation;
+use flamingostand::member::Member;
+use flamingostand::member::MemberView;
+use flamingostand::owner::Action;
+use flamingostand::owner::Input;
+use flamingostand::owner::LookUpOutcome;
+use flamingostand::owner::Owner;
+use flamingostand::owner::OwnerSettings;
+use flamingostand::owner::ServiceOutcome;
+use flamingostand::platform::PlatformError;
+use flamingostand::platform::PlatformReply;
+use flamingostand::platform::PlatformRequest;
+use flamingostand::schema::*;
+
+use super::caller::WORKSPACE;
+use super::caller::text;
+use super::platform::PlatformFake;
+use super::upstreams::failed;
+use super::world::configuration;
+
+/// wall time at the start.
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+
+/// what the platform does with calls.
+#[derive(Clone, Copy, PartialEq)]
+enum Mode {
+    Up,
+    Down,
+    /// calls take effect, their replies are lost.
+    Lose,
+}
+
+/// one owner of a script.
+struct Actor {
+    owner: Owner,
+    frozen: bool,
+    inbox: VecDeque<Input>,
+    jobs: VecDeque<u64>,
+    services: VecDeque<u64>,
+    incarnation: String,
+}
+
+/// owners driven by a scenario file.
+pub struct OwnerScript {
+    actors: BTreeMap<String, Actor>,
+    platform: PlatformFake,
+    watches: Vec<(String, u64, PlatformRequest)>,
+    mode: Mode,
+    now_ms: u64,
+    ticket: u64,
+    lines: Vec<String>,
+    known: BTreeMap<String, String>,
+    budget: u64,
+}
+
+impl OwnerScript {
+    pub fn new() -> Self {
+        Self {
+            actors: BTreeMap::new(),
+            platform: PlatformFake::default(),
+            watches: Vec::new(),
+            mode: Mode::Up,
+            now_ms: 1000,
+            ticket: 0,
+            lines: Vec::new(),
+            known: BTreeMap::new(),
+            budget: 1000,
+        }
+    }
+
+    pub fn run(&mut self, case: &TestCase) -> String {
+        let args = case.args.clone();
+        let arg = |name: &str| args.get(name).and_then(|values| values.first()).cloned();
+        let at = arg("at").unwrap_or_else(|| "i0".to_owned());
+        let number = |name: &str, other: u64| arg(name).map_or(other, |text| text.parse().expect("a number"));
+        match case.directive.as_str() {
+            "budget" => self.budget = number("tokens", 1000),
+            "start" => self.start(&at, &arg("incarnation").expect("incarnation=")),
+            "members" => self.members(&args),
+            "advance" => self.advance(number("ms", 10)),
+            "freeze" => self.actor(&at).frozen = true,
+            "thaw" => self.thaw(&at),
+            "kill" => drop(self.actors.remove(&at)),
+            "leave" => self.give(&at, Input::Leave),
+            "platform" => self.mode = mode(&arg("is").expect("is=")),
+            "open" | "turn" | "call" | "end" | "state" => {
+                let program = arg("program").unwrap_or_else(|| "p".to_owned());
+                let request = self.request(&case.directive, &program, &arg);
+                self.ticket += 1;
+                self.lines.push(format!("ticket {}", self.ticket));
+                let ticket = self.ticket;
+                self.give(&at, Input::Request { ticket, request });
+            }
+            "cancel" => self.give(&at, Input::Cancel { ticket: number("ticket", 0) }),
+            "token" | "done" | "fail" => {
+                let event = job_event(&case.directive, &arg, number("spent", 0), number("tokens", 5));
+                let last = case.directive != "token";
+                let actor = self.actor(&at);
+                let job = if last { actor.jobs.pop_front() } else { actor.jobs.front().copied() };
+                match job {
+                    Some(job) => self.give(&at, Input::Job { job, event }),
+                    None => self.lines.push("no job runs".to_owned()),
+                }
+            }
+            "serve" | "found" => match self.actor(&at).services.pop_front() {
+                Some(service) => {
+                    let outcome = arg("outcome").expect("outcome=");
+                    self.give(&at, service_input(&case.directive, service, &outcome));
+                }
+                None => self.lines.push("no call runs".to_owned()),
+            },
+            "lift" => {
+                let digest = self.known.get("poison").cloned().unwrap_or_default();
+                let changed_unix_ms = self.now().unix_ms;
+                let held = PoisonHeld { digest, deaths: 2, lifted: true, changed_unix_ms };
+                self.give(&at, Input::Poison(held));
+            }
+            "slots" => self.show_slots(),
+            other => panic!("unknown directive {other}"),
+        }
+        // Commits that were gathered go out.
+        self.advance(20);
+        let mut text = std::mem::take(&mut self.lines).join("\n");
+        text.push('\n');
+        text
+    }
+
+    fn now(&self) -> Now {
+        Now { ms: self.now_ms, unix_ms: START_UNIX_MS + self.now_ms }
+    }
+
+    fn actor(&mut self, at: &str) -> &mut Actor {
+        self.actors.get_mut(at).expect("the owner was started")
+    }
+
+    fn start(&mut self, at: &str, incarnation: &str) {
+        let settings = OwnerSettings {
+            state: StateSettings::default(),
+            limits: LimitSettings::default(),
+            slot_count: 1,
+            me: Incarnation::from(incarnation),
+            name: at.to_owned(),
+        };
+        let owner = Owner::new(settings, self.now());
+        let incarnation = incarnation.to_owned();
+        let actor = Actor {
+            owner,
+            frozen: false,
+            inbox: VecDeque::new(),
+            jobs: VecDeque::new(),
+            services: VecDeque::new(),
+            incarnation,
+        };
+        self.actors.insert(at.to_owned(), actor);
+        let configuration = Arc::new(configuration(self.budget));
+        self.give(at, Input::Configuration(configuration));
+    }
+
+    /// tells all owners who is there: `i0=alive i1=dead` and so on.
+    fn members(&mut self, args: &std::collections::HashMap<String, Vec<String>>) {
+        let names: Vec<String> = self.actors.keys().cloned().collect();
+        let mut members = Vec::new();
+        for (name, actor) in &self.actors {
+            let state = args.get(name).and_then(|values| values.first()).map_or("alive", String::as_str);
+            let address = std::net::SocketAddr::from(([127, 0, 0, 1], 7000));
+            members.push(Member {
+                name: name.clone(),
+                incarnation: Incarnation::from(actor.incarnation.as_str()),
+                health: if state == "dead" { MemberHealth::Dead } else { MemberHealth::Alive },
+                leaving: state == "leaving",
+                region: "r".to_owned(),
+                zone: "z".to_owned(),
+                mesh: address,
+                callers: address,
+                release_version: 1,
+            });
+        }
+        for name in names {
+            let me = Incarnation::from(self.actors[&name].incarnation.as_str());
+            let view = MemberView { me, members: members.clone(), changed_ms: self.now_ms };
+            self.give(&name, Input::Members(Arc::new(view)));
+        }
+    }
+
+    fn advance(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += 10;
+            let names: Vec<String> = self.actors.keys().cloned().collect();
+            for name in names {
+                if !self.actors[&name].frozen {
+                    self.give(&name, Input::Tick);
+                }
+            }
+        }
+    }
+
+    fn thaw(&mut self, at: &str) {
+        self.actor(at).frozen = false;
+        while let Some(input) = self.actor(at).inbox.pop_front() {
+            self.give(at, input);
+        }
+    }
+
+    fn give(&mut self, at: &str, input: Input) {
+        let now = self.now();
+        let Some(actor) = self.actors.get_mut(at) else { return };
+        if actor.frozen {
+            actor.inbox.push_back(input);
+            return;
+        }
+        for action in actor.owner.handle(now, input) {
+            self.perform(at, action);
+        }
+        self.wake();
+    }
+
+    fn perform(&mut self, at: &str, action: Action) {
+        let line = match action {
+            Action::Platform { call, request } => {
+                self.platform_call(at, call, request);
+                return;
+            }
+            Action::Reply { ticket, event, .. } => format!("reply {ticket} {}", self.event(&event)),
+            Action::Job { job, turn } => {
+                self.actor(at).jobs.push_back(job);
+                format!(
+                    "job {} turn={} attempt={} messages={} prompt={} max={}",
+                    turn.program,
+                    turn.turn,
+                    turn.attempt,
+                    turn.messages.len(),
+                    turn.prompt_tokens,
+                    turn.max_tokens
+                )
+            }
+            Action::CancelJob { .. } => "cancel job".to_owned(),
+            Action::Service { service, request } => {
+                self.actor(at).services.push_back(service);
+                format!("service {} key={}", request.service, request.call)
+            }
+            Action::LookUp { service, request } => {
+                self.actor(at).services.push_back(service);
+                format!("look up {} key={}", request.service, request.call)
+            }
+            Action::Release { program } => format!("release {program}"),
+            Action::Poison(held) => {
+                self.known.insert("poison".to_owned(), held.digest.clone());
+                format!("poison deaths={}", held.deaths)
+            }
+            Action::Deposed => "deposed".to_owned(),
+            Action::Left => "left".to_owned(),
+            Action::Slots(_) | Action::Event { .. } => return,
+        };
+        self.lines.push(format!("{at} {line}"));
+    }
+
+    fn platform_call(&mut self, at: &str, call: u64, request: PlatformRequest) {
+        if matches!(request, PlatformRequest::Watch { .. }) && self.mode != Mode::Down {
+            self.watches.push((at.to_owned(), call, request));
+            return;
+        }
+        let result = match self.mode {
+            Mode::Up => self.platform.call(&request),
+            Mode::Down => Err(PlatformError::Unavailable),
+            Mode::Lose => {
+                let _ = self.platform.call(&request);
+                Err(PlatformError::Unknown)
+            }
+        };
+        self.give(at, Input::Platform { call, result });
+    }
+
+    fn wake(&mut self) {
+        for (at, call, request) in std::mem::take(&mut self.watches) {
+            match self.platform.call(&request) {
+                Ok(PlatformReply::Changes { changes, revision }) if !changes.is_empty() => {
+                    let result = Ok(PlatformReply::Changes { changes, revision });
+                    self.give(&at, Input::Platform { call, result });
+                }
+                _ => self.watches.push((at, call, request)),
+            }
+        }
+    }
+
+    fn request(&self, kind: &str, program: &str, arg: &dyn Fn(&str) -> Option<String>) -> OwnerRequest {
+        let workspace = arg("workspace").unwrap_or_else(|| WORKSPACE.to_owned());
+        let flag = |name: &str, other: bool| arg(name).map_or(other, |text| text == "yes");
+        let known = self.known.get(program).cloned().unwrap_or_else(|| Digest::EMPTY.to_string());
+        let program = program.to_owned();
+        match kind {
+            "open" => OwnerRequest::Open(ForwardedOpen {
+                program,
+                workspace,
+                body: OpenBody {
+                    agent_program: "reader".to_owned(),
+                    program: None,
+                    budget_tokens: arg("budget").map(|text| text.parse().expect("a number")),
+                    parent: arg("parent"),
+                },
+            }),
+            "turn" => OwnerRequest::Turn(ForwardedTurn {
+                program,
+                workspace,
+                body: TurnBody {
+                    extends: Some(if arg("extends").as_deref() == Some("nothing") {
+                        Digest::EMPTY.to_string()
+                    } else {
+                        known
+                    }),
+                    max_tokens: arg("max").map(|text| text.parse().expect("a number")),
+                    messages: vec![text(Role::User, &arg("text").unwrap_or_default())],
+                    stream: flag("stream", false),
+                    temperature: None,
+                    turn: None,
+                },
+            }),
+            "call" => OwnerRequest::Call(ForwardedCall {
+                program,
+                workspace,
+                body: CallBody {
+                    call: Some(arg("id").expect("id=")),
+                    service: arg("service").unwrap_or_else(|| "mail".to_owned()),
+                    path: "/act".to_owned(),
+                    body: serde_json::json!(arg("body")),
+                    idempotent: flag("idempotent", false),
+                    wait: flag("wait", true),
+                    deadline_ms: arg("deadline_ms").map(|text| text.parse().expect("a number")),
+                },
+            }),
+            "end" => OwnerRequest::End(ForwardedEnd { program, workspace, reason: "finished".to_owned() }),
+            _ => OwnerRequest::State(ForwardedState { program, workspace }),
+        }
+    }
+
+    fn event(&mut self, event: &OwnerEvent) -> String {
+        match event {
+            OwnerEvent::Token(token) => format!("token {}", token.text),
+            OwnerEvent::Opened(opened) => format!("opened {}/{}", opened.spent_tokens, opened.budget_tokens),
+            OwnerEvent::Turned(answer) => {
+                self.known.insert(answer.program.clone(), answer.history.digest.clone());
+                format!(
+                    "turned {} {} spent={}{}",
+                    answer.turn,
+                    answer.message.content.as_ref().map(|text| text.to_string()).unwrap_or_default(),
+                    answer.spent_tokens,
+                    if answer.replayed { " replayed" } else { "" }
+                )
+            }
+            OwnerEvent::Called(answer) => {
+                format!("called {}{}", answer.state, if answer.replayed { " replayed" } else { "" })
+            }
+            OwnerEvent::Ended(state) => {
+                format!("ended {}", state.ended_reason.clone().unwrap_or_default())
+            }
+            OwnerEvent::State(state) => format!(
+                "state {} turn={} spent={} reserved={}",
+                state.phase, state.history.turn, state.spent_tokens, state.reserved_tokens
+            ),
+            OwnerEvent::Problem(problem) => {
+                let known = problem.known.as_ref().map(|known| format!(" known={}", known.turn));
+                let retry = problem.retry_after_ms.map(|ms| format!(" retry={ms}"));
+                format!(
+                    "problem {} {} {}{}{}",
+                    problem.status,
+                    problem.code,
+                    problem.ran,
+                    known.unwrap_or_default(),
+                    retry.unwrap_or_default()
+                )
+            }
+        }
+    }
+
+    fn show_slots(&mut self) {
+        for (key, (_, value)) in &self.platform.objects {
+            let Some(slot) = key.strip_prefix("slot/") else { continue };
+            let object: SlotObject = flamingostand::journal::decode(value).expect("a slot object");
+            let sources: Vec<String> = object
+                .sources
+                .iter()
+                .map(|source| match source.through {
+                    Some(through) => format!("{}<={through}", source.incarnation),
+                    None => source.incarnation.clone(),
+                })
+                .collect();
+            let owner = object.owner.unwrap_or_default();
+            self.lines.push(format!("{slot} owner={owner} epoch={} sources={sources:?}", object.epoch));
+        }
+    }
+}
+
+fn mode(text: &str) -> Mode {
+    match text {
+        "up" => Mode::Up,
+        "down" => Mode::Down,
+        _ => Mode::Lose,
+    }
+}
+
+fn job_event(kind: &str, arg: &dyn Fn(&str) -> Option<String>, spent: u64, tokens: u64) -> JobEvent {
+    let said = arg("text").unwrap_or_default();
+    match kind {
+        "token" => JobEvent::Token(Token { text: said }),
+        "done" => JobEvent::Done(JobDone {
+            text: said,
+            finish_reason: "stop".to_owned(),
+            tool_calls: Vec::new(),
+            usage: Usage { prompt_tokens: 10, cached_tokens: 0, completion_tokens: tokens },
+        }),
+        _ => failed(arg("fault").expect("fault=").parse().expect("a fault"), spent),
+    }
+}
+
+fn service_input(kind: &str, service: u64, outcome: &str) -> Input {
+    let body = serde_json::json!("done");
+    if kind == "found" {
+        let outcome = match outcome {
+            "yes" => LookUpOutcome::Found { status: 200, body },
+            "no" => LookUpOutcome::NotFound,
+            _ => LookUpOutcome::Unavailable,
+        };
+        return Input::LookUp { service, outcome };
+    }
+    let outcome = match outcome {
+        "done" => ServiceOutcome::Answered { status: 200, body },
+        "not_sent" => ServiceOutcome::NotSent { detail: String::new() },
+        _ => ServiceOutcome::Broken { detail: String::new() },
+    };
+    Input::Service { service, outcome }
+}
--- a/tests/support/owner_world/world.rs
+++ b/tests/support/owner_world/world.rs
@@ -853,7 +853,7 @@
     text
 }
 
-fn configuration(budget_tokens: u64) -> Configuration {
+pub fn configuration(budget_tokens: u64) -> Configuration {
     let mut configuration = Configuration { version: 1, ..Configuration::default() };
     let entry = AgentProgramEntry {
         id: "reader".to_owned(),
