--- a/tests/support/owner_world/mod.rs
+++ b/tests/support/owner_world/mod.rs
@@ -8,5 +8,7 @@
 pub mod upstreams;
 pub mod world;
 
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use world::Plan;
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use world::World;
