--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -282,6 +282,8 @@
         match step {
             JournalStep::Call(request) => out.actions.push(self.calls.start(Purpose::Journal, request)),
             JournalStep::Committed(records) => {
+                metrics::counter!("owner_commits_total").increment(1);
+                metrics::counter!("owner_records_total").increment(records.len() as u64);
                 self.move_records(out);
                 self.programs.committed(now, self.journal.committed(), records, out);
             }
@@ -296,6 +298,7 @@
                 out.actions.push(self.calls.start(Purpose::Ownership(call), request));
             }
             OwnershipStep::Opened(slot) => {
+                metrics::counter!("owner_slots_taken_total", "how" => "empty").increment(1);
                 self.programs.open_slot(slot);
                 slot_event(What::SlotTaken, slot, "empty", out);
             }
@@ -306,13 +309,16 @@
                 }
                 self.move_records(out);
                 self.programs.adopt(now, slot, epoch, replay.finish(), unclean, out);
-                slot_event(What::SlotTaken, slot, if unclean { "takeover" } else { "handover" }, out);
+                let how = if unclean { "takeover" } else { "handover" };
+                metrics::counter!("owner_slots_taken_total", "how" => how).increment(1);
+                slot_event(What::SlotTaken, slot, how, out);
             }
             OwnershipStep::Drain(slot, draining) => self.programs.drain(now, slot, draining, out),
             OwnershipStep::Given(slot) => {
                 for ticket in self.programs.close_slot(slot, out) {
                     out.refuse(ticket, owner_moved(slot));
                 }
+                metrics::counter!("owner_slots_given_total").increment(1);
                 slot_event(What::SlotGiven, slot, "", out);
             }
             OwnershipStep::SealedJournal(journal) => {
@@ -321,7 +327,7 @@
                 out.actions.push(Action::Event { what: What::JournalSealed, program: None, subject, detail });
             }
             OwnershipStep::Damaged(why) => {
-                metrics::counter!("flamingostand_owner_damaged_objects_total").increment(1);
+                metrics::counter!("owner_damaged_objects_total").increment(1);
                 let subject = Some("journal".to_owned());
                 out.actions.push(Action::Event {
                     what: What::PlatformChanged,
@@ -395,6 +401,7 @@
         self.stage = Stage::Stopped;
         out.records.clear();
         self.refuse_all(out);
+        metrics::counter!("owner_deposed_total").increment(1);
         out.actions.push(Action::Deposed);
         let subject = Some(self.settings.me.to_string());
         let detail = "another incarnation took over".to_owned();
--- a/src/program/programs.rs
+++ b/src/program/programs.rs
@@ -177,8 +177,7 @@
             OwnerRequest::State(state) => self.state(ticket, &state, out),
         };
         if let Err(problem) = refused {
-            metrics::counter!("flamingostand_owner_refusals_total", "code" => problem.code.clone())
-                .increment(1);
+            metrics::counter!("owner_refusals_total", "code" => problem.code.clone()).increment(1);
             out.refuse_by_state(ticket, *problem);
         }
     }
--- a/src/program/turns.rs
+++ b/src/program/turns.rs
@@ -246,7 +246,7 @@
         program.take_turn(record);
         let turn = program.live.as_mut().and_then(|live| live.turn.take());
         out.event(What::TurnCommitted, id, format!("turn {}", record.turn));
-        metrics::counter!("flamingostand_owner_turns_total").increment(1);
+        metrics::counter!("owner_turns_total").increment(1);
         let Some(answer) = self.turn_answer(id, false) else { return };
         for waiter in turn.map(|turn| turn.waiters).unwrap_or_default() {
             self.tickets.remove(&waiter.ticket);
@@ -340,7 +340,7 @@
         let Some(turn) = self.program_mut(id).and_then(Program::turn_in_flight_mut) else { return };
         let waiters = std::mem::take(&mut turn.waiters);
         out.event(What::TurnFailed, id, problem.detail.clone());
-        metrics::counter!("flamingostand_owner_refusals_total", "code" => problem.code.clone()).increment(1);
+        metrics::counter!("owner_refusals_total", "code" => problem.code.clone()).increment(1);
         for waiter in waiters {
             self.tickets.remove(&waiter.ticket);
             out.refuse_by_state(waiter.ticket, problem.clone());
--- a/tests/owner_histories.rs
+++ b/tests/owner_histories.rs
@@ -31,6 +31,23 @@
     }
 }
 
+/// longest outage of the platform that is tried.
+const HOUR_MS: u64 = 3_600_000;
+
+#[test_case(11)]
+fn hour_without_platform(seed: u64) {
+    let mut plan = Plan::seeded(seed);
+    plan.programs = 1;
+    plan.faults.outages = 3;
+    plan.faults.kills = 1;
+    plan.faults.outage_ms = HOUR_MS;
+    plan.faults.active_ms = 900;
+    match World::new(plan).run() {
+        Ok(report) => assert!(report.ended_ms > HOUR_MS / 4, "the outage met no caller"),
+        Err(why) => panic!("seed {seed}: {why}"),
+    }
+}
+
 #[test_case(2475; "repeat after not_run")]
 #[test_case(3693; "look up while draining")]
 #[test_case(3466; "slot back before give is settled")]
--- a/tests/support/owner_world/world.rs
+++ b/tests/support/owner_world/world.rs
@@ -70,6 +70,8 @@
     pub outages: u32,
     pub suspicions: u32,
     pub leaves: u32,
+    /// longest outage.
+    pub outage_ms: u64,
     /// during which faults are started.
     pub active_ms: u64,
 }
@@ -227,7 +229,7 @@
     /// runs until every caller is done.
     pub fn run_callers(&mut self) -> Result<(), String> {
         while self.callers.iter().any(|caller| !caller.is_done()) {
-            if self.now > LIMIT_MS {
+            if self.now > LIMIT_MS + self.plan.faults.outage_ms {
                 return Err(self.stuck());
             }
             self.step()?;
@@ -696,7 +698,7 @@
                 self.instances[at].paused_until = self.now + length;
                 self.suspect(at, 1000, length);
             }
-            2 => self.outage_until = self.now + self.rng.random_range(200..8000),
+            2 => self.outage_until = self.now + self.rng.random_range(200..=self.plan.faults.outage_ms),
             3 => self.suspect(at, 0, 3000),
             _ => {
                 self.instances[at].leaving = true;
@@ -901,6 +903,7 @@
                 outages: rng.random_range(0..2),
                 suspicions: rng.random_range(0..3),
                 leaves: rng.random_range(0..3),
+                outage_ms: 8000,
                 active_ms: 6000,
             },
             state,
