--- a/tests/process_scenarios.rs
+++ b/tests/process_scenarios.rs
@@ -1,8 +1,8 @@
 //! scripted scenarios over real processes: instances, platform, engines and services.
 
-mod support;
+mod processes;
 
-use support::script::Script;
+use processes::script::Script;
 use test_case::test_case;
 
 #[test_case("thin_path")]
