Bound the commits of an instance to its share of the platform's writes

Gathering for 5 ms bounds one instance at some 125 commits a second, and nine instances at more than the several hundred writes a second that the platform takes. The rate beyond a burst of ten is now writes_per_second, shared by the members that take work, half of it for deletions.

--- a/examples/owner_figures.rs
+++ b/examples/owner_figures.rs
@@ -55,7 +55,7 @@
 impl Bench {
     fn new(name: &str, incarnation: &str, platform: PlatformFake) -> Self {
         let settings = OwnerSettings {
-            state: StateSettings::default(),
+            state: StateSettings { writes_per_second: SHARE_WRITES_PER_SECOND, ..StateSettings::default() },
             limits: LimitSettings::default(),
             slot_count: 64,
             me: Incarnation::from(incarnation),
@@ -192,6 +192,9 @@
     }
 }
 
+/// writes a second of one of nine instances that share the platform.
+const SHARE_WRITES_PER_SECOND: u64 = 300 / 9;
+
 fn main() {
     journal_and_replay();
     calls_per_turn();
--- a/src/journal/journal_writer.rs
+++ b/src/journal/journal_writer.rs
@@ -22,6 +22,9 @@
 /// longest wait after a commit that the platform did not take.
 const MAX_RETRY_MS: u64 = 1000;
 
+/// commits that may follow each other without the pause that bounds their rate.
+const BURST_COMMITS: u64 = 10;
+
 /// bytes of an entry around its records.
 const ENTRY_OVERHEAD_BYTES: u64 = 512;
 
@@ -52,6 +55,10 @@
     first_number: u64,
     flight: Option<Flight>,
     last_commit_ms: u64,
+    /// time between two commits that keeps to this instance's share of the platform's writes.
+    pause_ms: u64,
+    /// when the commits so far are paid for at that rate.
+    paid_until_ms: u64,
     written_bytes: u64,
     sealed: bool,
     fence_wanted: bool,
@@ -100,6 +107,8 @@
             first_number: 1,
             flight: None,
             last_commit_ms: 0,
+            pause_ms: 0,
+            paid_until_ms: 0,
             written_bytes: 0,
             sealed: false,
             fence_wanted: false,
@@ -110,6 +119,11 @@
         }
     }
 
+    /// bounds the rate of commits beyond a burst.
+    pub fn set_pause(&mut self, pause_ms: u64) {
+        self.pause_ms = pause_ms;
+    }
+
     /// adds a record behind all others and returns its position.
     pub fn append(&mut self, record: Record) -> u64 {
         let bytes = record_bytes(&record);
@@ -209,15 +223,20 @@
         }
         let gathered = self.next_number == 1 || now.ms >= self.last_commit_ms + self.gather_ms;
         let closing = self.closing && !self.closed && self.next_number > 1;
-        if (self.pending.is_empty() && !self.fence_wanted && !closing) || !gathered {
+        let paid = self.paid_until_ms <= now.ms + BURST_COMMITS * self.pause_ms;
+        let commit_due = paid && !self.pending.is_empty();
+        if !gathered || !(commit_due || self.fence_wanted || closing) {
             return None;
         }
         let key = journal_key(&self.me, self.next_number);
-        let flight = match (self.pending.is_empty(), closing) {
-            (false, _) => self.take_batch(now),
-            (true, true) => self.own_seal(now),
-            (true, false) => Flight::probe(now),
+        let flight = match (commit_due, closing && self.pending.is_empty()) {
+            (true, _) => self.take_batch(now),
+            (false, true) => self.own_seal(now),
+            (false, false) => Flight::probe(now),
         };
+        if !flight.probe {
+            self.paid_until_ms = self.paid_until_ms.max(now.ms) + self.pause_ms;
+        }
         let request = match flight.probe {
             true => PlatformRequest::Get { key },
             false => PlatformRequest::Create { key, value: flight.value.clone() },
--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -6,6 +6,7 @@
 use crate::journal::JournalStep;
 use crate::journal::JournalWriter;
 use crate::journal::Sweeper;
+use crate::member::MemberView;
 use crate::owner::Action;
 use crate::owner::Input;
 use crate::owner::OwnerSettings;
@@ -161,7 +162,10 @@
     fn take(&mut self, now: Now, input: Input, out: &mut Outbox) {
         self.slots_due |= matches!(&input, Input::Members(_) | Input::Tick | Input::Leave);
         match input {
-            Input::Members(view) => self.ownership.members(view),
+            Input::Members(view) => {
+                self.share_writes(&view);
+                self.ownership.members(view);
+            }
             Input::Configuration(configuration) => self.programs.configure(now, configuration),
             Input::Request { ticket, request } => self.request(now, ticket, request, out),
             Input::Cancel { ticket } => {
@@ -184,6 +188,13 @@
         }
     }
 
+    /// bounds the commits of this instance to its share of what the platform takes.
+    fn share_writes(&mut self, view: &MemberView) {
+        let sharing = view.members.iter().filter(|member| member.takes_work()).count().max(1) as u64;
+        // Each entry is written once and deleted once.
+        self.journal.set_pause(2 * sharing * 1000 / self.settings.state.writes_per_second.max(1));
+    }
+
     fn request(&mut self, now: Now, ticket: u64, request: OwnerRequest, out: &mut Outbox) {
         let slot = program_of(&request).slot(self.settings.slot_count);
         match self.ownership.place(slot) {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2283,6 +2283,9 @@
     ///how long an owner stays dead before a takeover is tried
     #[serde(default = "defaults::default_u64::<u64, 300>")]
     pub takeover_delay_ms: u64,
+    ///writes a second that the journals of all instances together may make, half of them deletions
+    #[serde(default = "defaults::default_u64::<u64, 300>")]
+    pub writes_per_second: u64,
 }
 impl ::std::default::Default for StateSettings {
     fn default() -> Self {
@@ -2296,6 +2299,7 @@
             max_entry_bytes: defaults::default_u64::<u64, 786432>(),
             sweep_ms: defaults::default_u64::<u64, 60000>(),
             takeover_delay_ms: defaults::default_u64::<u64, 300>(),
+            writes_per_second: defaults::default_u64::<u64, 300>(),
         }
     }
 }
@@ -2583,6 +2587,7 @@
             max_entry_bytes: 786432_u64,
             sweep_ms: 60000_u64,
             takeover_delay_ms: 300_u64,
+            writes_per_second: 300_u64,
         }
     }
 }
--- a/tests/journal_entries.rs
+++ b/tests/journal_entries.rs
@@ -167,6 +167,22 @@
     assert_eq!(journal.committed(), 300);
 }
 
+#[test]
+fn commit_rate() {
+    let mut journal = writer();
+    journal.set_pause(100);
+    let mut platform = PlatformFake::default();
+    for now in 0..10_000 {
+        journal.append(record("p"));
+        if let Some(JournalStep::Call(request)) = journal.poll(at(now)) {
+            let result = platform.call(&request);
+            let _ = journal.reply(at(now), &result);
+        }
+    }
+    // Ten seconds at ten a second, and the burst at the start.
+    assert!((100..=111).contains(&platform.calls["create"]), "{:?}", platform.calls);
+}
+
 #[test]
 fn fence_reads() {
     let mut journal = writer();
