--- a/src/journal/journal_writer.rs
+++ b/src/journal/journal_writer.rs
@@ -14,6 +14,7 @@
 use crate::schema::EntryBody;
 use crate::schema::JournalEntry;
 use crate::schema::Record;
+use crate::schema::Seal;
 
 /// first wait after a commit that the platform did not take.
 const FIRST_RETRY_MS: u64 = 50;
@@ -21,6 +22,9 @@
 /// longest wait after a commit that the platform did not take.
 const MAX_RETRY_MS: u64 = 1000;
 
+/// commits that may follow each other without the pause that bounds their rate.
+const BURST_COMMITS: u64 = 10;
+
 /// bytes of an entry around its records.
 const ENTRY_OVERHEAD_BYTES: u64 = 512;
 
@@ -51,9 +55,15 @@
     first_number: u64,
     flight: Option<Flight>,
     last_commit_ms: u64,
+    /// time between two commits that keeps to this instance's share of the platform's writes.
+    pause_ms: u64,
+    /// when the commits so far are paid for at that rate.
+    paid_until_ms: u64,
     written_bytes: u64,
     sealed: bool,
     fence_wanted: bool,
+    closing: bool,
+    closed: bool,
     started: u64,
     settled: u64,
 }
@@ -97,14 +107,23 @@
             first_number: 1,
             flight: None,
             last_commit_ms: 0,
+            pause_ms: 0,
+            paid_until_ms: 0,
             written_bytes: 0,
             sealed: false,
             fence_wanted: false,
+            closing: false,
+            closed: false,
             started: 0,
             settled: 0,
         }
     }
 
+    /// bounds the rate of commits beyond a burst.
+    pub fn set_pause(&mut self, pause_ms: u64) {
+        self.pause_ms = pause_ms;
+    }
+
     /// adds a record behind all others and returns its position.
     pub fn append(&mut self, record: Record) -> u64 {
         let bytes = record_bytes(&record);
@@ -162,6 +181,16 @@
         self.first_number += 1;
     }
 
+    /// the owner stops by itself: its last entry is a seal of its own.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// whether nothing is left to write, the own seal included.
+    pub fn is_closed(&self) -> bool {
+        (self.closed || self.next_number == 1) && self.flight.is_none()
+    }
+
     /// asks for proof that this journal is not sealed by now; returns what `is_fenced` is asked with.
     ///
     /// A commit that starts from now on is such a proof; without one the next number is read.
@@ -193,11 +222,21 @@
             return Some(JournalStep::Call(request));
         }
         let gathered = self.next_number == 1 || now.ms >= self.last_commit_ms + self.gather_ms;
-        if (self.pending.is_empty() && !self.fence_wanted) || !gathered {
+        let closing = self.closing && !self.closed && self.next_number > 1;
+        let paid = self.paid_until_ms <= now.ms + BURST_COMMITS * self.pause_ms;
+        let commit_due = paid && !self.pending.is_empty();
+        if !gathered || !(commit_due || self.fence_wanted || closing) {
             return None;
         }
         let key = journal_key(&self.me, self.next_number);
-        let flight = if self.pending.is_empty() { Flight::probe(now) } else { self.take_batch(now) };
+        let flight = match (commit_due, closing && self.pending.is_empty()) {
+            (true, _) => self.take_batch(now),
+            (false, true) => self.own_seal(now),
+            (false, false) => Flight::probe(now),
+        };
+        if !flight.probe {
+            self.paid_until_ms = self.paid_until_ms.max(now.ms) + self.pause_ms;
+        }
         let request = match flight.probe {
             true => PlatformRequest::Get { key },
             false => PlatformRequest::Create { key, value: flight.value.clone() },
@@ -263,6 +302,18 @@
         None
     }
 
+    /// a seal of the owner's own, after which nothing of this incarnation can be on its way.
+    fn own_seal(&mut self, now: Now) -> Flight {
+        let mark = format!("{}-{}", self.me, self.next_number);
+        let entry = JournalEntry {
+            incarnation: self.me.to_string(),
+            mark: mark.clone(),
+            body: EntryBody::Seal(Seal { by: self.me.to_string() }),
+        };
+        self.closed = true;
+        Flight { value: encode(&entry), mark, probe: false, ..Flight::probe(now) }
+    }
+
     fn commit(&mut self, now: Now) -> JournalStep {
         let records = self.flight.take().map(|flight| flight.records).unwrap_or_default();
         self.next_number += 1;
