--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use schemars::schema::RootSchema;
+use serde_json::Map;
 use serde_json::Value;
 use typify::TypeSpace;
 use typify::TypeSpaceSettings;
@@ -24,6 +25,7 @@
     let text = std::fs::read_to_string(&path).with_context(|| format!("read {}", path.display()))?;
     let mut value: Value = serde_json::from_str(&text).context("parse the schema")?;
     strip_constraints(&mut value);
+    spell_out_defaults(&mut value);
     let schema: RootSchema = serde_json::from_value(value).context("read the schema")?;
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
@@ -56,3 +58,36 @@
         _ => {}
     }
 }
+
+/// writes the defaults of a group's fields into the group's own default.
+///
+/// The type generator would take zero for each field that an empty default leaves out.
+fn spell_out_defaults(schema: &mut Value) {
+    let definitions = schema["definitions"].clone();
+    let Some(types) = schema["definitions"].as_object_mut() else {
+        return;
+    };
+    for definition in types.values_mut() {
+        let Some(properties) = definition.get_mut("properties").and_then(Value::as_object_mut) else {
+            continue;
+        };
+        for property in properties.values_mut() {
+            if property.get("default") != Some(&Value::Object(Map::new())) {
+                continue;
+            }
+            let target = property.pointer("/allOf/0/$ref").and_then(Value::as_str).unwrap_or_default();
+            let target = target.rsplit('/').next().unwrap_or_default();
+            property["default"] = field_defaults(&definitions[target]);
+        }
+    }
+}
+
+fn field_defaults(definition: &Value) -> Value {
+    let mut defaults = Map::new();
+    for (name, field) in definition["properties"].as_object().into_iter().flatten() {
+        if let Some(default) = field.get("default") {
+            defaults.insert(name.clone(), default.clone());
+        }
+    }
+    Value::Object(defaults)
+}
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2466,51 +2466,51 @@
     }
     pub(super) fn settings_dispatch() -> super::DispatchSettings {
         super::DispatchSettings {
-            first_token_target_ms: Default::default(),
-            initial_window: Default::default(),
-            load_poll_ms: Default::default(),
-            max_queue_ms: Default::default(),
-            max_window: Default::default(),
-            retry_share_percent: Default::default(),
-            token_gap_target_ms: Default::default(),
+            first_token_target_ms: 1400_u64,
+            initial_window: 16_u32,
+            load_poll_ms: 500_u64,
+            max_queue_ms: 30000_u64,
+            max_window: 256_u32,
+            retry_share_percent: 10_u32,
+            token_gap_target_ms: 70_u64,
         }
     }
     pub(super) fn settings_limits() -> super::LimitSettings {
         super::LimitSettings {
-            body_timeout_ms: Default::default(),
-            drain_timeout_ms: Default::default(),
-            head_timeout_ms: Default::default(),
-            max_body_bytes: Default::default(),
-            max_connections: Default::default(),
-            max_messages: Default::default(),
-            max_turn_bytes: Default::default(),
-            request_timeout_ms: Default::default(),
+            body_timeout_ms: 10000_u64,
+            drain_timeout_ms: 600000_u64,
+            head_timeout_ms: 30000_u64,
+            max_body_bytes: 6291456_u64,
+            max_connections: 4096_u32,
+            max_messages: 4096_u32,
+            max_turn_bytes: 524288_u64,
+            request_timeout_ms: 60000_u64,
         }
     }
     pub(super) fn settings_log() -> super::LogSettings {
         super::LogSettings {
-            format: Default::default(),
-            level: Default::default(),
+            format: super::LogFormat::Terminal,
+            level: super::LogLevel::Info,
         }
     }
     pub(super) fn settings_membership() -> super::MembershipSettings {
         super::MembershipSettings {
-            max_bytes_per_second: Default::default(),
-            probe_ms: Default::default(),
-            probe_timeout_ms: Default::default(),
-            suspicion_ms: Default::default(),
+            max_bytes_per_second: 4096_u64,
+            probe_ms: 200_u64,
+            probe_timeout_ms: 150_u64,
+            suspicion_ms: 1000_u64,
         }
     }
     pub(super) fn settings_state() -> super::StateSettings {
         super::StateSettings {
-            allowance_tokens: Default::default(),
-            compact_bytes: Default::default(),
-            compact_entries: Default::default(),
-            ended_keep_ms: Default::default(),
-            gather_ms: Default::default(),
-            handover_delay_ms: Default::default(),
-            max_entry_bytes: Default::default(),
-            takeover_delay_ms: Default::default(),
+            allowance_tokens: 4096_u64,
+            compact_bytes: 67108864_u64,
+            compact_entries: 2000_u32,
+            ended_keep_ms: 600000_u64,
+            gather_ms: 5_u64,
+            handover_delay_ms: 1500_u64,
+            max_entry_bytes: 786432_u64,
+            takeover_delay_ms: 300_u64,
         }
     }
 }
