Name unknown keys and the variant that was meant in findings

Cause: a note's entry with one bad field was reported as valid under no schema of a choice. Change: a finding of a choice descends into the variant whose key is present; an unknown key is reported at its own place, which is stricter than at its parent, so the test of the schema check now expects that; long quotations of the faulty value are cut.

--- a/src/schema/checker.rs
+++ b/src/schema/checker.rs
@@ -2,7 +2,9 @@
 use std::sync::LazyLock;
 
 use anyhow::Context;
+use jsonschema::ValidationError;
 use jsonschema::Validator;
+use jsonschema::error::ValidationErrorKind;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -16,6 +18,9 @@
 const CHECKED: [&str; 8] =
     ["Settings", "ReleaseNote", "OpenBody", "TurnBody", "CallBody", "EndBody", "DrainBody", "PoisonLiftBody"];
 
+/// longest sentence of a finding.
+const MAX_DETAIL_CHARS: usize = 300;
+
 static VALIDATORS: LazyLock<HashMap<&'static str, Validator>> =
     LazyLock::new(|| build_validators().expect("schemas/wire.json is a valid schema"));
 
@@ -42,7 +47,7 @@
     let mut findings = Findings::default();
     let validator = VALIDATORS.get(name).expect("the definition is listed in CHECKED");
     for error in validator.iter_errors(value) {
-        findings.push(Finding::new(error.instance_path().to_string(), error.to_string()));
+        report(&error, &mut findings);
     }
     if !findings.list.is_empty() {
         return Err(findings);
@@ -50,6 +55,60 @@
     serde_json::from_value(value.clone()).map_err(|error| Findings::one(Finding::new("", error.to_string())))
 }
 
+/// adds what an error says to the findings: each unknown key at its own place, and of a choice between
+/// variants only what is wrong with the variant that was meant.
+fn report(error: &ValidationError<'_>, findings: &mut Findings) {
+    let place = error.instance_path().to_string();
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected } => {
+            for key in unexpected {
+                let key = key.replace('~', "~0").replace('/', "~1");
+                findings.push(Finding::new(format!("{place}/{key}"), "this key is not known here"));
+            }
+        }
+        ValidationErrorKind::OneOfNotValid { context } => report_variant(&place, context, findings),
+        _ => findings.push(Finding::new(place, shortened(&error.to_string()))),
+    }
+}
+
+fn report_variant(place: &str, variants: &[Vec<ValidationError<'static>>], findings: &mut Findings) {
+    let mut names = Vec::new();
+    for errors in variants {
+        match errors.iter().find_map(|error| missing_key(place, error)) {
+            Some(name) => names.push(name),
+            None => {
+                for error in errors {
+                    report(error, findings);
+                }
+                return;
+            }
+        }
+    }
+    let detail = format!("exactly one of these keys is expected here: {}", names.join(", "));
+    findings.push(Finding::new(place, detail));
+}
+
+/// the key that a variant requires at `place` and that is not there.
+fn missing_key(place: &str, error: &ValidationError<'_>) -> Option<String> {
+    match error.kind() {
+        ValidationErrorKind::Required { property } if error.instance_path().to_string() == place => {
+            Some(property.as_str().unwrap_or_default().to_owned())
+        }
+        _ => None,
+    }
+}
+
+/// an error quotes the faulty value, which can be large.
+fn shortened(detail: &str) -> String {
+    if detail.chars().count() <= MAX_DETAIL_CHARS {
+        return detail.to_owned();
+    }
+    let start: String = detail.chars().take(MAX_DETAIL_CHARS / 2).collect();
+    let skipped = detail.chars().count() - MAX_DETAIL_CHARS / 2;
+    let end: String = detail.chars().skip(skipped).collect();
+    format!("{start} ... {end}")
+}
+
 fn build_validators() -> anyhow::Result<HashMap<&'static str, Validator>> {
     let schema: Value = serde_json::from_str(SCHEMA_TEXT).context("parse the schema")?;
     let mut validators = HashMap::new();
--- a/tests/schema_check.rs
+++ b/tests/schema_check.rs
@@ -21,7 +21,7 @@
         findings.list.iter().map(|finding| (finding.place.clone(), finding.line)).collect();
     places.sort();
     let expected =
-        [("/cluster/mesh_key", 2), ("/cluster/slot_count", 2), ("/listen", 4), ("/operator_keys", 6)];
+        [("/cluster/mesh_key", 2), ("/cluster/slot_count", 2), ("/listen/extra", 4), ("/operator_keys", 6)];
     let expected: Vec<(String, Option<usize>)> =
         expected.iter().map(|(place, line)| ((*place).to_owned(), Some(*line))).collect();
     assert_eq!(places, expected);
--- a/tests/settings_load.rs
+++ b/tests/settings_load.rs
@@ -41,7 +41,7 @@
 #[test_case("/cluster/mesh_key", json!("g".repeat(64)), &["/cluster/mesh_key"]; "key not hexadecimal")]
 #[test_case("/operator_keys/0/key_hash", json!("B".repeat(64)), &["/operator_keys/0/key_hash"]; "upper case")]
 #[test_case("/log/format", json!("xml"), &["/log/format"]; "unknown format")]
-#[test_case("/limits/max_speed", json!(1), &["/limits"]; "unknown key")]
+#[test_case("/limits/max_speed", json!(1), &["/limits/max_speed"]; "unknown key")]
 #[test_case("/thread_count", json!("2"), &["/thread_count"]; "wrong type")]
 fn one_fault(place: &str, wrong: Value, expected: &[&str]) {
     let text = example(|value| {
