--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -1,4 +1,6 @@
-//! generates the wire and settings types from the JSON Schema.
+//! generates the wire and settings types, and the settings reference, from the JSON Schema.
+
+mod settings_page;
 
 use std::path::Path;
 
@@ -9,6 +11,9 @@
 use typify::TypeSpace;
 use typify::TypeSpaceSettings;
 
+pub use settings_page::SETTINGS_PAGE_PATH;
+pub use settings_page::settings_page;
+
 /// constraints that the schema check enforces on input, and that the generated types leave out.
 const CONSTRAINTS: [&str; 7] =
     ["pattern", "minLength", "maxLength", "minItems", "maxItems", "maximum", "additionalProperties"];
@@ -91,3 +96,20 @@
     }
     Value::Object(defaults)
 }
+
+/// a generated file: its path below the workspace root, and its text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GeneratedFile {
+    /// path below the workspace root.
+    pub path: &'static str,
+    /// what it must hold.
+    pub text: String,
+}
+
+/// returns everything that is generated from the schema found below `root`.
+pub fn generate_all(root: &Path) -> anyhow::Result<Vec<GeneratedFile>> {
+    Ok(vec![
+        GeneratedFile { path: GENERATED_PATH, text: generate(root)? },
+        GeneratedFile { path: SETTINGS_PAGE_PATH, text: settings_page(root)? },
+    ])
+}
--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,4 +1,4 @@
-//! writes the generated types, or checks with `--check` that they are current.
+//! writes the generated files, or checks with `--check` that they are current.
 
 use std::path::Path;
 
@@ -7,14 +7,21 @@
 
 fn main() -> anyhow::Result<()> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let generated = flamingo_codegen::generate(&root)?;
-    let path = root.join(flamingo_codegen::GENERATED_PATH);
-    if std::env::args().any(|arg| arg == "--check") {
-        let committed = std::fs::read_to_string(&path).context("read the committed code")?;
-        if committed != generated {
-            bail!("{} is out of date; run `cargo run -p flamingo-codegen`", flamingo_codegen::GENERATED_PATH);
+    let check = std::env::args().any(|arg| arg == "--check");
+    let mut outdated = Vec::new();
+    for file in flamingo_codegen::generate_all(&root)? {
+        let path = root.join(file.path);
+        if !check {
+            std::fs::write(&path, file.text).with_context(|| format!("write {}", path.display()))?;
+            continue;
         }
-        return Ok(());
+        let committed = std::fs::read_to_string(&path).with_context(|| format!("read {}", path.display()))?;
+        if committed != file.text {
+            outdated.push(file.path);
+        }
+    }
+    if !outdated.is_empty() {
+        bail!("out of date: {}; run `cargo run -p flamingo-codegen`", outdated.join(", "));
     }
-    std::fs::write(&path, generated).context("write the generated code")
+    Ok(())
 }
--- a/src/release/history.rs
+++ b/src/release/history.rs
@@ -48,6 +48,11 @@
         self.marks.get(mark).copied()
     }
 
+    /// entries that are known, withdrawn ones included.
+    pub fn entry_count(&self) -> usize {
+        self.touched.len()
+    }
+
     /// the oldest version that a note can be written against.
     pub fn floor_version(&self) -> u64 {
         self.floor_version
--- a/src/release/releases.rs
+++ b/src/release/releases.rs
@@ -15,6 +15,9 @@
 use crate::release::watcher::Watcher;
 use crate::schema::AcceptedRelease;
 
+/// how long one watch waits, unless the settings say otherwise.
+const WATCH_MS: u64 = 20_000;
+
 /// how long a fresh instance that knows of no peers waits for some to show up.
 const ALONE_WAIT_MS: u64 = 300;
 
@@ -47,7 +50,7 @@
         Self {
             core: Core::new(me),
             reader: Reader::new(),
-            watcher: Watcher::default(),
+            watcher: Watcher::new(WATCH_MS),
             peers: Peers::default(),
             acceptor: Acceptor::default(),
             keeper: Keeper::new(),
@@ -57,6 +60,13 @@
         }
     }
 
+    /// sets how long one watch waits.
+    #[must_use]
+    pub fn with_watch_ms(mut self, watch_ms: u64) -> Self {
+        self.watcher = Watcher::new(watch_ms);
+        self
+    }
+
     /// takes one input and returns what is to be done.
     pub fn handle(&mut self, now_ms: u64, input: ReleaseInput) -> Vec<ReleaseAction> {
         self.move_clock(now_ms);
--- a/src/release/watcher.rs
+++ b/src/release/watcher.rs
@@ -9,18 +9,16 @@
 use crate::release::keys;
 use crate::release::reader::Reader;
 
-/// how long one watch waits.
-const WATCH_MS: u64 = 20_000;
-
-/// how long a watch may stay without a result before another is made.
-const LOST_WATCH_MS: u64 = WATCH_MS + 10_000;
+/// how long a watch may stay without a result after its wait, before another is made.
+const LOST_WATCH_MS: u64 = 10_000;
 
 /// pause after a reply that held removals only, so that a sweep costs few watches.
 const REMOVALS_PAUSE_MS: u64 = 500;
 
 /// watches the platform for releases; one instance in each zone does.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Watcher {
+    wait_ms: u64,
     call: Option<(u64, u64)>,
     due_ms: u64,
     failures: u32,
@@ -28,9 +26,13 @@
 }
 
 impl Watcher {
+    pub(super) fn new(wait_ms: u64) -> Self {
+        Self { wait_ms, call: None, due_ms: 0, failures: 0, revision: None }
+    }
+
     pub(super) fn tick(&mut self, core: &mut Core, reader: &mut Reader) {
         if let Some((_, since_ms)) = self.call {
-            if core.now_ms < since_ms + LOST_WATCH_MS {
+            if core.now_ms < since_ms + self.wait_ms + LOST_WATCH_MS {
                 return;
             }
             self.call = None;
@@ -49,7 +51,7 @@
             return;
         };
         let prefix = keys::RELEASES.to_owned();
-        let call = core.call(PlatformRequest::Watch { prefix, after_revision, wait_ms: WATCH_MS });
+        let call = core.call(PlatformRequest::Watch { prefix, after_revision, wait_ms: self.wait_ms });
         self.call = Some((call, core.now_ms));
     }
 
