--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -7,7 +7,6 @@
 mod render;
 mod run;
 mod table;
-mod utc;
 
 pub use api_client::ApiClient;
 pub use api_error::ApiError;
@@ -15,4 +14,3 @@
 pub use key::read_key;
 pub use run::run;
 pub use table::Table;
-pub use utc::utc_text;
--- a/src/ctl/render.rs
+++ b/src/ctl/render.rs
@@ -2,11 +2,11 @@
 
 use serde_json::Value;
 
+use crate::clock::utc_text;
 use crate::config::EntryKey;
 use crate::ctl::ApiError;
 use crate::ctl::Table;
 use crate::ctl::api_client::read;
-use crate::ctl::utc_text;
 use crate::schema::AcceptedRelease;
 use crate::schema::InstanceRow;
 use crate::schema::PoisonHeld;
--- a/src/release/judge.rs
+++ b/src/release/judge.rs
@@ -1,3 +1,4 @@
+use crate::clock::utc_text;
 use crate::config::EntryKey;
 use crate::finding::Finding;
 use crate::finding::Findings;
@@ -112,5 +113,10 @@
     } else {
         "changed"
     };
-    format!("was {what} by {} in version {} at {} (Unix ms)", touch.operator, touch.version, touch.unix_ms)
+    format!(
+        "was {what} by {} in version {} on {} UTC",
+        touch.operator,
+        touch.version,
+        utc_text(touch.unix_ms)
+    )
 }
--- a/tests/release_world/store.rs
+++ b/tests/release_world/store.rs
@@ -53,8 +53,10 @@
     }
 
     pub fn switch(&mut self, mode: Mode) {
-        self.past = self.objects.clone();
-        self.past_revision = self.revision;
+        if mode == Mode::Stale {
+            self.past = self.objects.clone();
+            self.past_revision = self.revision;
+        }
         self.mode = mode;
     }
 
