--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -30,7 +30,8 @@
     let text = std::fs::read_to_string(&path).with_context(|| format!("read {}", path.display()))?;
     let mut value: Value = serde_json::from_str(&text).context("parse the schema")?;
     strip_constraints(&mut value);
-    spell_out_defaults(&mut value);
+    let definitions = value["definitions"].clone();
+    fill_defaults(&mut value, &definitions);
     let schema: RootSchema = serde_json::from_value(value).context("read the schema")?;
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
@@ -64,37 +65,39 @@
     }
 }
 
-/// writes the defaults of a group's fields into the group's own default.
+/// writes out the defaults of groups whose default is an empty object.
 ///
-/// The type generator would take zero for each field that an empty default leaves out.
-fn spell_out_defaults(schema: &mut Value) {
-    let definitions = schema["definitions"].clone();
-    let Some(types) = schema["definitions"].as_object_mut() else {
-        return;
-    };
-    for definition in types.values_mut() {
-        let Some(properties) = definition.get_mut("properties").and_then(Value::as_object_mut) else {
-            continue;
-        };
-        for property in properties.values_mut() {
-            if property.get("default") != Some(&Value::Object(Map::new())) {
-                continue;
+/// typify takes an empty default as zero for each field, not as the defaults of the fields.
+fn fill_defaults(value: &mut Value, definitions: &Value) {
+    match value {
+        Value::Object(map) => {
+            if map.get("default").is_some_and(|default| default == &Value::Object(Map::new())) {
+                let name = map["allOf"][0]["$ref"].as_str().and_then(|path| path.rsplit('/').next());
+                let filled = name.map(|name| field_defaults(&definitions[name]));
+                map.insert("default".to_owned(), Value::Object(filled.unwrap_or_default()));
+            }
+            for child in map.values_mut() {
+                fill_defaults(child, definitions);
             }
-            let target = property.pointer("/allOf/0/$ref").and_then(Value::as_str).unwrap_or_default();
-            let target = target.rsplit('/').next().unwrap_or_default();
-            property["default"] = field_defaults(&definitions[target]);
         }
+        Value::Array(items) => {
+            for item in items {
+                fill_defaults(item, definitions);
+            }
+        }
+        _ => {}
     }
 }
 
-fn field_defaults(definition: &Value) -> Value {
+/// the defaults of all fields of a group.
+fn field_defaults(group: &Value) -> Map<String, Value> {
     let mut defaults = Map::new();
-    for (name, field) in definition["properties"].as_object().into_iter().flatten() {
-        if let Some(default) = field.get("default") {
-            defaults.insert(name.clone(), default.clone());
+    for (field, shape) in group["properties"].as_object().into_iter().flatten() {
+        if let Some(default) = shape.get("default") {
+            defaults.insert(field.clone(), default.clone());
         }
     }
-    Value::Object(defaults)
+    defaults
 }
 
 /// a generated file: its path below the workspace root, and its text.
--- a/src/ctl/render.rs
+++ b/src/ctl/render.rs
@@ -13,13 +13,16 @@
 use crate::schema::ProgramState;
 use crate::schema::ReleaseDiff;
 use crate::schema::ReleaseStatus;
-use crate::schema::ReplicaLoad;
+use crate::schema::ReplicaRow;
 use crate::schema::TimelineEvent;
 use crate::timeline::HybridClock;
 
 /// longest value that a difference shows.
 const MAX_VALUE_CHARS: usize = 100;
 
+/// stands in a table for what is not known.
+const NOTHING: &str = "-";
+
 /// bits of a stamp that count events within one millisecond.
 const COUNTER_MASK: u64 = 0xffff;
 
@@ -39,7 +42,7 @@
     for row in read::<Vec<InstanceRow>>(value)? {
         let mut cells = vec![row.name, row.zone, row.health.to_string()];
         let Some(status) = row.status else {
-            cells.extend(["-", "-", "-", "-", "no answer"].map(str::to_owned));
+            cells.extend([NOTHING, NOTHING, NOTHING, NOTHING, "no answer"].map(str::to_owned));
             table.row(cells);
             continue;
         };
@@ -105,16 +108,31 @@
 }
 
 pub(super) fn replicas(value: &Value) -> Rendered {
-    let mut table = Table::new(&["REPLICA", "RUNNING", "QUEUED", "QUEUED TOKENS", "WINDOW", "AGE MS"]);
-    for load in read::<Vec<ReplicaLoad>>(value)? {
-        table.row(vec![
-            load.replica,
-            load.running.to_string(),
-            load.queued.to_string(),
-            load.queued_tokens.to_string(),
-            load.window.to_string(),
-            load.age_ms.to_string(),
-        ]);
+    let mut table = Table::new(&[
+        "REPLICA",
+        "MODEL",
+        "ZONE",
+        "STATE",
+        "DISPATCHER",
+        "RUNNING",
+        "QUEUED",
+        "QUEUED TOKENS",
+        "WINDOW",
+    ]);
+    for row in read::<Vec<ReplicaRow>>(value)? {
+        let state = if row.leaving { "leaving" } else { "serving" };
+        let dispatcher = row.dispatcher.unwrap_or_else(|| NOTHING.to_owned());
+        let mut cells = vec![row.name, row.model, row.zone, state.to_owned(), dispatcher];
+        match row.load {
+            Some(load) => cells.extend([
+                load.running.to_string(),
+                load.queued.to_string(),
+                load.queued_tokens.to_string(),
+                load.window.to_string(),
+            ]),
+            None => cells.extend([NOTHING; 4].map(str::to_owned)),
+        }
+        table.row(cells);
     }
     Ok(table.to_string())
 }
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 
+use crate::ids::Incarnation;
 use crate::member::Member;
 use crate::member::MemberView;
 use crate::membership::MembershipAction;
@@ -60,6 +61,8 @@
 const YOUNG_MS: u64 = 10_000;
 /// buckets that one comparison answers.
 const SYNC_BUCKETS: usize = 3;
+/// records that fit in a datagram.
+const RECORDS_PER_DATAGRAM: usize = 7;
 /// aim for the time after which some instance tries a gone member or an unknown address again.
 const REVIVE_MS: u64 = 2_000;
 /// least and longest time between two such tries of one instance.
@@ -133,6 +136,7 @@
             MembershipInput::Datagram { from, datagram } => self.on_datagram(now_ms, from, *datagram),
             MembershipInput::Listed(list) => self.on_listed(&list),
             MembershipInput::ReleaseInForce(version) => self.on_release(version),
+            MembershipInput::Restart(incarnation) => self.on_restart(incarnation),
             MembershipInput::Leave => self.on_leave(now_ms),
             MembershipInput::Left => self.on_left(),
             MembershipInput::Tick => self.on_tick(now_ms),
@@ -181,6 +185,11 @@
         self.view_changed = true;
     }
 
+    fn on_restart(&mut self, incarnation: Incarnation) {
+        self.own.restart(incarnation);
+        self.announce_own();
+    }
+
     fn on_leave(&mut self, now_ms: u64) {
         if self.own.member.leaving || self.own.has_left() {
             return;
@@ -515,11 +524,17 @@
                     self.outbox.news.push(name, false);
                 }
             }
+            Merged::Joined => {
+                self.view_changed = true;
+                self.suspicions.end(name);
+                if gossips {
+                    self.outbox.news.push_join(name);
+                }
+            }
             Merged::Changed => {
                 self.view_changed = true;
-                let is_suspect =
-                    self.peers.get(name).is_some_and(|peer| peer.member.health == MemberHealth::Suspect);
-                if !is_suspect {
+                let health = self.peers.get(name).map(|peer| peer.member.health);
+                if health != Some(MemberHealth::Suspect) {
                     self.suspicions.end(name);
                 }
                 if gossips {
@@ -643,13 +658,12 @@
     }
 
     fn send_records(&mut self, to: SocketAddr, wanted: &[u32]) {
-        let mut records = sync::find(&self.own, &self.peers, wanted);
-        while !records.is_empty() {
+        let records = sync::find(&self.own, &self.peers, wanted);
+        for some in records.chunks(RECORDS_PER_DATAGRAM) {
             let body = DatagramBody::News(News { urgent: false });
-            if !self.outbox.send(&self.own, &self.peers, to, body, &records, Spending::Saved) {
+            if !self.outbox.send(&self.own, &self.peers, to, body, some, Spending::Saved) {
                 return;
             }
-            records.drain(..records.len().min(4));
         }
     }
 
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -921,6 +921,9 @@
 ///where state of a slot comes from
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JournalSource {
+    ///epoch at which the owner of the journal took the slot; only what follows its adoption at this epoch counts
+    #[serde(default)]
+    pub epoch: u64,
     ///journal
     pub incarnation: ::std::string::String,
     ///last entry that counts; all without it
@@ -1549,6 +1552,52 @@
         Self::State(value)
     }
 }
+///a datagram as it is sent, with short names to save bytes; its tag covers the deployment
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PackedDatagram {
+    pub b: DatagramBody,
+    ///digest of the members that the sender believes to run
+    #[serde(default)]
+    pub d: u64,
+    ///incarnation of the sender
+    pub i: ::std::string::String,
+    ///news of members
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub k: ::std::vec::Vec<PackedRecord>,
+    ///name of the sender
+    pub n: ::std::string::String,
+    ///refutation number of the sender
+    pub r: u32,
+    ///configuration in force at the sender
+    #[serde(default)]
+    pub v: u64,
+}
+///a member record as datagrams carry it, with short names to save bytes
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PackedRecord {
+    ///callers' address
+    pub c: ::std::string::String,
+    ///region
+    pub g: ::std::string::String,
+    ///health: 0 alive, 1 suspect, 2 dead, 3 left
+    pub h: u8,
+    ///incarnation
+    pub i: ::std::string::String,
+    ///whether it is leaving
+    #[serde(default)]
+    pub l: bool,
+    ///mesh address
+    pub m: ::std::string::String,
+    ///name
+    pub n: ::std::string::String,
+    ///refutation number
+    pub r: u32,
+    ///configuration in force
+    #[serde(default)]
+    pub v: u64,
+    ///zone
+    pub z: ::std::string::String,
+}
 ///the object API of the platform
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct PlatformSettings {
@@ -1997,6 +2046,26 @@
     ///limit in force
     pub window: u32,
 }
+///one replica of a model as the administration API shows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReplicaRow {
+    ///HTTP address
+    pub address: ::std::string::String,
+    ///instance that holds its queue
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub dispatcher: ::std::option::Option<::std::string::String>,
+    ///whether it takes no new work
+    pub leaving: bool,
+    ///what its dispatcher last reported
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub load: ::std::option::Option<ReplicaLoad>,
+    ///model that it serves
+    pub model: ::std::string::String,
+    ///name from the platform's list
+    pub name: ::std::string::String,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
 ///tokens are reserved for a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReservedRecord {
