--- a/examples/release_cost.rs
+++ b/examples/release_cost.rs
@@ -7,14 +7,23 @@
 
 use std::collections::BTreeMap;
 use std::hint::black_box;
+use std::sync::Arc;
 use std::time::Instant;
 
 use flamingostand::config::EntryKey;
+use flamingostand::ids::Incarnation;
+use flamingostand::member::Member;
+use flamingostand::member::MemberView;
+use flamingostand::platform::PlatformReply;
 use flamingostand::release::Book;
+use flamingostand::release::ReleaseAction;
+use flamingostand::release::ReleaseInput;
+use flamingostand::release::Releases;
 use flamingostand::release::check_note;
 use flamingostand::release::judge;
 use flamingostand::release::snapshot;
 use flamingostand::schema::AcceptedRelease;
+use flamingostand::schema::MemberHealth;
 use flamingostand::schema::ReleaseEntry;
 use flamingostand::schema::ReleaseNote;
 use release_world::World;
@@ -37,6 +46,11 @@
         spread(zones, per_zone);
     }
     println!();
+    println!("members  tick ns  view us");
+    for members in [150, 500, 1_500] {
+        tick(members);
+    }
+    println!();
     println!("instances  zones  calls/min idle: watch  list  other");
     for (zones, per_zone) in [(3, 3), (3, 10), (10, 10)] {
         idle(zones, per_zone);
@@ -127,6 +141,43 @@
     println!("{:>9} {zones:>6} {watch:>22.1} {list:>5.1} {:>6.1}", world.nodes.len(), all - watch - list);
 }
 
+/// an idle instance among many members, in 28 zones.
+fn tick(count: usize) {
+    let mut members = Vec::new();
+    for index in 0..count {
+        members.push(Member {
+            name: format!("entry-{index}"),
+            incarnation: Incarnation::from(format!("entry-{index}#0").as_str()),
+            health: MemberHealth::Alive,
+            leaving: false,
+            region: "region".to_owned(),
+            zone: format!("zone-{}", index % 28),
+            mesh: "127.0.0.1:1".parse().expect("an address"),
+            callers: "127.0.0.1:1".parse().expect("an address"),
+            release_version: 0,
+        });
+    }
+    let me = Incarnation::from("entry-1#0");
+    let mut releases = Releases::new(me.clone());
+    let view = Arc::new(MemberView { me, members, changed_ms: 0 });
+    let page = PlatformReply::Page { objects: Vec::new(), more: false, revision: 1 };
+    for now_ms in 0..2_000 {
+        for action in releases.handle(now_ms, ReleaseInput::Members(Arc::clone(&view))) {
+            if let ReleaseAction::Platform { call, .. } = action {
+                releases.handle(now_ms, ReleaseInput::Platform { call, result: Ok(page.clone()) });
+            }
+        }
+    }
+    assert!(releases.is_serving());
+    let view_us = micros(1_000, |_| {
+        black_box(releases.handle(2_000, ReleaseInput::Members(Arc::clone(&view))));
+    });
+    let tick_us = micros(10_000, |_| {
+        black_box(releases.handle(2_000, ReleaseInput::Tick));
+    });
+    println!("{count:>7} {:>8.0} {view_us:>8.1}", tick_us * 1e3);
+}
+
 fn note(value: serde_json::Value) -> ReleaseNote {
     serde_json::from_value(value).expect("a release note")
 }
--- a/src/release/core.rs
+++ b/src/release/core.rs
@@ -11,6 +11,7 @@
 use crate::release::ReleaseAction;
 use crate::release::codec;
 use crate::release::keys;
+use crate::rendezvous;
 use crate::schema::AcceptedRelease;
 
 /// releases in one page of the platform's list.
@@ -22,6 +23,9 @@
 /// longest delay after failed calls.
 const MAX_BACKOFF_MS: u64 = 10_000;
 
+/// key of the order within a zone.
+const ZONE_KEY: &str = "release-watch";
+
 /// what a page of releases was good for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PageUse {
@@ -31,6 +35,27 @@
     Gap,
 }
 
+/// members of this instance's zone that take work, in the order of watching and of the push tree.
+#[derive(Debug, Default)]
+pub(super) struct ZoneOrder {
+    pub(super) members: Vec<Incarnation>,
+    /// place of this instance; none while it takes no work or knows of no view.
+    pub(super) place: Option<usize>,
+}
+
+impl ZoneOrder {
+    fn of(view: &MemberView) -> Self {
+        let Some(own) = view.own() else {
+            return Self::default();
+        };
+        let zone = view.members.iter().filter(|member| member.zone == own.zone && member.takes_work());
+        let order = rendezvous::ranked(ZONE_KEY, zone, |member: &Member| &member.name);
+        let members: Vec<Incarnation> = order.into_iter().map(|member| member.incarnation.clone()).collect();
+        let place = members.iter().position(|member| *member == view.me);
+        Self { members, place }
+    }
+}
+
 /// what the parts of `Releases` share.
 #[derive(Debug)]
 pub(super) struct Core {
@@ -38,6 +63,7 @@
     pub(super) view: Option<Arc<MemberView>>,
     pub(super) book: Book,
     pub(super) newest_seen: u64,
+    pub(super) zone: ZoneOrder,
     pub(super) now_ms: u64,
     pub(super) out: Vec<ReleaseAction>,
     pub(super) fresh: Vec<AcceptedRelease>,
@@ -51,6 +77,7 @@
             view: None,
             book: Book::default(),
             newest_seen: 0,
+            zone: ZoneOrder::default(),
             now_ms: 0,
             out: Vec::new(),
             fresh: Vec::new(),
@@ -164,15 +191,15 @@
         view.members.iter().filter(|member| member.takes_work() && member.incarnation != self.me).collect()
     }
 
-    /// members of this instance's zone that take work, in their order for `key`, and its own place there.
-    pub(super) fn zone_order(&self, key: &str) -> Option<(usize, Vec<&Member>)> {
-        let view = self.view.as_ref()?;
-        let zone = &view.own()?.zone;
-        let key = format!("{key}/{zone}");
-        let mut order = view.ranked(&key);
-        order.retain(|member| member.zone == *zone);
-        let place = order.iter().position(|member| member.incarnation == self.me)?;
-        Some((place, order))
+    /// takes the view, and keeps the order of this zone: it is looked at on every tick.
+    pub(super) fn set_view(&mut self, view: Arc<MemberView>) {
+        for member in &view.members {
+            if member.incarnation != self.me {
+                self.saw(member.release_version);
+            }
+        }
+        self.zone = ZoneOrder::of(&view);
+        self.view = Some(view);
     }
 
     /// tells whether this instance comes first for `key` among all members; alone it does.
--- a/src/release/keeper.rs
+++ b/src/release/keeper.rs
@@ -24,6 +24,9 @@
 /// objects in one page of keys.
 const PAGE_OBJECTS: usize = 500;
 
+/// how long an instance that is not the first waits before it looks again.
+const NOT_FIRST_PAUSE_MS: u64 = 1_000;
+
 /// how long a call may stay without a result before the work starts again.
 const LOST_CALL_MS: u64 = 30_000;
 
@@ -66,14 +69,16 @@
         if core.now_ms < self.due_ms {
             return;
         }
+        let idle = matches!(self.stage, Stage::Idle);
+        if idle && core.version() < reader.snapshot_version + SNAPSHOT_RELEASES {
+            return;
+        }
         if !reader.loaded || !core.is_first("release-keeper") {
             self.stage = Stage::Idle;
+            self.due_ms = core.now_ms + NOT_FIRST_PAUSE_MS;
             return;
         }
-        if matches!(self.stage, Stage::Idle) {
-            if core.version() < reader.snapshot_version + SNAPSHOT_RELEASES {
-                return;
-            }
+        if idle {
             self.stage = Stage::Survey;
         }
         self.issue(core);
--- a/src/release/peers.rs
+++ b/src/release/peers.rs
@@ -154,11 +154,11 @@
         if news.is_empty() || news.len() > MAX_PUSHED {
             return;
         }
-        let Some((place, order)) = core.zone_order("release-watch") else {
+        let Some(place) = core.zone.place else {
             return;
         };
-        let children = order.iter().skip(FANOUT * place + 1).take(FANOUT);
-        let children: Vec<Incarnation> = children.map(|member| member.incarnation.clone()).collect();
+        let children = core.zone.members.iter().skip(FANOUT * place + 1).take(FANOUT);
+        let children: Vec<Incarnation> = children.cloned().collect();
         let latest_version = core.version();
         for peer in children {
             let releases = news.clone();
--- a/src/release/releases.rs
+++ b/src/release/releases.rs
@@ -136,12 +136,7 @@
     }
 
     fn on_members(&mut self, view: Arc<MemberView>) {
-        for member in &view.members {
-            if member.incarnation != self.core.me {
-                self.core.saw(member.release_version);
-            }
-        }
-        self.core.view = Some(view);
+        self.core.set_view(view);
         self.peers.on_members(self.serving);
     }
 
--- a/src/release/watcher.rs
+++ b/src/release/watcher.rs
@@ -95,7 +95,7 @@
     }
 }
 
-/// the first member of each zone watches; an instance that knows of no others does too.
+/// the first member of each zone watches; an instance that knows of no members does too.
 fn is_chosen(core: &Core) -> bool {
-    core.zone_order("release-watch").is_none_or(|(place, _)| place == 0)
+    core.view.is_none() || core.zone.place == Some(0)
 }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1911,6 +1911,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleaseCheck {
     ///whether releases accepted since the note was written are among the reasons
+    #[serde(default)]
     pub conflict: bool,
     ///faults with their places; none when the note can be accepted
     pub findings: ::std::vec::Vec<FindingRow>,
