--- a/examples/release_cost.rs
+++ b/examples/release_cost.rs
@@ -15,6 +15,7 @@
 use flamingostand::member::Member;
 use flamingostand::member::MemberView;
 use flamingostand::platform::PlatformReply;
+use flamingostand::platform::PlatformRequest;
 use flamingostand::release::Book;
 use flamingostand::release::ReleaseAction;
 use flamingostand::release::ReleaseInput;
@@ -162,10 +163,13 @@
     let view = Arc::new(MemberView { me, members, changed_ms: 0 });
     let page = PlatformReply::Page { objects: Vec::new(), more: false, revision: 1 };
     for now_ms in 0..2_000 {
-        for action in releases.handle(now_ms, ReleaseInput::Members(Arc::clone(&view))) {
-            if let ReleaseAction::Platform { call, .. } = action {
-                releases.handle(now_ms, ReleaseInput::Platform { call, result: Ok(page.clone()) });
-            }
+        let mut actions = releases.handle(now_ms, ReleaseInput::Members(Arc::clone(&view)));
+        while let Some(action) = actions.pop() {
+            let ReleaseAction::Platform { call, request: PlatformRequest::List { .. } } = action else {
+                continue;
+            };
+            let result = Ok(page.clone());
+            actions.extend(releases.handle(now_ms, ReleaseInput::Platform { call, result }));
         }
     }
     assert!(releases.is_serving());
