--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -9,6 +9,7 @@
 use crate::schema::check_text;
 use crate::schema::line_of_pointer;
 use crate::settings::Settings;
+use crate::settings::check_settings;
 
 /// why a settings file cannot be used.
 #[derive(Debug)]
@@ -54,11 +55,25 @@
 
 /// checks the text of a settings file whole; each finding has its pointer and line.
 pub fn parse(text: &str) -> Result<Settings, Findings> {
-    let settings: schema::Settings = check_text("Settings", text)?;
-    Settings::try_from(settings).map_err(|mut findings| {
-        for finding in &mut findings.list {
-            finding.line = line_of_pointer(text, &finding.place);
+    let checked = check_text::<schema::Settings>("Settings", text);
+    let faults = match checked {
+        Ok(settings) => return Settings::try_from(settings).map_err(|faults| with_lines(text, faults)),
+        Err(faults) => faults,
+    };
+    // Values of the right types can be checked further, whatever else is wrong with the file.
+    let rest = serde_json::from_str(text).map(|settings| check_settings(&settings)).unwrap_or_default();
+    let mut all = faults;
+    for fault in with_lines(text, rest).list {
+        if !all.list.iter().any(|known| known.place == fault.place) {
+            all.push(fault);
         }
-        findings
-    })
+    }
+    Err(all)
+}
+
+fn with_lines(text: &str, mut findings: Findings) -> Findings {
+    for finding in &mut findings.list {
+        finding.line = line_of_pointer(text, &finding.place);
+    }
+    findings
 }
--- a/tests/cli_args.rs
+++ b/tests/cli_args.rs
@@ -91,6 +91,29 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("does not answer"));
 }
 
+fn flamingostand<S: AsRef<OsStr>>(arguments: &[S]) -> Output {
+    Process::new(env!("CARGO_BIN_EXE_flamingostand")).args(arguments).output().expect("the program runs")
+}
+
+/// the printed example passes the check; a faulty file is reported whole, with lines.
+#[test]
+fn settings_check() {
+    let example = flamingostand(&["example-settings"]);
+    assert_eq!(example.status.code(), Some(0));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("cli_args.json");
+    std::fs::write(&path, &example.stdout).expect("a file");
+    let check = [OsStr::new("check"), path.as_os_str()];
+    assert_eq!(flamingostand(&check).status.code(), Some(0));
+    let text = String::from_utf8(example.stdout).expect("text");
+    let faulty = text.replace("127.0.0.1:7401", "nowhere").replace("\"thread_count\": 2", "\"threads\": 2");
+    std::fs::write(&path, faulty).expect("a file");
+    let output = flamingostand(&check);
+    assert_eq!(output.status.code(), Some(1));
+    let report = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(report.contains("/threads: this key is not known here"), "{report}");
+    assert!(report.contains("/listen/callers: `nowhere` is not an IP address"), "{report}");
+}
+
 #[test]
 fn help_text() {
     let text = flamingoctl_command().render_long_help().to_string();
