--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1943,6 +1943,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleaseCheck {
     ///whether releases accepted since the note was written are among the reasons
+    #[serde(default)]
     pub conflict: bool,
     ///faults with their places; none when the note can be accepted
     pub findings: ::std::vec::Vec<FindingRow>,
@@ -2078,6 +2079,26 @@
     ///limit in force
     pub window: u32,
 }
+///one replica of a model as the administration API shows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReplicaRow {
+    ///HTTP address
+    pub address: ::std::string::String,
+    ///instance that holds its queue
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub dispatcher: ::std::option::Option<::std::string::String>,
+    ///whether it takes no new work
+    pub leaving: bool,
+    ///what its dispatcher last reported
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub load: ::std::option::Option<ReplicaLoad>,
+    ///model that it serves
+    pub model: ::std::string::String,
+    ///name from the platform's list
+    pub name: ::std::string::String,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
 ///tokens are reserved for a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReservedRecord {
