Keep the calls of two programs apart at the services

Cause: a service saw the caller's name of a call as its idempotency key; two programs that name a call alike would share one outcome, and attempt 2 of call `a` had the key of a call named `a.2`. Ruled out: a key of its own for each attempt only (look-ups find nothing then). Change: the key is PROGRAM:CALL, with #N for an attempt after a recorded not_run; neither separator can stand in the names. After: thin_path counts one run for each program.

--- a/src/program/calls.rs
+++ b/src/program/calls.rs
@@ -471,10 +471,14 @@
 }
 
 /// the key that a service sees; an attempt after a recorded `not_run` has one of its own.
+///
+/// Programs name their calls by themselves, so the program is part of the key. Neither `:` nor `#`
+/// stands in the name of a program, and no `#` in that of a call: two keys never meet.
 fn idempotency_key(intended: &IntendedRecord) -> String {
+    let key = format!("{}:{}", intended.program, intended.call);
     match intended.attempt {
-        0 | 1 => intended.call.clone(),
-        attempt => format!("{}.{attempt}", intended.call),
+        0 | 1 => key,
+        attempt => format!("{key}#{attempt}"),
     }
 }
 
