Let an outage of the stand-in platform end waiting watches; limit async-h1's threads

Cause: a watch that waited before an outage went on through it, which no real outage does. The first Expect: 100-continue started ten threads of async-global-executor on a ten-core machine (seen in /proc). Change: an outage wakes and ends the watches; interim answers get one thread.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use async_dup::Arc as SharedIo;
+use async_global_executor::GlobalExecutorConfig;
 use async_h1::server::Encoder;
 use async_io::Async;
 use async_io::Timer;
@@ -99,6 +100,9 @@
     H: Fn(Incoming) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
+    // async-h1 answers `Expect: 100-continue` there; by default it would start a thread a core for that.
+    let interim_answers = GlobalExecutorConfig::default().with_min_threads(1).with_max_threads(1);
+    async_global_executor::init_with_config(interim_answers);
     let open_count = Arc::new(AtomicUsize::new(0));
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -17,13 +17,13 @@
 use serde::Serialize;
 use serde_json::json as value;
 
+use super::Change;
 use super::InstanceRow;
 use super::Object;
 use super::Outage;
 use super::PlatformFaults;
 use super::StoreError;
 use super::standin::Shared;
-use super::standin::State;
 
 /// the longest wait of a watch.
 const MAX_WATCH_MS: u64 = 60_000;
@@ -214,21 +214,7 @@
         }
         Call::Watch { prefix, after_revision, wait_ms } => {
             let wait = Duration::from_millis(wait_ms);
-            let waiting = async {
-                let waited = timeout(wait, changed(shared, &prefix, after_revision)).await;
-                waited.unwrap_or_else(|| Ok((Vec::new(), shared.lock().store.revision().max(after_revision))))
-            };
-            let hung_up = async {
-                incoming.connection.closed().await;
-                Ok((Vec::new(), after_revision))
-            };
-            let result = future::or(waiting, hung_up).await;
-            match result {
-                Err(error) => failure(error),
-                Ok((changes, revision)) => {
-                    json(StatusCode::Ok, &value!({ "changes": changes, "revision": revision }))
-                }
-            }
+            watch(shared, incoming, &prefix, after_revision, wait).await
         }
         Call::Instances => json(StatusCode::Ok, &shared.lock().instances.shown(shared.now())),
         Call::Create(_) | Call::Update(..) | Call::Delete(_) => {
@@ -237,29 +223,72 @@
     }
 }
 
-/// waits for changes below a prefix.
-async fn changed(
+/// what ends the wait of a watch.
+enum WatchEnd {
+    Changes(Vec<Change>, u64),
+    Refused(StoreError),
+    Outage(Outage),
+    HungUp,
+}
+
+async fn watch(
     shared: &Shared,
+    incoming: &Incoming,
     prefix: &str,
     after_revision: u64,
-) -> Result<(Vec<serde_json::Value>, u64), StoreError> {
+    wait: Duration,
+) -> Response {
+    let waiting = async {
+        let ended = timeout(wait, watch_end(shared, prefix, after_revision)).await;
+        ended.unwrap_or_else(|| {
+            WatchEnd::Changes(Vec::new(), shared.lock().store.revision().max(after_revision))
+        })
+    };
+    let hung_up = async {
+        incoming.connection.closed().await;
+        WatchEnd::HungUp
+    };
+    match future::or(waiting, hung_up).await {
+        WatchEnd::Changes(changes, revision) => {
+            let rows: Vec<ObjectRow<'_>> = changes.iter().map(changed).collect();
+            json(StatusCode::Ok, &value!({ "changes": rows, "revision": revision }))
+        }
+        WatchEnd::Refused(error) => failure(error),
+        WatchEnd::Outage(Outage::Close) => {
+            incoming.connection.abort();
+            Response::new(StatusCode::ServiceUnavailable)
+        }
+        WatchEnd::Outage(_) => refused(StatusCode::ServiceUnavailable, OUTAGE_RETRY_AFTER_MS),
+        WatchEnd::HungUp => Response::new(StatusCode::ServiceUnavailable),
+    }
+}
+
+/// waits for changes below a prefix, or for an outage that ends the watch.
+async fn watch_end(shared: &Shared, prefix: &str, after_revision: u64) -> WatchEnd {
     loop {
-        let waiting = {
-            let mut state: std::sync::MutexGuard<'_, State> = shared.lock();
-            let (changes, revision) = state.store.watch_after(prefix, after_revision)?;
-            if !changes.is_empty() {
-                let rows = changes.iter().map(|change| {
-                    let text = change.value.as_ref().map(|bytes| BASE64_STANDARD.encode(bytes));
-                    value!({ "key": change.key, "version": change.version, "value": text })
-                });
-                return Ok((rows.collect(), revision));
+        let woken = {
+            let mut state = shared.lock();
+            let outage = state.faults.outage;
+            match state.store.watch_after(prefix, after_revision) {
+                _ if matches!(outage, Outage::Close | Outage::Unavailable) => {
+                    return WatchEnd::Outage(outage);
+                }
+                Err(error) => return WatchEnd::Refused(error),
+                Ok((changes, revision)) if !changes.is_empty() && outage == Outage::None => {
+                    return WatchEnd::Changes(changes, revision);
+                }
+                Ok(_) => state.wait_for_write(),
             }
-            state.wait_for_write()
         };
-        let _ = waiting.recv().await;
+        let _ = woken.recv().await;
     }
 }
 
+fn changed(change: &Change) -> ObjectRow<'_> {
+    let text = change.value.as_ref().map(|bytes| BASE64_STANDARD.encode(bytes));
+    ObjectRow { key: &change.key, version: change.version, value: text }
+}
+
 fn listed(object: &Object, values: bool) -> ObjectRow<'_> {
     let text = values.then(|| BASE64_STANDARD.encode(&object.value));
     ObjectRow { key: &object.key, version: object.version, value: text }
--- a/crates/standins/src/platform/standin.rs
+++ b/crates/standins/src/platform/standin.rs
@@ -144,6 +144,10 @@
         if self.marks.len() > MAX_REVISION_MARKS {
             self.marks.pop_front();
         }
+        self.wake_watches();
+    }
+
+    fn wake_watches(&mut self) {
         for waiting in self.waiting.drain(..) {
             let _ = waiting.try_send(());
         }
@@ -174,6 +178,8 @@
     pub(super) fn set_faults(&mut self, faults: PlatformFaults) {
         self.lost = Seeded::new(faults.lost_replies.seed);
         self.faults = faults;
+        // An outage ends the watches that wait.
+        self.wake_watches();
     }
 
     /// tells whether the reply of this write is lost.
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -185,6 +185,37 @@
     assert_eq!(call(&client, watch("w/", 2, 10)), Err(PlatformError::Gap));
 }
 
+#[test_case(Outage::Close; "closed")]
+#[test_case(Outage::Unavailable; "answered 503")]
+fn watch_in_outage(outage: Outage) {
+    let standin = standin();
+    let client = client(&standin);
+    let strike = async {
+        while standin.control().counts().watch == 0 {
+            async_io::Timer::after(Duration::from_millis(1)).await;
+        }
+        standin.control().set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+    };
+    let (seen, ()) = block_on(futures_lite::future::zip(client.call(watch("w/", 0, 60_000)), strike));
+    assert_eq!(seen, Err(PlatformError::Unavailable));
+}
+
+#[test]
+fn late_write() {
+    let standin = standin();
+    let client = client(&standin);
+    standin.control().set_faults(PlatformFaults { slow_ms: 2_500, ..PlatformFaults::default() });
+    assert_eq!(call(&client, create("j/1", b"mine")), Err(PlatformError::Unknown));
+    standin.control().set_faults(PlatformFaults::default());
+    assert_eq!(settle_create(b"mine", &call(&client, get("j/1"))), Settled::NotSeen);
+    // It takes effect after its writer has given it up, so only the same write may follow.
+    while call(&client, get("j/1")).is_err() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(call(&client, create("j/1", b"mine")), Err(PlatformError::Conflict));
+    assert_eq!(settle_create(b"mine", &call(&client, get("j/1"))), Settled::Written { version: 1 });
+}
+
 #[test]
 fn lost_create() {
     let standin = standin();
