Measure a replica's rate from its tokens, not from the ends of turns

The rate was taken from turns that ended within half a second, so a short turn that ended while long ones ran gave a tiny rate and a wait beyond every bound.

Ruled out: a longer sample alone, since a turn may run longer than any sample. Now work counts as the engine does it, in samples of two seconds. The test failed first: a turn was refused after two seconds.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -153,7 +153,7 @@
                 actions.push(DispatchAction::Event { ticket, event });
                 return;
             }
-            JobEvent::Done(done) => queue.done(now_ms, ticket, &done.usage),
+            JobEvent::Done(done) => queue.done(ticket, &done.usage),
             JobEvent::Failed(failed) => {
                 returned = queue.failed(now_ms, ticket, failed.fault, failed.spent_tokens);
             }
--- a/src/dispatch/replica_queue.rs
+++ b/src/dispatch/replica_queue.rs
@@ -198,10 +198,12 @@
     pub fn token(&mut self, now_ms: u64, ticket: u64) {
         let Some(running) = self.running.get_mut(&ticket) else { return };
         running.generated_tokens += 1;
+        self.rate.progress(GENERATED_TOKEN_COST);
         match running.last_token_ms.replace(now_ms) {
             Some(last_ms) => self.window.record_gap(now_ms.saturating_sub(last_ms)),
             None => {
                 let first_token_ms = now_ms.saturating_sub(running.started_ms);
+                self.rate.progress(running.uncached_tokens);
                 self.rate.first_token(running.prefill_tokens_at_start, first_token_ms);
                 self.prefill_tokens -= running.uncached_tokens;
                 self.window.record_first_token(first_token_ms);
@@ -210,14 +212,13 @@
     }
 
     /// settles a turn that was answered.
-    pub fn done(&mut self, now_ms: u64, ticket: u64, usage: &Usage) {
+    pub fn done(&mut self, ticket: u64, usage: &Usage) {
         let Some(running) = self.take_running(ticket) else { return };
         self.failures_in_a_row = 0;
         self.suspended_until_ms = 0;
         let uncached_tokens = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
         let actual_tokens = uncached_tokens + usage.completion_tokens * GENERATED_TOKEN_COST;
         self.queue.settle(&running.workspace, running.cost_tokens, actual_tokens);
-        self.rate.completed(now_ms, actual_tokens, !self.queue.is_empty());
         let average = self.completions.entry(running.workspace).or_insert(usage.completion_tokens as f64);
         *average += 0.2 * (usage.completion_tokens as f64 - *average);
     }
--- a/src/dispatch/service_rate.rs
+++ b/src/dispatch/service_rate.rs
@@ -1,5 +1,5 @@
 /// length of one sample.
-const SAMPLE_MS: u64 = 500;
+const SAMPLE_MS: u64 = 2_000;
 
 /// weight of a new sample.
 const SMOOTHING: f64 = 0.2;
@@ -24,10 +24,9 @@
 }
 
 impl ServiceRate {
-    /// counts a turn that ended.
-    pub fn completed(&mut self, now_ms: u64, cost_tokens: u64, queue_waits: bool) {
+    /// counts work as the engine does it; the end of a long turn would tell too late and in lumps.
+    pub fn progress(&mut self, cost_tokens: u64) {
         self.sample_tokens += cost_tokens;
-        self.tick(now_ms, queue_waits);
     }
 
     /// closes a sample when it is long enough; only saturated ones count.
@@ -37,7 +36,7 @@
         if elapsed_ms < SAMPLE_MS {
             return;
         }
-        if self.saturated {
+        if self.saturated && self.sample_tokens > 0 {
             self.take_sample(self.sample_tokens as f64 / elapsed_ms as f64);
         }
         self.sample_start_ms = now_ms;
--- a/tests/dispatch_turns.rs
+++ b/tests/dispatch_turns.rs
@@ -34,7 +34,11 @@
                 dispatcher = Dispatcher::new(&settings);
                 return String::new();
             }
+            let count = args.number("count", 1);
             let input = input(&case.directive, &mut args);
+            for _ in 1..count {
+                dispatcher.handle(now_ms, input.clone());
+            }
             let actions = dispatcher.handle(now_ms, input);
             actions.iter().map(describe).collect::<String>()
         });
