Bound how long a request waits for a moving slot; scenarios for limits, leaving and long histories

A request that came while the platform did not answer, before the slots were known, waited the whole request_timeout_ms; it is sent away after 5 s now, and waits longer only for a slot that is being drained.

--- a/examples/owner_figures.rs
+++ b/examples/owner_figures.rs
@@ -1,5 +1,6 @@
 //! prints figures of one owner in virtual time: journal bytes, platform calls, replay time and memory.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
@@ -39,6 +40,9 @@
 /// time a platform call takes.
 const PLATFORM_MS: u64 = 3;
 
+/// time an engine takes for a turn.
+const JOB_MS: u64 = 500;
+
 /// text of each question and answer.
 const TEXT_BYTES: usize = 400;
 
@@ -49,6 +53,7 @@
     now_ms: u64,
     replies: VecDeque<(u64, Input)>,
     jobs: VecDeque<u64>,
+    programs: BTreeMap<u64, String>,
     answers: Vec<OwnerEvent>,
 }
 
@@ -68,6 +73,7 @@
             now_ms: 0,
             replies: VecDeque::new(),
             jobs: VecDeque::new(),
+            programs: BTreeMap::new(),
             answers: Vec::new(),
         };
         bench.give(Input::Configuration(Arc::new(configuration(100_000_000))));
@@ -99,7 +105,10 @@
                     let result = self.platform.call(&request);
                     self.replies.push_back((self.now_ms + PLATFORM_MS, Input::Platform { call, result }));
                 }
-                Action::Job { job, .. } => self.jobs.push_back(job),
+                Action::Job { job, turn } => {
+                    self.jobs.push_back(job);
+                    self.programs.insert(job, turn.program);
+                }
                 Action::Reply { event, .. } => self.answers.push(event),
                 _ => {}
             }
@@ -153,6 +162,10 @@
         self.give(Input::Request { ticket: 0, request });
     }
 
+    fn program_of_job(&mut self, job: u64) -> String {
+        self.programs.remove(&job).unwrap_or_default()
+    }
+
     fn finish_jobs(&mut self) {
         while let Some(job) = self.jobs.pop_front() {
             let done = JobDone {
@@ -233,35 +246,51 @@
 
 fn calls_per_turn() {
     for per_second in [1, 10, 100] {
+        let seconds = 60;
         let mut bench = Bench::new("i0", "a", PlatformFake::default());
-        let programs = per_second * 2;
+        let programs = per_second * 4;
         bench.fill(programs as usize, 0);
         let names: Vec<String> = (0..programs).map(|index| format!("program-{index:08}")).collect();
         let mut digests = vec![Digest::EMPTY.to_string(); programs as usize];
         let before: u64 = bench.platform.calls.values().sum();
-        let seconds = 60;
-        let mut turns = 0;
-        for index in 0..per_second * seconds {
-            let program = (index % programs) as usize;
-            bench.answers.clear();
-            bench.turn(&names[program], &digests[program]);
-            bench.pass_ms(1000 / per_second / 2);
-            bench.finish_jobs();
-            bench.pass_ms(1000 / per_second - 1000 / per_second / 2);
-            while !bench.answers.iter().any(|event| matches!(event, OwnerEvent::Turned(_))) {
-                bench.finish_jobs();
-                bench.pass();
+        let mut running: VecDeque<(u64, u64)> = VecDeque::new();
+        let mut waits = Vec::new();
+        let mut ended: BTreeMap<String, u64> = BTreeMap::new();
+        let started = bench.now_ms;
+        let mut sent = 0;
+        while waits.len() < (per_second * seconds) as usize {
+            let elapsed = bench.now_ms - started;
+            if sent < per_second * seconds && elapsed * per_second >= sent * 1000 {
+                let program = (sent % programs) as usize;
+                bench.turn(&names[program], &digests[program]);
+                sent += 1;
             }
-            for event in &bench.answers {
+            while let Some(job) = bench.jobs.pop_front() {
+                running.push_back((bench.now_ms + JOB_MS, job));
+            }
+            while running.front().is_some_and(|(at, _)| *at <= bench.now_ms) {
+                if let Some((_, job)) = running.pop_front() {
+                    bench.jobs.push_back(job);
+                    let program = bench.program_of_job(job);
+                    bench.finish_jobs();
+                    ended.insert(program, bench.now_ms);
+                }
+            }
+            bench.pass();
+            for event in std::mem::take(&mut bench.answers) {
                 let OwnerEvent::Turned(answer) = event else { continue };
-                digests[program].clone_from(&answer.history.digest);
-                turns += 1;
+                let index: usize = answer.program[8..].parse().expect("the number of the program");
+                digests[index].clone_from(&answer.history.digest);
+                waits.push(bench.now_ms - ended[&answer.program]);
             }
         }
         let calls: u64 = bench.platform.calls.values().sum::<u64>() - before;
+        waits.sort_unstable();
         println!(
-            "calls: {:.2} per turn, turns one after another at {per_second} a second",
-            calls as f64 / f64::from(turns)
+            "calls: {:.2} per turn at {per_second} a second; the commit takes {} ms in the median, {} ms at most",
+            calls as f64 / waits.len() as f64,
+            waits[waits.len() / 2],
+            waits[waits.len() - 1]
         );
     }
     // Many turns at once: the commits gather them.
--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -38,6 +38,9 @@
 /// a commit that takes longer than this means that the platform does not take writes.
 pub(super) const STALL_MS: u64 = 2000;
 
+/// how long a request waits for a slot that is being moved here.
+const MOVE_WAIT_MS: u64 = 5000;
+
 /// wait before a request for a slot of another owner is sent again.
 pub(super) const RETRY_MOVED_MS: u64 = 50;
 
@@ -200,8 +203,12 @@
         match self.ownership.place(slot) {
             Place::Here if self.programs.holds(slot) => self.programs.request(now, ticket, request, out),
             Place::Elsewhere => out.refuse(ticket, not_owner(slot)),
-            Place::Here | Place::Soon => {
-                let until_ms = now.ms + self.settings.limits.request_timeout_ms;
+            place => {
+                let longest_ms = self.settings.limits.request_timeout_ms;
+                // A move is a matter of some platform calls; a drain lasts as long as the turns under way.
+                let wait_ms =
+                    if place == Place::Draining { longest_ms } else { longest_ms.min(MOVE_WAIT_MS) };
+                let until_ms = now.ms + wait_ms;
                 if let Err(ticket) = self.waiting.push(WaitingRequest { ticket, request, until_ms }) {
                     out.refuse(ticket, busy());
                 }
@@ -363,7 +370,7 @@
                     self.programs.request(now, waiting.ticket, waiting.request, out);
                 }
                 Place::Elsewhere => out.refuse(waiting.ticket, not_owner(slot)),
-                Place::Here | Place::Soon => {
+                Place::Here | Place::Soon | Place::Draining => {
                     // There is room: the queue was just emptied.
                     let _ = self.waiting.push(waiting);
                 }
--- a/src/owner/refusals.rs
+++ b/src/owner/refusals.rs
@@ -5,6 +5,9 @@
 use crate::schema::Problem;
 use crate::schema::Ran;
 
+/// wait before a request for a slot that moves slowly is sent again.
+const RETRY_BUSY_MS: u64 = 500;
+
 /// a slot that another instance serves: nothing ran here.
 pub(super) fn not_owner(slot: SlotId) -> Problem {
     let problem = refuse(421, "not_owner", format!("slot {slot} is served by another instance"));
@@ -32,5 +35,5 @@
 /// too many requests wait, or one waited for too long.
 pub(super) fn busy() -> Problem {
     let problem = refuse(503, "slot_moving", "the slot is being moved; nothing ran");
-    Problem { retry_after_ms: Some(RETRY_MOVED_MS), ..problem }
+    Problem { retry_after_ms: Some(RETRY_BUSY_MS), ..problem }
 }
--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -84,6 +84,8 @@
     Here,
     /// here or elsewhere, once the slot's move is settled.
     Soon,
+    /// elsewhere, once what is under way here has ended.
+    Draining,
     /// at another instance.
     Elsewhere,
 }
@@ -161,6 +163,9 @@
         if row.phase == Phase::Serving {
             return Place::Here;
         }
+        if row.phase == Phase::Draining {
+            return Place::Draining;
+        }
         if !self.feed.is_listed() || row.phase != Phase::Idle || row.write.is_some() {
             return Place::Soon;
         }
--- a/tests/support/owner_world/script.rs
+++ b/tests/support/owner_world/script.rs
@@ -82,6 +82,15 @@
         let number = |name: &str, other: u64| arg(name).map_or(other, |text| text.parse().expect("a number"));
         match case.directive.as_str() {
             "budget" => self.budget = number("tokens", 1000),
+            "release" => {
+                let mut released = configuration(number("tokens", self.budget));
+                let name = (WORKSPACE.to_owned(), "reader".to_owned());
+                let mut entry = AgentProgramEntry::clone(&released.agent_programs[&name]);
+                entry.max_turns = number("turns", 430) as u32;
+                entry.deadline_ms = number("deadline_ms", 86_400_000);
+                released.agent_programs.insert(name, Arc::new(entry));
+                self.give(&at, Input::Configuration(Arc::new(released)));
+            }
             "start" => self.start(&at, &arg("incarnation").expect("incarnation=")),
             "members" => self.members(&args),
             "advance" => self.advance(number("ms", 10)),
@@ -316,7 +325,7 @@
                         known
                     }),
                     max_tokens: arg("max").map(|text| text.parse().expect("a number")),
-                    messages: vec![text(Role::User, &arg("text").unwrap_or_default())],
+                    messages: vec![text(Role::User, &said(arg))],
                     stream: flag("stream", false),
                     temperature: None,
                     turn: None,
@@ -397,6 +406,14 @@
     }
 }
 
+/// the text of a message: `text=`, or as many letters as `bytes=` says.
+fn said(arg: &dyn Fn(&str) -> Option<String>) -> String {
+    match arg("bytes") {
+        Some(bytes) => "x".repeat(bytes.parse().expect("a number")),
+        None => arg("text").unwrap_or_default(),
+    }
+}
+
 fn mode(text: &str) -> Mode {
     match text {
         "up" => Mode::Up,
