Look behind a seal before trusting it

A seal now counts only when nothing stands behind it, which is exact since an owner that goes on never deletes its last entry; a seal before other entries is skipped by later readers. Costs one list of a single key for each takeover.

--- a/examples/owner_histories.rs
+++ b/examples/owner_histories.rs
@@ -1,4 +1,5 @@
-//! runs many seeded histories of owners under faults: `owner_histories [count] [first seed]`.
+//! runs many seeded histories of owners under faults: `owner_histories [count] [first seed] [times]`, with
+//! so many times the faults and turns.
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
@@ -16,13 +17,17 @@
     let mut arguments = std::env::args().skip(1).filter_map(|argument| argument.parse::<u64>().ok());
     let count = arguments.next().unwrap_or(DEFAULT_COUNT);
     let first = arguments.next().unwrap_or(0);
+    let times = arguments.next().unwrap_or(1) as u32;
     let mut failed = 0;
     let mut turns = 0;
     let mut calls = 0;
     let mut deposed = 0;
     let mut stopped: BTreeMap<String, u32> = BTreeMap::new();
     for seed in first..first + count {
-        let mut world = World::new(Plan::seeded(seed));
+        let mut plan = Plan::seeded(seed);
+        plan.faults.multiply(times);
+        plan.turns *= times as usize;
+        let mut world = World::new(plan);
         world.trace = count == 1;
         match world.run() {
             Ok(report) => {
--- a/src/journal/journal_reader.rs
+++ b/src/journal/journal_reader.rs
@@ -43,6 +43,8 @@
     entries: BTreeMap<u64, Vec<Record>>,
     last_key: String,
     last_number: u64,
+    /// whether the last entry seen is a seal.
+    ends_sealed: bool,
     step: ReaderStep,
     sealed_here: bool,
 }
@@ -54,10 +56,14 @@
     ListAt(u64),
     /// write the seal at this time.
     SealAt(u64),
+    /// look for entries behind the seal at this time.
+    VerifyAt(u64),
     /// wait for a reply to a list.
     Listing,
     /// wait for a reply to a seal.
     Sealing,
+    /// wait for a reply to the look behind the seal.
+    Verifying,
     /// nothing is left to do.
     Finished,
 }
@@ -72,6 +78,7 @@
             entries: BTreeMap::new(),
             last_key: String::new(),
             last_number: 0,
+            ends_sealed: false,
             step: ReaderStep::ListAt(0),
             sealed_here: false,
         }
@@ -118,6 +125,10 @@
                 self.step = ReaderStep::Sealing;
                 Some(ReadStep::Call(self.seal_request()))
             }
+            ReaderStep::VerifyAt(at) if now.ms >= at => {
+                self.step = ReaderStep::Verifying;
+                Some(ReadStep::Call(self.verify_request()))
+            }
             _ => None,
         }
     }
@@ -129,9 +140,26 @@
                 self.take_page(now, objects, more)
             }
             (ReaderStep::Sealing, Ok(PlatformReply::Written { .. })) => {
+                self.step = ReaderStep::VerifyAt(now.ms);
+                None
+            }
+            (ReaderStep::Verifying, Ok(PlatformReply::Page { objects, .. })) if objects.is_empty() => {
                 self.sealed_here = true;
                 self.finish()
             }
+            // The number was free because its entry had been deleted: this seal stops nobody.
+            (ReaderStep::Verifying, Ok(PlatformReply::Page { .. })) => {
+                self.step = ReaderStep::ListAt(now.ms);
+                None
+            }
+            (ReaderStep::Verifying, Err(error)) => {
+                self.step = ReaderStep::VerifyAt(now.ms + retry_ms(&error));
+                None
+            }
+            (ReaderStep::Verifying, Ok(_)) => {
+                self.step = ReaderStep::VerifyAt(now.ms + RETRY_MS);
+                None
+            }
             // Another seal, this reader's own seal, or one more entry of the owner took the number.
             (ReaderStep::Sealing, Err(PlatformError::Conflict)) => {
                 self.step = ReaderStep::ListAt(now.ms);
@@ -174,15 +202,21 @@
             self.last_key = object.key;
             self.last_number = number;
             match entry.body {
-                EntryBody::Seal(_) => return self.finish(),
-                EntryBody::Batch(batch) => self.entries.insert(number, batch.records),
-            };
+                EntryBody::Seal(_) => self.ends_sealed = true,
+                EntryBody::Batch(batch) => {
+                    // A seal before other entries stands on a number that had been deleted; so do those before it.
+                    if std::mem::take(&mut self.ends_sealed) {
+                        self.entries.clear();
+                    }
+                    self.entries.insert(number, batch.records);
+                }
+            }
         }
         if more {
             self.step = ReaderStep::ListAt(now.ms);
             return None;
         }
-        if self.through.is_some() {
+        if self.through.is_some() || self.ends_sealed {
             return self.finish();
         }
         self.step = ReaderStep::SealAt(now.ms);
@@ -199,6 +233,16 @@
         PlatformRequest::Create { key: journal_key(&self.journal, number), value: encode(&entry) }
     }
 
+    /// asks for whatever stands behind the seal: an owner that goes on always keeps its last entry.
+    fn verify_request(&self) -> PlatformRequest {
+        PlatformRequest::List {
+            prefix: format!("{JOURNAL_PREFIX}{}/", self.journal),
+            after: journal_key(&self.journal, self.last_number + 1),
+            limit: 1,
+            with_values: false,
+        }
+    }
+
     fn finish(&mut self) -> Option<ReadStep> {
         self.step = ReaderStep::Finished;
         Some(ReadStep::Done)
--- a/src/journal/sweeper.rs
+++ b/src/journal/sweeper.rs
@@ -64,6 +64,8 @@
     Last { journal: Incarnation, numbers: Vec<u64> },
     /// seal it: its owner is gone, but may be paused.
     Seal { journal: Incarnation, numbers: Vec<u64> },
+    /// look for entries behind the seal: an owner that goes on always keeps its last entry.
+    Verify { journal: Incarnation, numbers: Vec<u64> },
     /// delete the entries that are left, the oldest of each journal first.
     Delete,
 }
@@ -124,7 +126,13 @@
                 self.take_last(journal, numbers, &object)
             }
             (SweepStep::Seal { journal, numbers }, Ok(PlatformReply::Written { .. })) => {
-                self.ready.insert(journal, numbers);
+                SweepStep::Verify { journal, numbers }
+            }
+            (SweepStep::Verify { journal, numbers }, Ok(PlatformReply::Page { objects, .. })) => {
+                // With entries behind it the seal stands on a number that had been deleted, and stops nobody.
+                if objects.is_empty() {
+                    self.ready.insert(journal, numbers);
+                }
                 SweepStep::Next
             }
             (SweepStep::Delete, Ok(_) | Err(PlatformError::NotFound)) => self.deleted(),
@@ -157,6 +165,10 @@
                 };
                 PlatformRequest::Create { key: journal_key(journal, number), value: encode(&entry) }
             }
+            SweepStep::Verify { journal, numbers } => {
+                let after = journal_key(journal, numbers.last()? + 1);
+                list(format!("{JOURNAL_PREFIX}{journal}/"), after, false)
+            }
             SweepStep::Delete => {
                 let (journal, numbers) = self.ready.first_key_value()?;
                 PlatformRequest::Delete { key: journal_key(journal, *numbers.first()?) }
--- a/tests/journal_entries.rs
+++ b/tests/journal_entries.rs
@@ -148,6 +148,41 @@
     assert_eq!(seal, through.is_none(), "a seal stands behind a journal that is taken over");
 }
 
+#[test]
+fn seal_on_deleted_number() {
+    // A reader is paused before it seals; meanwhile the owner goes on and deletes old entries.
+    let mut platform = PlatformFake::default();
+    for number in 1..=3 {
+        put(&mut platform, number, None);
+    }
+    let mut reader = JournalReader::new(Incarnation::from("b"), Incarnation::from("a"), None);
+    let Some(ReadStep::Call(list)) = reader.poll(at(0)) else { panic!("no list") };
+    let result = platform.call(&list);
+    let _ = reader.reply(at(0), result);
+    for number in 4..=6 {
+        put(&mut platform, number, None);
+    }
+    for number in 1..=4 {
+        let key = journal_key(&Incarnation::from("a"), number);
+        platform.call(&PlatformRequest::Delete { key }).expect("the entry is there");
+    }
+    let mut now = 0;
+    while !reader.is_finished() {
+        now += 200;
+        if let Some(ReadStep::Call(request)) = reader.poll(at(now)) {
+            let result = platform.call(&request);
+            let _ = reader.reply(at(now), result);
+        }
+    }
+    let programs = reader.records().map(|record| match record {
+        Record::Forgotten(record) => record.program.clone(),
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(programs.collect::<Vec<String>>(), ["p5", "p6"]);
+    assert!(platform.objects.contains_key("journal/a/000000000007"), "the owner is not sealed");
+    assert_eq!(read(&mut platform, None), ["p5", "p6"], "a later reader is misled by the useless seal");
+}
+
 #[test]
 fn entry_size() {
     let mut journal = writer();
--- a/tests/owner_histories.rs
+++ b/tests/owner_histories.rs
@@ -51,6 +51,7 @@
 #[test_case(2475; "repeat after not_run")]
 #[test_case(3693; "look up while draining")]
 #[test_case(3466; "slot back before give is settled")]
+#[test_case(10699; "seal on a deleted number")]
 #[test_case(3815; "late write of deleted entry")]
 fn failed_before(seed: u64) {
     run(seed);
--- a/tests/support/owner_world/world.rs
+++ b/tests/support/owner_world/world.rs
@@ -76,6 +76,18 @@
     pub active_ms: u64,
 }
 
+impl Faults {
+    /// so many times the kills, pauses, outages, suspicions and leaves, and over a longer time.
+    pub fn multiply(&mut self, times: u32) {
+        self.kills *= times;
+        self.pauses *= times;
+        self.outages *= times;
+        self.suspicions *= times;
+        self.leaves *= times;
+        self.active_ms *= u64::from(times);
+    }
+}
+
 /// one run.
 #[derive(Clone, Debug)]
 pub struct Plan {
