--- a/examples/release_cost.rs
+++ b/examples/release_cost.rs
@@ -16,12 +16,12 @@
 use flamingostand::member::MemberView;
 use flamingostand::platform::PlatformReply;
 use flamingostand::platform::PlatformRequest;
-use flamingostand::release::Book;
 use flamingostand::release::ReleaseAction;
 use flamingostand::release::ReleaseInput;
+use flamingostand::release::ReleaseLog;
 use flamingostand::release::Releases;
 use flamingostand::release::check_note;
-use flamingostand::release::judge;
+use flamingostand::release::evaluate;
 use flamingostand::release::snapshot;
 use flamingostand::schema::AcceptedRelease;
 use flamingostand::schema::MemberHealth;
@@ -36,7 +36,7 @@
 
 fn main() {
     println!(
-        "workspaces  entries  apply us  judge us  naive us  note B  snapshot KB  parts  cut ms  load ms  rss KB"
+        "workspaces  entries  apply us  evaluate us  naive us  note B  snapshot KB  parts  split ms  load ms  rss KB"
     );
     for workspaces in [525, 2_100, 8_400] {
         cost_of_changes(workspaces);
@@ -60,27 +60,27 @@
 
 fn cost_of_changes(workspaces: usize) {
     let rss_before = rss_kb();
-    let mut book = Book::default();
-    accept(&mut book, &note(json!({ "against_version": 0, "added": [{ "model": { "id": "m" } }] })));
+    let mut log = ReleaseLog::default();
+    accept(&mut log, &note(json!({ "against_version": 0, "added": [{ "model": { "id": "m" } }] })));
     for workspace in 0..workspaces {
-        let added = workspace_note(book.version(), workspace);
-        accept(&mut book, &added);
+        let added = workspace_note(log.version(), workspace);
+        accept(&mut log, &added);
     }
-    let entries = book.history().entry_count();
+    let entries = log.history().entry_count();
     let rss = rss_kb().saturating_sub(rss_before);
-    let notes: Vec<ReleaseNote> = (0..CHANGES).map(|index| change(&book, index, workspaces)).collect();
-    let judge_us = micros(CHANGES, |index| {
-        black_box(judge(&notes[index], &book)).expect("the note is good");
+    let notes: Vec<ReleaseNote> = (0..CHANGES).map(|index| change(&log, index, workspaces)).collect();
+    let evaluate_us = micros(CHANGES, |index| {
+        black_box(evaluate(&notes[index], &log)).expect("the note is good");
     });
-    let apply_us = micros(CHANGES, |index| accept(&mut book, &notes[index]));
-    let mut copy: BTreeMap<EntryKey, ReleaseEntry> = entries_of(book.configuration());
+    let apply_us = micros(CHANGES, |index| accept(&mut log, &notes[index]));
+    let mut copy: BTreeMap<EntryKey, ReleaseEntry> = entries_of(log.configuration());
     let naive_us = micros(20, |_| {
         copy = black_box(copy.clone());
     });
-    let note_bytes = cbor_len(&accepted(&book, &notes[0]));
+    let note_bytes = cbor_len(&accepted(&log, &notes[0]));
     let start = Instant::now();
-    let parts = snapshot::cut(&book);
-    let cut_ms = start.elapsed().as_secs_f64() * 1e3;
+    let parts = snapshot::split(&log);
+    let split_ms = start.elapsed().as_secs_f64() * 1e3;
     let bytes: usize = parts.iter().map(cbor_len).sum();
     let start = Instant::now();
     let mut assembly = snapshot::Assembly::default();
@@ -88,13 +88,13 @@
     for part in parts {
         assert!(assembly.add(part));
     }
-    black_box(assembly.into_book());
+    black_box(assembly.into_log());
     let load_ms = start.elapsed().as_secs_f64() * 1e3;
     println!(
-        "{workspaces:>10} {entries:>8} {apply_us:>9.1} {judge_us:>9.1} {naive_us:>9.0} {note_bytes:>7} {:>12} {part_count:>6} {cut_ms:>7.1} {load_ms:>8.1} {rss:>7}",
+        "{workspaces:>10} {entries:>8} {apply_us:>9.1} {evaluate_us:>9.1} {naive_us:>9.0} {note_bytes:>7} {:>12} {part_count:>6} {split_ms:>7.1} {load_ms:>8.1} {rss:>7}",
         bytes / 1024
     );
-    assert!(check_note(&note(json!({ "against_version": 0 })), book.configuration()).list.len() == 1);
+    assert!(check_note(&note(json!({ "against_version": 0 })), log.configuration()).list.len() == 1);
 }
 
 fn spread(zones: usize, per_zone: usize) {
@@ -202,15 +202,15 @@
         "budget_tokens": budget_tokens, "system_prompt": "Read the manuscript against the house guidelines." } })
 }
 
-fn change(book: &Book, index: usize, workspaces: usize) -> ReleaseNote {
+fn change(log: &ReleaseLog, index: usize, workspaces: usize) -> ReleaseNote {
     let workspace = index * 7_919 % workspaces;
     let changed = agent_entry(workspace, index / workspaces % AGENTS, 2_000 + index);
-    note(json!({ "against_version": book.version(), "changed": [changed] }))
+    note(json!({ "against_version": log.version(), "changed": [changed] }))
 }
 
-fn accepted(book: &Book, note: &ReleaseNote) -> AcceptedRelease {
+fn accepted(log: &ReleaseLog, note: &ReleaseNote) -> AcceptedRelease {
     AcceptedRelease {
-        version: book.version() + 1,
+        version: log.version() + 1,
         operator: "ana".to_owned(),
         accepted_unix_ms: 1,
         mark: flamingostand::release::mark_of(note),
@@ -218,8 +218,8 @@
     }
 }
 
-fn accept(book: &mut Book, note: &ReleaseNote) {
-    assert!(book.apply(accepted(book, note)));
+fn accept(log: &mut ReleaseLog, note: &ReleaseNote) {
+    assert!(log.apply(accepted(log, note)));
 }
 
 fn micros(count: usize, mut work: impl FnMut(usize)) -> f64 {
--- a/src/release/acceptor.rs
+++ b/src/release/acceptor.rs
@@ -10,7 +10,7 @@
 use crate::release::codec;
 use crate::release::core::Core;
 use crate::release::core::PageUse;
-use crate::release::judge::judge;
+use crate::release::evaluate::evaluate;
 use crate::release::keys;
 use crate::release::reader::Reader;
 use crate::schema::AcceptedRelease;
@@ -28,8 +28,8 @@
 /// what an acceptance waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
-    /// the note is judged against the newest version known here.
-    Judge,
+    /// the note is evaluated against the newest version known here.
+    Evaluate,
     /// the newest releases are read before the note is refused.
     Refresh { call: u64 },
     /// the conditional create that is the acceptance.
@@ -89,7 +89,7 @@
             deadline_ms,
             due_ms: 0,
             failures: 0,
-            stage: Stage::Judge,
+            stage: Stage::Evaluate,
             refreshed: false,
             created: false,
             may_exist: false,
@@ -125,7 +125,7 @@
 impl Accepting {
     /// goes on as far as possible without a reply; returns the answer when there is one.
     fn advance(&mut self, core: &mut Core) -> Option<ReleaseAnswer> {
-        if let Some(version) = core.book.history().accepted_as(&self.mark) {
+        if let Some(version) = core.log.history().accepted_as(&self.mark) {
             let repeated = !self.is_own(core, version);
             return Some(ReleaseAnswer::Accepted { version, repeated });
         }
@@ -133,10 +133,10 @@
             let under_way = matches!(self.stage, Stage::Create { .. });
             return Some(unavailable(self.may_exist || under_way));
         }
-        if self.stage != Stage::Judge || core.now_ms < self.due_ms {
+        if self.stage != Stage::Evaluate || core.now_ms < self.due_ms {
             return None;
         }
-        match judge(&self.note, &core.book) {
+        match evaluate(&self.note, &core.log) {
             Ok(()) => {
                 let release = self.release(core.version() + 1);
                 let version = release.version;
@@ -162,7 +162,7 @@
     }
 
     fn on_result(&mut self, core: &mut Core, reader: &mut Reader, result: PlatformResult) {
-        let stage = std::mem::replace(&mut self.stage, Stage::Judge);
+        let stage = std::mem::replace(&mut self.stage, Stage::Evaluate);
         match (stage, result) {
             // Only what is read back tells who made the version, and that it is no leftover number.
             (Stage::Create { version, .. }, Err(PlatformError::Conflict)) => {
@@ -222,7 +222,7 @@
 
     /// tells whether this very request made the version.
     fn is_own(&self, core: &Core, version: u64) -> bool {
-        let Some(release) = core.book.recent(version) else {
+        let Some(release) = core.log.recent(version) else {
             return false;
         };
         self.created && release.operator == self.operator && release.accepted_unix_ms == self.unix_ms
@@ -232,7 +232,7 @@
 impl Stage {
     fn call(self) -> Option<u64> {
         match self {
-            Self::Judge => None,
+            Self::Evaluate => None,
             Self::Refresh { call } | Self::Create { call, .. } | Self::Settle { call } => Some(call),
         }
     }
--- a/src/release/keeper.rs
+++ b/src/release/compactor.rs
@@ -46,14 +46,14 @@
 
 /// writes snapshots and removes what they replace; the first of all members does.
 #[derive(Debug)]
-pub(super) struct Keeper {
+pub(super) struct Compactor {
     stage: Stage,
     call: Option<(u64, u64)>,
     due_ms: u64,
     failures: u32,
 }
 
-impl Keeper {
+impl Compactor {
     pub(super) fn new() -> Self {
         Self { stage: Stage::Idle, call: None, due_ms: 0, failures: 0 }
     }
@@ -73,7 +73,7 @@
         if idle && core.version() < reader.snapshot_version + SNAPSHOT_RELEASES {
             return;
         }
-        if !reader.loaded || !core.is_first("release-keeper") {
+        if !reader.loaded || !core.is_first("release-compactor") {
             self.stage = Stage::Idle;
             self.due_ms = core.now_ms + NOT_FIRST_PAUSE_MS;
             return;
@@ -196,7 +196,7 @@
     let version = core.version();
     let prefix = keys::snapshot_prefix(version, core.me.as_str());
     let mut parts = Vec::new();
-    for part in snapshot::cut(&core.book) {
+    for part in snapshot::split(&core.log) {
         parts.push(codec::encode(&part));
     }
     let manifest = codec::encode(&snapshot::manifest(version, &parts));
--- a/src/release/core.rs
+++ b/src/release/core.rs
@@ -7,8 +7,8 @@
 use crate::member::MemberView;
 use crate::platform::Object;
 use crate::platform::PlatformRequest;
-use crate::release::Book;
 use crate::release::ReleaseAction;
+use crate::release::ReleaseLog;
 use crate::release::codec;
 use crate::release::keys;
 use crate::rendezvous;
@@ -61,7 +61,7 @@
 pub(super) struct Core {
     pub(super) me: Incarnation,
     pub(super) view: Option<Arc<MemberView>>,
-    pub(super) book: Book,
+    pub(super) log: ReleaseLog,
     pub(super) newest_seen: u64,
     pub(super) zone: ZoneOrder,
     pub(super) now_ms: u64,
@@ -75,7 +75,7 @@
         Self {
             me,
             view: None,
-            book: Book::default(),
+            log: ReleaseLog::default(),
             newest_seen: 0,
             zone: ZoneOrder::default(),
             now_ms: 0,
@@ -86,7 +86,7 @@
     }
 
     pub(super) fn version(&self) -> u64 {
-        self.book.version()
+        self.log.version()
     }
 
     pub(super) fn is_behind(&self) -> bool {
@@ -115,24 +115,24 @@
         })
     }
 
-    /// adds the next release and takes note of it as news.
+    /// adds the next release and keeps it to be forwarded.
     pub(super) fn apply(&mut self, release: AcceptedRelease) -> bool {
         self.saw(release.version);
-        if !self.book.apply(release.clone()) {
+        if !self.log.apply(release.clone()) {
             return false;
         }
         self.fresh.push(release);
         true
     }
 
-    /// replaces the book by a newer one; an older one changes nothing.
-    pub(super) fn install(&mut self, book: Book) -> bool {
-        if book.version() <= self.version() {
+    /// replaces the log by a newer one; an older one changes nothing.
+    pub(super) fn install(&mut self, log: ReleaseLog) -> bool {
+        if log.version() <= self.version() {
             return false;
         }
-        self.saw(book.version());
-        self.book = book;
-        // What led there is unknown here, so there is nothing to pass on.
+        self.saw(log.version());
+        self.log = log;
+        // What led there is unknown here, so there is nothing to forward.
         self.fresh.clear();
         true
     }
--- a/src/release/history.rs
+++ b/src/release/history.rs
@@ -14,7 +14,7 @@
 
 /// who touched an entry last, and when.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Touch {
+pub struct LastChange {
     /// release that touched it.
     pub version: u64,
     /// release that added it.
@@ -30,7 +30,7 @@
 /// what conflicts and repeats are recognised by; bounded, and shared between versions.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct History {
-    pub(super) touched: OrdMap<EntryKey, Touch>,
+    pub(super) changes: OrdMap<EntryKey, LastChange>,
     pub(super) marks: OrdMap<String, u64>,
     pub(super) floor_version: u64,
     withdrawn: OrdSet<(u64, EntryKey)>,
@@ -39,8 +39,8 @@
 
 impl History {
     /// finds who touched an entry last.
-    pub fn touch(&self, key: &EntryKey) -> Option<&Touch> {
-        self.touched.get(key)
+    pub fn last_change(&self, key: &EntryKey) -> Option<&LastChange> {
+        self.changes.get(key)
     }
 
     /// version that a note with this mark made.
@@ -50,7 +50,7 @@
 
     /// entries that are known, withdrawn ones included.
     pub fn entry_count(&self) -> usize {
-        self.touched.len()
+        self.changes.len()
     }
 
     /// the oldest version that a note can be written against.
@@ -61,7 +61,7 @@
     /// takes note of a release.
     pub(super) fn record(&mut self, release: &AcceptedRelease) {
         let operator: Arc<str> = release.operator.as_str().into();
-        let touch = |created_version: u64, withdrawn: bool| Touch {
+        let change = |created_version: u64, withdrawn: bool| LastChange {
             version: release.version,
             created_version,
             operator: Arc::clone(&operator),
@@ -71,27 +71,27 @@
         for name in &release.note.withdrawn {
             let key = EntryKey::from(name);
             let created = self.created_version(&key, release.version);
-            self.put_touch(key, touch(created, true));
+            self.put_change(key, change(created, true));
         }
         for entry in &release.note.changed {
             let key = EntryKey::from(entry);
             let created = self.created_version(&key, release.version);
-            self.put_touch(key, touch(created, false));
+            self.put_change(key, change(created, false));
         }
         for entry in &release.note.added {
-            self.put_touch(EntryKey::from(entry), touch(release.version, false));
+            self.put_change(EntryKey::from(entry), change(release.version, false));
         }
         self.put_mark(release.mark.clone(), release.version);
     }
 
-    pub(super) fn put_touch(&mut self, key: EntryKey, touch: Touch) {
-        if let Some(old) = self.touched.get(&key).filter(|old| old.withdrawn) {
+    pub(super) fn put_change(&mut self, key: EntryKey, change: LastChange) {
+        if let Some(old) = self.changes.get(&key).filter(|old| old.withdrawn) {
             self.withdrawn.remove(&(old.version, key.clone()));
         }
-        if touch.withdrawn {
-            self.withdrawn.insert((touch.version, key.clone()));
+        if change.withdrawn {
+            self.withdrawn.insert((change.version, key.clone()));
         }
-        self.touched.insert(key, touch);
+        self.changes.insert(key, change);
         while self.withdrawn.len() > MAX_WITHDRAWN {
             self.forget_oldest_withdrawal();
         }
@@ -110,7 +110,7 @@
     }
 
     fn created_version(&self, key: &EntryKey, otherwise: u64) -> u64 {
-        self.touched.get(key).map_or(otherwise, |touch| touch.created_version)
+        self.changes.get(key).map_or(otherwise, |change| change.created_version)
     }
 
     /// a note older than a forgotten withdrawal could miss a conflict with it, and is refused.
@@ -119,7 +119,7 @@
             return;
         };
         self.withdrawn.remove(&oldest);
-        self.touched.remove(&oldest.1);
+        self.changes.remove(&oldest.1);
         self.floor_version = self.floor_version.max(oldest.0);
     }
 }
--- a/src/release/peers.rs
+++ b/src/release/peers.rs
@@ -13,7 +13,7 @@
 use crate::schema::ReleasePush;
 use crate::schema::SnapshotPart;
 
-/// how long news may take over the push tree before this instance asks for them.
+/// how long a release may take over the push tree before this instance asks for them.
 const PULL_DELAY_MS: u64 = 100;
 
 /// how long a peer has to answer.
@@ -25,14 +25,14 @@
 /// bytes of releases in one answer, roughly.
 const PUSH_BYTES: usize = 256 * 1024;
 
-/// news that an instance passes on at once; more is caught up with by pulls.
+/// releases that an instance forwards at once; more are caught up with by pulls.
 const MAX_PUSHED: usize = 16;
 
 /// children of an instance in the push tree of its zone.
 const FANOUT: usize = 4;
 
-/// how long a snapshot that was cut for a peer is kept.
-const KEEP_CUT_MS: u64 = 30_000;
+/// how long a snapshot that was made for a peer is kept.
+const KEEP_SNAPSHOT_MS: u64 = 30_000;
 
 #[derive(Debug)]
 struct Asked {
@@ -41,14 +41,14 @@
     since_ms: u64,
 }
 
-/// parts cut for peers that are far behind.
+/// parts made for peers that are far behind.
 #[derive(Debug)]
-struct Cut {
+struct PeerSnapshot {
     parts: Vec<SnapshotPart>,
     used_ms: u64,
 }
 
-/// pulls releases from peers, answers their pulls and passes news on.
+/// pulls releases from peers, answers their pulls and forwards fresh ones.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     asked: Option<Asked>,
@@ -57,7 +57,7 @@
     silent: u32,
     tried: BTreeSet<Incarnation>,
     assembly: Option<(Incarnation, Assembly)>,
-    cut: Option<Cut>,
+    offered: Option<PeerSnapshot>,
     /// peers that answered since the start.
     pub(super) answered: BTreeSet<Incarnation>,
     /// those of them that had a configuration in force.
@@ -66,8 +66,8 @@
 
 impl Peers {
     pub(super) fn tick(&mut self, core: &mut Core, reader: &mut Reader, serving: bool) {
-        if self.cut.as_ref().is_some_and(|cut| core.now_ms > cut.used_ms + KEEP_CUT_MS) {
-            self.cut = None;
+        if self.offered.as_ref().is_some_and(|offered| core.now_ms > offered.used_ms + KEEP_SNAPSHOT_MS) {
+            self.offered = None;
         }
         if let Some(asked) = &self.asked {
             if core.now_ms < asked.since_ms + PULL_TIMEOUT_MS {
@@ -108,14 +108,14 @@
             core.out.push(ReleaseAction::Push { peer, push: Box::new(push) });
             return;
         }
-        match core.book.after(pull.after_version, PUSH_BYTES) {
+        match core.log.after(pull.after_version, PUSH_BYTES) {
             Some(releases) => push.releases = releases,
             None => push.snapshot = self.part_for(core, pull).into_iter().collect(),
         }
         core.out.push(ReleaseAction::Push { peer, push: Box::new(push) });
     }
 
-    /// a peer answers, or passes news on.
+    /// a peer answers, or forwards fresh ones.
     pub(super) fn on_push(
         &mut self,
         core: &mut Core,
@@ -149,9 +149,9 @@
         }
     }
 
-    /// passes news on to the next instances in this zone's tree.
-    pub(super) fn pass_on(&mut self, core: &mut Core, news: Vec<AcceptedRelease>) {
-        if news.is_empty() || news.len() > MAX_PUSHED {
+    /// forwards fresh releases to the next instances in this zone's tree.
+    pub(super) fn forward(&mut self, core: &mut Core, releases: Vec<AcceptedRelease>) {
+        if releases.is_empty() || releases.len() > MAX_PUSHED {
             return;
         }
         let Some(place) = core.zone.place else {
@@ -161,7 +161,7 @@
         let children: Vec<Incarnation> = children.cloned().collect();
         let latest_version = core.version();
         for peer in children {
-            let releases = news.clone();
+            let releases = releases.clone();
             let push = ReleasePush { id: 0, releases, latest_version, snapshot: Vec::new(), fresh: false };
             core.out.push(ReleaseAction::Push { peer, push: Box::new(push) });
         }
@@ -224,7 +224,7 @@
             return;
         }
         if assembly.is_complete() {
-            core.install(assembly.into_book());
+            core.install(assembly.into_log());
             return;
         }
         self.assembly = Some((peer.clone(), assembly));
@@ -232,14 +232,14 @@
 
     /// the part that a peer wants; the first of a newer snapshot when the old one is gone.
     fn part_for(&mut self, core: &Core, pull: &ReleasePull) -> Option<SnapshotPart> {
-        let known = self.cut.as_ref().and_then(|cut| cut.parts.first()).map(|part| part.version);
+        let known = self.offered.as_ref().and_then(|offered| offered.parts.first()).map(|part| part.version);
         let continues = known == Some(pull.snapshot_version);
-        if !continues && !known.is_some_and(|version| core.book.reaches(version)) {
-            self.cut = Some(Cut { parts: snapshot::cut(&core.book), used_ms: core.now_ms });
+        if !continues && !known.is_some_and(|version| core.log.reaches(version)) {
+            self.offered = Some(PeerSnapshot { parts: snapshot::split(&core.log), used_ms: core.now_ms });
         }
-        let cut = self.cut.as_mut()?;
-        cut.used_ms = core.now_ms;
+        let offered = self.offered.as_mut()?;
+        offered.used_ms = core.now_ms;
         let part = if continues { pull.part as usize } else { 0 };
-        cut.parts.get(part).cloned()
+        offered.parts.get(part).cloned()
     }
 }
--- a/src/release/reader.rs
+++ b/src/release/reader.rs
@@ -187,7 +187,7 @@
             self.start_again(core);
             return;
         }
-        core.install(assembly.into_book());
+        core.install(assembly.into_log());
     }
 
     fn on_tail(&mut self, core: &mut Core, objects: &[Object], more: bool, revision: u64) {
--- a/src/release/release_io.rs
+++ b/src/release/release_io.rs
@@ -42,7 +42,7 @@
     Push {
         /// peer.
         peer: Incarnation,
-        /// the answer, or news that nobody asked for.
+        /// the answer, or a fresh release that nobody asked for.
         push: Box<ReleasePush>,
     },
     /// the members changed; their records say which version is in force there.
@@ -72,7 +72,7 @@
     Push {
         /// peer.
         peer: Incarnation,
-        /// the answer, or news that nobody asked for.
+        /// the answer, or a fresh release that nobody asked for.
         push: Box<ReleasePush>,
     },
     /// a configuration is in force here.
--- a/src/release/book.rs
+++ b/src/release/release_log.rs
@@ -13,15 +13,15 @@
 
 /// all accepted releases up to a version, folded.
 #[derive(Clone, Debug, Default)]
-pub struct Book {
+pub struct ReleaseLog {
     configuration: Arc<Configuration>,
     history: History,
     recent: VecDeque<(usize, Arc<AcceptedRelease>)>,
     recent_bytes: usize,
 }
 
-impl Book {
-    /// a book that starts from a snapshot.
+impl ReleaseLog {
+    /// a log that starts from a snapshot.
     pub(super) fn from_snapshot(configuration: Configuration, history: History) -> Self {
         Self { configuration: Arc::new(configuration), history, ..Self::default() }
     }
--- a/src/release/releases.rs
+++ b/src/release/releases.rs
@@ -4,12 +4,12 @@
 use crate::ids::Incarnation;
 use crate::member::MemberView;
 use crate::platform::PlatformResult;
-use crate::release::Book;
 use crate::release::ReleaseAction;
 use crate::release::ReleaseInput;
+use crate::release::ReleaseLog;
 use crate::release::acceptor::Acceptor;
+use crate::release::compactor::Compactor;
 use crate::release::core::Core;
-use crate::release::keeper::Keeper;
 use crate::release::peers::Peers;
 use crate::release::reader::Reader;
 use crate::release::watcher::Watcher;
@@ -38,7 +38,7 @@
     watcher: Watcher,
     peers: Peers,
     acceptor: Acceptor,
-    keeper: Keeper,
+    compactor: Compactor,
     start_ms: Option<u64>,
     serving: bool,
     announced_version: Option<u64>,
@@ -53,7 +53,7 @@
             watcher: Watcher::new(WATCH_MS),
             peers: Peers::default(),
             acceptor: Acceptor::default(),
-            keeper: Keeper::new(),
+            compactor: Compactor::new(),
             start_ms: None,
             serving: false,
             announced_version: None,
@@ -88,15 +88,15 @@
         self.reader.tick(&mut self.core);
         self.watcher.tick(&mut self.core, &mut self.reader);
         self.peers.tick(&mut self.core, &mut self.reader, self.serving);
-        self.keeper.tick(&mut self.core, &self.reader);
+        self.compactor.tick(&mut self.core, &self.reader);
         self.serve();
         self.announce();
         std::mem::take(&mut self.core.out)
     }
 
     /// all accepted releases known here.
-    pub fn book(&self) -> &Book {
-        &self.core.book
+    pub fn log(&self) -> &ReleaseLog {
+        &self.core.log
     }
 
     /// tells whether a configuration is in force here.
@@ -106,12 +106,12 @@
 
     /// the newest configuration known here; `None` before one is in force.
     pub fn in_force(&self) -> Option<&Arc<Configuration>> {
-        self.serving.then(|| self.core.book.configuration())
+        self.serving.then(|| self.core.log.configuration())
     }
 
     /// latest releases, newest first.
     pub fn history(&self, limit: usize) -> Vec<Arc<AcceptedRelease>> {
-        self.core.book.latest(limit)
+        self.core.log.latest(limit)
     }
 
     fn move_clock(&mut self, now_ms: u64) {
@@ -130,8 +130,8 @@
             self.watcher.on_result(&mut self.core, &mut self.reader, result);
         } else if self.acceptor.owns(call) {
             self.acceptor.on_result(&mut self.core, &mut self.reader, result);
-        } else if self.keeper.owns(call) {
-            self.keeper.on_result(&mut self.core, &mut self.reader, result);
+        } else if self.compactor.owns(call) {
+            self.compactor.on_result(&mut self.core, &mut self.reader, result);
         }
     }
 
@@ -159,22 +159,22 @@
         self.serving = enough;
     }
 
-    /// puts the newest version in force and passes its release on.
+    /// puts the newest version in force and forwards its release.
     fn announce(&mut self) {
         if !self.serving {
             return;
         }
         let version = self.core.version();
-        let news = std::mem::take(&mut self.core.fresh);
+        let fresh = std::mem::take(&mut self.core.fresh);
         if self.announced_version == Some(version) {
             return;
         }
         let first = self.announced_version.replace(version).is_none();
         metrics::gauge!("release_in_force_version").set(version as f64);
-        let configuration = Arc::clone(self.core.book.configuration());
+        let configuration = Arc::clone(self.core.log.configuration());
         self.core.out.push(ReleaseAction::InForce(configuration));
         if !first {
-            self.peers.pass_on(&mut self.core, news);
+            self.peers.forward(&mut self.core, fresh);
         }
     }
 }
--- a/src/release/snapshot.rs
+++ b/src/release/snapshot.rs
@@ -1,42 +1,42 @@
-//! snapshots: a whole configuration with its history, cut into parts.
+//! snapshots: a whole configuration with its history, split into parts.
 
 use crate::config::Configuration;
 use crate::config::EntryKey;
 use crate::ids::Digest;
-use crate::release::Book;
 use crate::release::History;
-use crate::release::Touch;
+use crate::release::LastChange;
+use crate::release::ReleaseLog;
 use crate::release::codec;
 use crate::schema::ReleaseMark;
+use crate::schema::SnapshotEntry;
 use crate::schema::SnapshotManifest;
 use crate::schema::SnapshotPart;
-use crate::schema::TouchedEntry;
 
-/// size that a part is cut at; the platform holds values up to a megabyte.
+/// size that a part is closed at; the platform holds values up to a megabyte.
 const PART_BYTES: usize = 384 * 1024;
 
 /// marks in one part.
 const MARKS_PER_PART: usize = 2_048;
 
-/// cuts a book into parts.
-pub fn cut(book: &Book) -> Vec<SnapshotPart> {
+/// cuts a log into parts.
+pub fn split(log: &ReleaseLog) -> Vec<SnapshotPart> {
     let mut parts = Vec::new();
-    let mut part = empty_part(book);
+    let mut part = empty_part(log);
     let mut bytes = 0;
-    for (key, touch) in &book.history().touched {
-        let entry = touched_entry(book.configuration(), key, touch);
+    for (key, change) in &log.history().changes {
+        let entry = snapshot_entry(log.configuration(), key, change);
         bytes += codec::encode(&entry).len();
         part.entries.push(entry);
         if bytes < PART_BYTES {
             continue;
         }
-        parts.push(std::mem::replace(&mut part, empty_part(book)));
+        parts.push(std::mem::replace(&mut part, empty_part(log)));
         bytes = 0;
     }
-    for (mark, version) in &book.history().marks {
+    for (mark, version) in &log.history().marks {
         part.marks.push(ReleaseMark { mark: mark.clone(), version: *version });
         if part.marks.len() >= MARKS_PER_PART {
-            parts.push(std::mem::replace(&mut part, empty_part(book)));
+            parts.push(std::mem::replace(&mut part, empty_part(log)));
         }
     }
     parts.push(part);
@@ -61,25 +61,25 @@
     Digest::of(&all)
 }
 
-fn empty_part(book: &Book) -> SnapshotPart {
+fn empty_part(log: &ReleaseLog) -> SnapshotPart {
     SnapshotPart {
-        version: book.version(),
+        version: log.version(),
         part: 0,
         part_count: 0,
-        floor_version: book.history().floor_version,
+        floor_version: log.history().floor_version,
         entries: Vec::new(),
         marks: Vec::new(),
     }
 }
 
-fn touched_entry(configuration: &Configuration, key: &EntryKey, touch: &Touch) -> TouchedEntry {
-    TouchedEntry {
+fn snapshot_entry(configuration: &Configuration, key: &EntryKey, change: &LastChange) -> SnapshotEntry {
+    SnapshotEntry {
         name: key.into(),
         entry: configuration.entry(key),
-        version: touch.version,
-        created_version: touch.created_version,
-        operator: touch.operator.to_string(),
-        unix_ms: touch.unix_ms,
+        version: change.version,
+        created_version: change.created_version,
+        operator: change.operator.to_string(),
+        unix_ms: change.unix_ms,
     }
 }
 
@@ -145,21 +145,21 @@
         self.part_count > 0 && self.next_part == self.part_count
     }
 
-    /// the book of a complete snapshot.
-    pub fn into_book(mut self) -> Book {
+    /// the log of a complete snapshot.
+    pub fn into_log(mut self) -> ReleaseLog {
         self.configuration.version = self.version;
-        Book::from_snapshot(self.configuration, self.history)
+        ReleaseLog::from_snapshot(self.configuration, self.history)
     }
 
-    fn add_entry(&mut self, entry: TouchedEntry) {
-        let touch = Touch {
+    fn add_entry(&mut self, entry: SnapshotEntry) {
+        let change = LastChange {
             version: entry.version,
             created_version: entry.created_version,
             operator: entry.operator.into(),
             unix_ms: entry.unix_ms,
             withdrawn: entry.entry.is_none(),
         };
-        self.history.put_touch(EntryKey::from(&entry.name), touch);
+        self.history.put_change(EntryKey::from(&entry.name), change);
         if let Some(entry) = entry.entry {
             self.configuration.put(entry);
         }
--- a/src/release/wire.rs
+++ b/src/release/wire.rs
@@ -1,7 +1,7 @@
-use crate::release::Book;
 use crate::release::ReleaseAnswer;
+use crate::release::ReleaseLog;
 use crate::release::diff;
-use crate::release::judge;
+use crate::release::evaluate;
 use crate::schema::AdminProblem;
 use crate::schema::Ran;
 use crate::schema::ReleaseAccepted;
@@ -19,9 +19,9 @@
 const UNAVAILABLE: u16 = 503;
 
 /// answers `release check`: what would become of a note now.
-pub fn check_row(note: &ReleaseNote, book: &Book) -> ReleaseCheck {
-    let version = book.version();
-    match judge(note, book) {
+pub fn check_row(note: &ReleaseNote, log: &ReleaseLog) -> ReleaseCheck {
+    let version = log.version();
+    match evaluate(note, log) {
         Ok(()) => ReleaseCheck { version, conflict: false, findings: Vec::new() },
         Err(refusal) => {
             ReleaseCheck { version, conflict: refusal.conflict, findings: refusal.findings.rows() }
@@ -30,8 +30,8 @@
 }
 
 /// answers `release diff`: what a note would change now.
-pub fn diff_row(note: &ReleaseNote, book: &Book) -> ReleaseDiff {
-    ReleaseDiff { version: book.version(), changes: diff(note, book.configuration()) }
+pub fn diff_row(note: &ReleaseNote, log: &ReleaseLog) -> ReleaseDiff {
+    ReleaseDiff { version: log.version(), changes: diff(note, log.configuration()) }
 }
 
 impl ReleaseAnswer {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2230,6 +2230,22 @@
     ///journals that the owner has not yet copied into its own, oldest first
     pub sources: ::std::vec::Vec<JournalSource>,
 }
+///one entry of a configuration, or what is left of a withdrawn one
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SnapshotEntry {
+    ///release that added it
+    pub created_version: u64,
+    ///the entry; none after a withdrawal
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub entry: ::std::option::Option<ReleaseEntry>,
+    pub name: EntryName,
+    ///who touched it last
+    pub operator: ::std::string::String,
+    ///when it was touched last
+    pub unix_ms: u64,
+    ///release that touched it last
+    pub version: u64,
+}
 ///makes a snapshot valid; written after its parts
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SnapshotManifest {
@@ -2244,7 +2260,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SnapshotPart {
     ///entries in order
-    pub entries: ::std::vec::Vec<TouchedEntry>,
+    pub entries: ::std::vec::Vec<SnapshotEntry>,
     ///notes written against an older version cannot be checked
     pub floor_version: u64,
     ///notes accepted lately
@@ -2381,22 +2397,6 @@
     ///text
     pub text: ::std::string::String,
 }
-///one entry of a configuration, or what is left of a withdrawn one
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct TouchedEntry {
-    ///release that added it
-    pub created_version: u64,
-    ///the entry; none after a withdrawal
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub entry: ::std::option::Option<ReleaseEntry>,
-    pub name: EntryName,
-    ///who touched it last
-    pub operator: ::std::string::String,
-    ///when it was touched last
-    pub unix_ms: u64,
-    ///release that touched it last
-    pub version: u64,
-}
 ///whole answer of a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TurnAnswer {
--- a/tests/release_check.rs
+++ b/tests/release_check.rs
@@ -1,10 +1,10 @@
 //! all faults of a release note, each with its place; conflicts with later releases; differences.
 
 use flamingostand::config::Configuration;
-use flamingostand::release::Book;
+use flamingostand::release::ReleaseLog;
 use flamingostand::release::check_note;
 use flamingostand::release::diff;
-use flamingostand::release::judge;
+use flamingostand::release::evaluate;
 use flamingostand::schema::AcceptedRelease;
 use flamingostand::schema::ReleaseNote;
 use flamingostand::schema::check_text;
@@ -36,17 +36,17 @@
     ]}))
 }
 
-fn book(notes: &[(&str, ReleaseNote)]) -> Book {
-    let mut book = Book::default();
+fn log(notes: &[(&str, ReleaseNote)]) -> ReleaseLog {
+    let mut log = ReleaseLog::default();
     for (operator, note) in notes {
-        let version = book.version() + 1;
+        let version = log.version() + 1;
         let mark = format!("mark-{version}");
         let operator = (*operator).to_owned();
         let accepted =
             AcceptedRelease { version, operator, accepted_unix_ms: version, mark, note: note.clone() };
-        assert!(book.apply(accepted));
+        assert!(log.apply(accepted));
     }
-    book
+    log
 }
 
 #[test_case(json!({}), &[""]; "empty note")]
@@ -111,8 +111,8 @@
     theirs["against_version"] = json!(1);
     ours["against_version"] = json!(1);
     let ours = note(ours);
-    assert_eq!(judge(&ours, &book(&[("ana", base())])), Ok(()), "without the other note it is good");
-    let verdict = judge(&ours, &book(&[("ana", base()), ("bor", note(theirs))]));
+    assert_eq!(evaluate(&ours, &log(&[("ana", base())])), Ok(()), "without the other note it is good");
+    let verdict = evaluate(&ours, &log(&[("ana", base()), ("bor", note(theirs))]));
     let Err(refusal) = verdict else {
         assert!(places.is_empty());
         return;
@@ -128,9 +128,9 @@
 fn replaced_reference() {
     let gone = note(json!({ "against_version": 1, "withdrawn": [{ "kind": "model", "id": "spare" }] }));
     let back = note(json!({ "against_version": 2, "added": [{ "model": { "id": "spare" } }] }));
-    let book = book(&[("ana", base()), ("bor", gone), ("bor", back)]);
+    let log = log(&[("ana", base()), ("bor", gone), ("bor", back)]);
     let ours = note(json!({ "against_version": 1, "added": [agent("p", "desk", "spare")] }));
-    let refusal = judge(&ours, &book).expect_err("a conflict");
+    let refusal = evaluate(&ours, &log).expect_err("a conflict");
     assert!(refusal.conflict);
     assert_eq!(refusal.findings.list[0].place, "/added/0/agent_program/model");
 }
@@ -138,7 +138,7 @@
 #[test]
 fn future_version() {
     let ours = note(json!({ "against_version": 9, "added": [{ "model": { "id": "m" } }] }));
-    let refusal = judge(&ours, &book(&[("ana", base())])).expect_err("no such version");
+    let refusal = evaluate(&ours, &log(&[("ana", base())])).expect_err("no such version");
     assert!(!refusal.conflict);
     assert_eq!(refusal.findings.list[0].place, "/against_version");
 }
--- a/tests/release_differential.rs
+++ b/tests/release_differential.rs
@@ -1,11 +1,11 @@
-//! the judgement of notes against a naive one that keeps every version and checks whole states.
+//! the evaluation of notes against a naive one that keeps every version and checks whole states.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use flamingostand::config::EntryKey;
-use flamingostand::release::Book;
-use flamingostand::release::judge;
+use flamingostand::release::ReleaseLog;
+use flamingostand::release::evaluate;
 use flamingostand::release::snapshot;
 use flamingostand::schema::AcceptedRelease;
 use flamingostand::schema::ReleaseEntry;
@@ -137,24 +137,24 @@
     let (mut accepted, mut conflicts, mut faulty) = (0, 0, 0);
     for seed in 0..40 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut book = Book::default();
+        let mut log = ReleaseLog::default();
         let mut states = vec![State::new()];
         for step in 0..600_u64 {
-            let note = random_note(&mut rng, book.version());
+            let note = random_note(&mut rng, log.version());
             let newest = &states[states.len() - 1];
             let touched = (note.against_version as usize + 1..states.len()).any(|version| {
-                let release = book.recent(version as u64).expect("it is in memory");
+                let release = log.recent(version as u64).expect("it is in memory");
                 let theirs = named(&release.note);
                 named(&note).iter().any(|key| theirs.contains(key))
             });
             let was_good = good(&states[note.against_version as usize], &note);
             let expected = good(newest, &note) && !touched && !replaced(&states, &note);
-            match judge(&note, &book) {
+            match evaluate(&note, &log) {
                 Ok(()) => {
                     assert!(expected, "seed {seed}, step {step}: {note:?}");
                     accepted += 1;
                     let next = applied(newest, &note).expect("it is good");
-                    let version = book.version() + 1;
+                    let version = log.version() + 1;
                     let release = AcceptedRelease {
                         version,
                         operator: "ana".to_owned(),
@@ -162,7 +162,7 @@
                         mark: format!("{version}"),
                         note,
                     };
-                    assert!(book.apply(release));
+                    assert!(log.apply(release));
                     states.push(next);
                 }
                 Err(refusal) => {
@@ -176,18 +176,18 @@
                 }
             }
         }
-        same_after_snapshot(&book);
+        same_after_snapshot(&log);
     }
     assert!(accepted > 1_000 && conflicts > 1_000 && faulty > 1_000, "{accepted} {conflicts} {faulty}");
 }
 
-/// a book that went through a snapshot judges as the one that it was cut from.
-fn same_after_snapshot(book: &Book) {
+/// a log that went through a snapshot evaluates as the one that it was taken of.
+fn same_after_snapshot(log: &ReleaseLog) {
     let mut assembly = snapshot::Assembly::default();
-    for part in snapshot::cut(book) {
+    for part in snapshot::split(log) {
         assert!(assembly.add(part));
     }
-    let restored = assembly.into_book();
-    assert_eq!(restored.configuration(), book.configuration());
-    assert_eq!(restored.history(), book.history());
+    let restored = assembly.into_log();
+    assert_eq!(restored.configuration(), log.configuration());
+    assert_eq!(restored.history(), log.history());
 }
