--- a/src/release/watcher.rs
+++ b/src/release/watcher.rs
@@ -71,15 +71,17 @@
                 self.revision = None;
                 reader.revision = None;
                 reader.hurry(core);
-                self.due_ms = core.now_ms + core.backoff_ms(0);
-            }
-            Ok(_) | Err(_) => {
-                self.due_ms = core.now_ms + core.backoff_ms(self.failures);
-                self.failures += 1;
+                self.back_off(core);
             }
+            Ok(_) | Err(_) => self.back_off(core),
         }
     }
 
+    fn back_off(&mut self, core: &Core) {
+        self.due_ms = core.now_ms + core.backoff_ms(self.failures);
+        self.failures += 1;
+    }
+
     fn on_changes(&mut self, core: &mut Core, reader: &mut Reader, changes: Vec<Change>) {
         let removals_only = !changes.is_empty() && changes.iter().all(|change| change.value.is_none());
         self.due_ms = core.now_ms + if removals_only { REMOVALS_PAUSE_MS } else { 0 };
