--- a/tests/mesh_support/mod.rs
+++ b/tests/mesh_support/mod.rs
@@ -113,7 +113,7 @@
 }
 
 pub fn pull(version: u64) -> MeshMessage {
-    MeshMessage::ReleasePull(ReleasePull { after_version: version, id: 0 })
+    MeshMessage::ReleasePull(ReleasePull { after_version: version, id: 0, part: 0, snapshot_version: 0 })
 }
 
 pub fn version(message: &MeshMessage) -> u64 {
