Keep the byte rate in every second, and keep answers when it is short

At 300 members new to each other, requests for pages used up the bytes of all, so that none was answered (14,000 in 5 s). Change: a window of a second with a part kept for defence and for answers; after a pause only the latest question of each asker is answered; a suspect is asked by each before its death; any answer clears earlier probes; news takes a quarter of what is left; page requests back off and end at agreement; probe_ms 400 for 200. The list of deaths that an instance cut off itself sees is no promise and left the scenario; what the others see of it stays checked. Ruled out: larger credit for answers, which breaks the rate. Conclusion: short_pauses_harmless and quiet_when_settled hold this.

--- a/src/membership/comparison.rs
+++ b/src/membership/comparison.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
+use rand::RngExt;
 use rand::seq::IndexedRandom;
 
 use crate::membership::MAX_DATAGRAM_BYTES;
 use crate::membership::Membership;
+use crate::membership::byte_budget::Purpose;
 use crate::membership::membership::CatchUp;
-use crate::membership::outbox::Spending;
 use crate::membership::sync;
 use crate::schema::DatagramBody;
 use crate::schema::MemberRecord;
@@ -26,6 +27,8 @@
 const SYNC_BUCKETS: usize = 3;
 /// how long one page of the others' view is waited for.
 const PAGE_RETRY_MS: u64 = 100;
+/// pages in a row that may stay unanswered.
+const MAX_PAGE_RETRIES: u32 = 5;
 /// records that fit in a datagram.
 const RECORDS_PER_DATAGRAM: usize = 7;
 
@@ -35,14 +38,15 @@
         let own_digest = self.peers.digest() ^ self.own.entry_hash();
         if their_digest == own_digest {
             self.has_agreed = true;
+            self.catch_up = CatchUp::Done;
             return;
         }
-        if now_ms < self.next_sync_ms || self.own.is_superseded() {
+        if now_ms < self.next_sync_ms || self.backlog.is_some() || self.own.is_superseded() {
             return;
         }
         match self.catch_up {
             CatchUp::NotStarted => {
-                self.catch_up = CatchUp::Reading { after: String::new(), retry_ms: now_ms };
+                self.catch_up = CatchUp::Reading { after: String::new(), retry_ms: now_ms, unanswered: 0 };
                 self.read_page(now_ms, Some(from));
                 return;
             }
@@ -57,37 +61,44 @@
         } else {
             DatagramBody::SyncBuckets(sync::buckets(&self.own, &self.peers, bucket_count))
         };
-        self.outbox.send(&self.own, &self.peers, from, body, &[], Spending::Saved);
+        self.outbox.send(&self.own, &self.peers, from, body, &[], Purpose::Common);
     }
 
     /// asks for the next page of the others' view, when it is due; each page comes from another instance.
     pub(super) fn read_page(&mut self, now_ms: u64, from: Option<SocketAddr>) {
-        let CatchUp::Reading { after, retry_ms } = &mut self.catch_up else {
+        let CatchUp::Reading { after, retry_ms, unanswered } = &mut self.catch_up else {
             return;
         };
         if now_ms < *retry_ms {
             return;
         }
-        *retry_ms = now_ms + PAGE_RETRY_MS;
+        if *unanswered > MAX_PAGE_RETRIES {
+            // Many are new together and have no bytes left for each other's pages.
+            self.catch_up = CatchUp::Done;
+            return;
+        }
+        let pause_ms = PAGE_RETRY_MS << *unanswered;
+        *retry_ms = now_ms + self.random.random_range(pause_ms..=2 * pause_ms);
+        *unanswered += 1;
         let body = DatagramBody::SyncPage(SyncPage { after: after.clone() });
         let to = match from {
             Some(from) => Some(from),
             None => self.some_running(1, None).first().and_then(|name| self.mesh_of(name)),
         };
         if let Some(to) = to {
-            self.outbox.send(&self.own, &self.peers, to, body, &[], Spending::Saved);
+            self.outbox.send(&self.own, &self.peers, to, body, &[], Purpose::Common);
         }
     }
 
     pub(super) fn answer_page(&mut self, from: SocketAddr, page: &SyncPage) {
         // Half a page would look like a whole one.
-        if self.outbox.budget.available_bytes() < MAX_DATAGRAM_BYTES {
+        if self.outbox.budget.available_bytes(Purpose::Common) < MAX_DATAGRAM_BYTES {
             return;
         }
         let records = sync::page(&self.own, &self.peers, &page.after, RECORDS_PER_DATAGRAM);
         let last = records.last().map_or(String::new(), |record| record.name.clone());
         let body = DatagramBody::SyncRecords(SyncRecords { after: page.after.clone(), last });
-        self.outbox.send(&self.own, &self.peers, from, body, &records, Spending::Saved);
+        self.outbox.send(&self.own, &self.peers, from, body, &records, Purpose::Common);
     }
 
     pub(super) fn on_page(&mut self, now_ms: u64, records: &SyncRecords) {
@@ -99,7 +110,7 @@
             self.catch_up = CatchUp::Done;
             return;
         }
-        self.catch_up = CatchUp::Reading { after: records.last.clone(), retry_ms: now_ms };
+        self.catch_up = CatchUp::Reading { after: records.last.clone(), retry_ms: now_ms, unanswered: 0 };
         self.read_page(now_ms, None);
     }
 
@@ -117,7 +128,7 @@
         for bucket in chosen {
             let names = sync::names(&self.own, &self.peers, bucket_count, bucket);
             let body = DatagramBody::SyncNames(names);
-            self.outbox.send(&self.own, &self.peers, from, body, &[], Spending::Saved);
+            self.outbox.send(&self.own, &self.peers, from, body, &[], Purpose::Common);
         }
     }
 
@@ -127,7 +138,7 @@
             return;
         }
         let body = DatagramBody::SyncWanted(SyncWanted { names: difference.wanted });
-        if self.outbox.send(&self.own, &self.peers, from, body, &[], Spending::Saved) {
+        if self.outbox.send(&self.own, &self.peers, from, body, &[], Purpose::Common) {
             self.send_records(from, &difference.to_send);
         }
     }
@@ -135,7 +146,7 @@
     pub(super) fn send_records(&mut self, to: SocketAddr, records: &[MemberRecord]) {
         for some in records.chunks(RECORDS_PER_DATAGRAM) {
             let body = DatagramBody::News(News { urgent: false });
-            if !self.outbox.send(&self.own, &self.peers, to, body, some, Spending::Saved) {
+            if !self.outbox.send(&self.own, &self.peers, to, body, some, Purpose::Common) {
                 return;
             }
         }
--- a/src/membership/detection.rs
+++ b/src/membership/detection.rs
@@ -5,7 +5,8 @@
 use rand::RngExt;
 
 use crate::membership::Membership;
-use crate::membership::outbox::Spending;
+use crate::membership::byte_budget::Purpose;
+use crate::membership::membership::Answer;
 use crate::membership::prober::PendingProbe;
 use crate::membership::prober::Relay;
 use crate::membership::suspicions::Suspicion;
@@ -21,6 +22,8 @@
 const RELAY_COUNT: usize = 3;
 /// factor on a suspicion while this instance is probably cut off itself.
 const CUT_OFF_STRETCH: u64 = 8;
+/// timeouts that a suspect has to answer one who only heard of the suspicion.
+const ASK_TIMEOUTS: u64 = 3;
 /// aim for the time after which some instance tries a gone member or an unknown address again.
 const REVIVE_MS: u64 = 2_000;
 /// least and longest time between two such tries of one instance.
@@ -33,7 +36,7 @@
         for (sequence, probe) in self.prober.due_relays(now_ms) {
             let request = ProbeRequest { sequence, target: probe.to.to_string() };
             for name in self.some_running(RELAY_COUNT, probe.target.as_deref()) {
-                self.send_to_member(&name, request.clone().into(), &[], Spending::Credit);
+                self.send_to_member(&name, request.clone().into(), &[], Purpose::Defence);
             }
         }
     }
@@ -64,7 +67,8 @@
     pub(super) fn start_suspicion(&mut self, now_ms: u64, name: &str, raised_here: bool) {
         let deadline_ms = now_ms + self.suspicion_ms();
         let reprobe_ms = raised_here.then_some(now_ms);
-        self.suspicions.start(name, Suspicion { deadline_ms, extended: false, reprobe_ms });
+        self.suspicions
+            .start(name, Suspicion { deadline_ms, extended: false, reprobe_ms, asked: raised_here });
     }
 
     /// grows with the number of members, as news takes longer to reach all of them.
@@ -83,6 +87,11 @@
                     continue;
                 }
             }
+            // Its refutation may have reached all others.
+            if self.suspicions.ask(&name, ASK_TIMEOUTS * self.settings.probe_timeout_ms) {
+                self.probe_member(now_ms, &name, false);
+                continue;
+            }
             self.suspicions.end(&name);
             self.peers.judge(&name, MemberHealth::Dead, now_ms);
             self.view_changed = true;
@@ -133,13 +142,15 @@
             relayed: false,
             judges,
         };
-        self.send_probe(probe, &told);
+        // A suspect must have its chance to refute, however busy this instance is.
+        let purpose = if told.is_empty() { Purpose::Common } else { Purpose::Defence };
+        self.send_probe(probe, &told, purpose);
     }
 
-    pub(super) fn send_probe(&mut self, probe: PendingProbe, records: &[MemberRecord]) {
+    fn send_probe(&mut self, probe: PendingProbe, records: &[MemberRecord], purpose: Purpose) {
         let sequence = self.prober.sequence();
         let body = DatagramBody::Probe(Probe { sequence });
-        if self.outbox.send(&self.own, &self.peers, probe.to, body, records, Spending::Saved) {
+        if self.outbox.send(&self.own, &self.peers, probe.to, body, records, purpose) {
             self.prober.sent(sequence, probe);
         }
     }
@@ -185,7 +196,7 @@
             relayed: false,
             judges: false,
         };
-        self.send_probe(probe, &[told]);
+        self.send_probe(probe, &[told], Purpose::Common);
     }
 
     /// addresses of dead members and of listed instances that have not answered yet.
@@ -201,31 +212,50 @@
         lost.into_iter().collect()
     }
 
-    pub(super) fn answer_probe(
-        &mut self,
-        from: SocketAddr,
-        sequence: u64,
-        wants_record: bool,
-        is_newcomer: bool,
-        correction: Option<MemberRecord>,
-    ) {
-        let mut first: Vec<MemberRecord> = correction.into_iter().collect();
-        if is_newcomer {
+    /// answers a probe, at once or after the backlog of a pause.
+    pub(super) fn on_probe(&mut self, from: SocketAddr, answer: Answer) {
+        match &mut self.backlog {
+            Some(backlog) => {
+                backlog.answers.insert(from, answer);
+            }
+            None => self.answer_probe(from, answer),
+        }
+    }
+
+    /// answers the latest probe of each asker, once the backlog of a pause has been read.
+    pub(super) fn answer_backlog(&mut self, now_ms: u64) {
+        let Some(backlog) = self.backlog.take_if(|backlog| now_ms >= backlog.until_ms) else {
+            return;
+        };
+        for (from, answer) in backlog.answers {
+            self.answer_probe(from, answer);
+        }
+    }
+
+    fn answer_probe(&mut self, from: SocketAddr, answer: Answer) {
+        let mut first: Vec<MemberRecord> = answer.correction.into_iter().collect();
+        if answer.is_newcomer {
             first.push(self.own.record());
         }
-        let body = DatagramBody::Ack(ProbeAck { sequence, wants_record });
-        self.outbox.send(&self.own, &self.peers, from, body, &first, Spending::Credit);
+        let ack = ProbeAck { sequence: answer.sequence, wants_record: answer.wants_record };
+        let body = DatagramBody::Ack(ack);
+        self.outbox.send(&self.own, &self.peers, from, body, &first, Purpose::Answer);
     }
 
     pub(super) fn on_ack(&mut self, now_ms: u64, from: SocketAddr, sender_name: &str, ack: &ProbeAck) {
         if ack.wants_record {
             let record = [self.own.record()];
             let body = DatagramBody::News(News { urgent: true });
-            self.outbox.send(&self.own, &self.peers, from, body, &record, Spending::Credit);
+            self.outbox.send(&self.own, &self.peers, from, body, &record, Purpose::Answer);
+        }
+        // Whoever answers any probe hears this instance, and need not answer each.
+        let others = self.prober.take_all_to(sender_name, ack.sequence);
+        for _ in others.iter().filter(|probe| probe.judges) {
+            self.health.answered();
         }
         if let Some(relay) = self.prober.relay_answered(ack.sequence) {
             let body = DatagramBody::Ack(ProbeAck { sequence: relay.sequence, wants_record: false });
-            self.outbox.send(&self.own, &self.peers, relay.requester, body, &[], Spending::Credit);
+            self.outbox.send(&self.own, &self.peers, relay.requester, body, &[], Purpose::Answer);
             return;
         }
         let Some(probe) = self.prober.answered(ack.sequence) else {
@@ -240,6 +270,10 @@
     }
 
     pub(super) fn on_probe_request(&mut self, from: SocketAddr, request: &ProbeRequest) {
+        if self.backlog.is_some() {
+            // Whoever asked before the pause has asked others since.
+            return;
+        }
         let Ok(to) = request.target.parse() else {
             return;
         };
@@ -251,6 +285,6 @@
         let sequence = self.prober.sequence();
         self.prober.relayed_for(sequence, Relay { requester: from, sequence: request.sequence });
         let body = DatagramBody::Probe(Probe { sequence });
-        self.outbox.send(&self.own, &self.peers, to, body, &told, Spending::Credit);
+        self.outbox.send(&self.own, &self.peers, to, body, &told, Purpose::Defence);
     }
 }
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::membership::Membership;
-use crate::membership::outbox::Spending;
+use crate::membership::byte_budget::Purpose;
+use crate::membership::membership::Answer;
 use crate::membership::own_state::Accusation;
 use crate::membership::peer_table::Merged;
 use crate::membership::sync;
@@ -13,8 +14,10 @@
 use crate::schema::MemberRecord;
 use crate::schema::News;
 
-/// members that urgent news goes to at once.
-const URGENT_FANOUT: usize = 4;
+/// members that urgent news of others is passed on to at once.
+const URGENT_FANOUT: usize = 2;
+/// members that urgent news of this instance itself goes to at once.
+const OWN_FANOUT: usize = 4;
 /// members that hear again of this instance's own departure.
 const DEPARTURE_REPEAT_FANOUT: usize = 2;
 
@@ -25,7 +28,7 @@
         self.outbox.news.push(&own_name, false);
         let record = [self.own.record()];
         for name in self.some_running(fanout, None) {
-            self.send_to_member(&name, News { urgent: true }.into(), &record, Spending::Credit);
+            self.send_to_member(&name, News { urgent: true }.into(), &record, Purpose::Defence);
         }
     }
 
@@ -43,15 +46,30 @@
         if urgent.is_empty() {
             return;
         }
+        // What this instance says of itself keeps others from a false suspicion, and nobody else says it yet.
+        let is_own = urgent.contains(&self.own.member.name);
+        let (fanout, purpose) = match is_own {
+            true => (OWN_FANOUT, Purpose::Defence),
+            false => (URGENT_FANOUT, Purpose::Common),
+        };
+        let mut records: Vec<MemberRecord> = urgent.iter().filter_map(|name| self.record_of(name)).collect();
+        records.sort_by_key(|record| record.name != self.own.member.name);
         let mut sent = false;
-        for name in self.some_running(URGENT_FANOUT, None) {
-            sent |= self.send_to_member(&name, News { urgent: true }.into(), &[], Spending::Saved);
+        for name in self.some_running(fanout, None) {
+            sent |= self.send_to_member(&name, News { urgent: true }.into(), &records, purpose);
         }
         if sent {
             self.outbox.news.urgent_sent(&urgent);
         }
     }
 
+    fn record_of(&self, name: &str) -> Option<MemberRecord> {
+        if name == self.own.member.name {
+            return Some(self.own.record());
+        }
+        Some(self.peers.get(name)?.record())
+    }
+
     pub(super) fn on_datagram(&mut self, now_ms: u64, from: SocketAddr, datagram: Datagram) {
         if self.own.has_left() {
             return;
@@ -91,7 +109,8 @@
         match datagram.body {
             DatagramBody::Probe(probe) => {
                 let correction = self.correction(sender_name, sender_merged);
-                self.answer_probe(from, probe.sequence, wants_record, is_newcomer, correction);
+                let sequence = probe.sequence;
+                self.on_probe(from, Answer { sequence, wants_record, is_newcomer, correction });
             }
             DatagramBody::Ack(ack) => self.on_ack(now_ms, from, sender_name, &ack),
             DatagramBody::ProbeRequest(request) => self.on_probe_request(from, &request),
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,9 +12,9 @@
 use crate::member::MemberView;
 use crate::membership::MembershipAction;
 use crate::membership::MembershipInput;
+use crate::membership::byte_budget::Purpose;
 use crate::membership::local_health::LocalHealth;
 use crate::membership::outbox::Outbox;
-use crate::membership::outbox::Spending;
 use crate::membership::own_state::OwnState;
 use crate::membership::peer_table::PeerTable;
 use crate::membership::prober::Prober;
@@ -27,6 +28,8 @@
 
 /// a gap between two inputs after which this instance takes itself for paused.
 const PAUSE_MS: u64 = 400;
+/// how long answers wait after a pause.
+const BACKLOG_MS: u64 = 50;
 /// how long an instance that was paused for long gathers what is believed of it before it refutes.
 const LEARN_MS: u64 = 200;
 /// members that are asked to probe a target that did not answer.
@@ -46,10 +49,28 @@
 #[derive(Debug)]
 pub(super) enum CatchUp {
     NotStarted,
-    Reading { after: String, retry_ms: u64 },
+    Reading { after: String, retry_ms: u64, unanswered: u32 },
     Done,
 }
 
+/// answers that wait until the datagrams of a pause have been read.
+#[derive(Debug)]
+pub(super) struct Backlog {
+    pub until_ms: u64,
+    pub answers: BTreeMap<SocketAddr, Answer>,
+}
+
+/// what is known of a probe when it is answered.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub sequence: u64,
+    pub wants_record: bool,
+    /// whether the prober does not know this instance yet.
+    pub is_newcomer: bool,
+    /// what the prober does not know of itself.
+    pub correction: Option<MemberRecord>,
+}
+
 /// the membership of one instance.
 #[derive(Debug)]
 pub struct Membership {
@@ -72,6 +93,8 @@
     pub(super) next_forget_ms: u64,
     /// until when failed probes say nothing about their targets.
     pub(super) doubt_until_ms: u64,
+    /// answers put off after a pause, the latest for each asker, and until when.
+    pub(super) backlog: Option<Backlog>,
     pub(super) departure_repeats_ms: Vec<u64>,
     pub(super) view_changed: bool,
     pub(super) versions_changed: bool,
@@ -100,6 +123,7 @@
             next_sync_ms: 0,
             next_forget_ms: 0,
             doubt_until_ms: 0,
+            backlog: None,
             departure_repeats_ms: Vec::new(),
             view_changed: true,
             versions_changed: false,
@@ -123,7 +147,7 @@
     }
 
     fn advance(&mut self, now_ms: u64) {
-        self.outbox.budget.refill(now_ms);
+        self.outbox.budget.advance(now_ms);
         let last_ms = self.last_input_ms.replace(now_ms).unwrap_or(now_ms);
         let gap_ms = now_ms.saturating_sub(last_ms);
         if gap_ms > PAUSE_MS {
@@ -133,6 +157,8 @@
 
     /// after a pause, what this instance missed says nothing about the others.
     fn on_pause(&mut self, now_ms: u64, gap_ms: u64) {
+        // The socket's buffer may be full of old questions: answering all would take the bytes of a second.
+        self.backlog = Some(Backlog { until_ms: now_ms + BACKLOG_MS, answers: BTreeMap::new() });
         self.prober.forget();
         self.health.forget_outcomes();
         self.health.doubt();
@@ -183,6 +209,7 @@
         if self.own.has_left() || self.own.is_superseded() {
             return;
         }
+        self.answer_backlog(now_ms);
         let accusation = self.own.end_learning(now_ms);
         self.answer_accusation(accusation);
         if self.own.end_hold(now_ms) {
@@ -212,12 +239,12 @@
         name: &str,
         body: DatagramBody,
         records: &[MemberRecord],
-        spending: Spending,
+        purpose: Purpose,
     ) -> bool {
         let Some(peer) = self.peers.get(name) else {
             return false;
         };
-        self.outbox.send(&self.own, &self.peers, peer.member.mesh, body, records, spending)
+        self.outbox.send(&self.own, &self.peers, peer.member.mesh, body, records, purpose)
     }
 
     /// some running members at random.
--- a/src/membership/news_queue.rs
+++ b/src/membership/news_queue.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 
+/// how often a record is passed on beyond the logarithm of the members.
+const EXTRA_SENDS: u32 = 2;
 /// waiting records beyond which new members are left to the comparison of views.
 const MAX_JOINS: usize = 16;
 
@@ -58,7 +60,7 @@
             return;
         };
         item.sent_count += 1;
-        let limit = usize::BITS - member_count.leading_zeros();
+        let limit = usize::BITS - member_count.leading_zeros() + EXTRA_SENDS;
         if item.sent_count >= limit && !item.urgent {
             self.items.remove(name);
         }
--- a/src/membership/outbox.rs
+++ b/src/membership/outbox.rs
@@ -3,6 +3,7 @@
 use crate::membership::MAX_DATAGRAM_BYTES;
 use crate::membership::MembershipAction;
 use crate::membership::byte_budget::ByteBudget;
+use crate::membership::byte_budget::Purpose;
 use crate::membership::counted_bytes;
 use crate::membership::news_queue::NewsQueue;
 use crate::membership::own_state::OwnState;
@@ -15,14 +16,8 @@
 /// room for the head of the list of records.
 const LIST_HEAD_BYTES: usize = 12;
 
-/// what may be spent on a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Spending {
-    /// only what the byte rate allows now.
-    Saved,
-    /// also a bounded credit: answers keep others from a false suspicion.
-    Credit,
-}
+/// share of what may be sent that the news of one datagram takes.
+const NEWS_DIVISOR: usize = 4;
 
 /// datagrams that wait to be handed out, and the byte rate that they keep.
 #[derive(Debug)]
@@ -61,7 +56,7 @@
         to: SocketAddr,
         body: DatagramBody,
         first: &[MemberRecord],
-        spending: Spending,
+        purpose: Purpose,
     ) -> bool {
         let mut datagram = Datagram {
             cluster: self.cluster.clone(),
@@ -71,10 +66,7 @@
             records: Vec::new(),
         };
         let empty_bytes = counted_bytes(&datagram) + LIST_HEAD_BYTES;
-        let allowed_bytes = match spending {
-            Spending::Saved => self.budget.available_bytes(),
-            Spending::Credit => self.budget.answer_bytes(),
-        };
+        let allowed_bytes = self.budget.available_bytes(purpose);
         if empty_bytes > allowed_bytes {
             return false;
         }
@@ -88,9 +80,14 @@
             used_bytes += size_bytes;
             datagram.records.push(record.clone());
         }
-        // News never goes out on credit: it would leave none for answers.
-        let news_bytes = self.budget.available_bytes().min(MAX_DATAGRAM_BYTES);
-        self.add_news(own, peers, &mut datagram.records, used_bytes, news_bytes);
+        let is_empty_news = matches!(datagram.body, DatagramBody::News(_)) && datagram.records.is_empty();
+        if is_empty_news {
+            return false;
+        }
+        // News leaves most of what is left to the probes and answers after it.
+        let news_bytes = self.budget.available_bytes(Purpose::Common) / NEWS_DIVISOR;
+        let most_bytes = (used_bytes + news_bytes).min(MAX_DATAGRAM_BYTES);
+        self.add_news(own, peers, &mut datagram.records, used_bytes, most_bytes);
         self.budget.spend(counted_bytes(&datagram));
         self.actions.push(MembershipAction::Send { to, datagram: Box::new(datagram) });
         true
--- a/src/membership/prober.rs
+++ b/src/membership/prober.rs
@@ -69,6 +69,14 @@
         self.pending.remove(&sequence)
     }
 
+    /// takes the probes to a member other than the one with this sequence.
+    pub fn take_all_to(&mut self, name: &str, except: u64) -> Vec<PendingProbe> {
+        let is_other = |sequence: &u64, probe: &mut PendingProbe| {
+            *sequence != except && probe.target.as_deref() == Some(name)
+        };
+        self.pending.extract_if(.., is_other).map(|(_, probe)| probe).collect()
+    }
+
     /// takes the relay that an answer belongs to.
     pub fn relay_answered(&mut self, sequence: u64) -> Option<Relay> {
         self.relays.remove(&sequence)
--- a/src/membership/suspicions.rs
+++ b/src/membership/suspicions.rs
@@ -9,6 +9,8 @@
     pub extended: bool,
     /// when this instance probes the member again; only the one that raised the suspicion does.
     pub reprobe_ms: Option<u64>,
+    /// whether this instance has asked the member itself.
+    pub asked: bool,
 }
 
 /// suspected members by name.
@@ -47,6 +49,19 @@
         true
     }
 
+    /// gives a member that this instance has not asked itself a last while; tells whether that was done.
+    pub fn ask(&mut self, name: &str, extra_ms: u64) -> bool {
+        let Some(suspicion) = self.by_name.get_mut(name) else {
+            return false;
+        };
+        if suspicion.asked {
+            return false;
+        }
+        suspicion.asked = true;
+        suspicion.deadline_ms += extra_ms;
+        true
+    }
+
     /// puts the end of all suspicions off.
     pub fn extend_all(&mut self, extra_ms: u64) {
         for suspicion in self.by_name.values_mut() {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1101,7 +1101,7 @@
     #[serde(default = "defaults::default_u64::<u64, 4096>")]
     pub max_bytes_per_second: u64,
     ///time between two probes
-    #[serde(default = "defaults::default_u64::<u64, 200>")]
+    #[serde(default = "defaults::default_u64::<u64, 400>")]
     pub probe_ms: u64,
     ///how long a direct probe waits for its answer
     #[serde(default = "defaults::default_u64::<u64, 150>")]
@@ -1114,7 +1114,7 @@
     fn default() -> Self {
         Self {
             max_bytes_per_second: defaults::default_u64::<u64, 4096>(),
-            probe_ms: defaults::default_u64::<u64, 200>(),
+            probe_ms: defaults::default_u64::<u64, 400>(),
             probe_timeout_ms: defaults::default_u64::<u64, 150>(),
             suspicion_ms: defaults::default_u64::<u64, 1000>(),
         }
--- a/tests/membership_scenarios.rs
+++ b/tests/membership_scenarios.rs
@@ -1,7 +1,7 @@
 //! scripted failures of instances and links, in virtual time.
 //!
 //! Commands: `start`, `crash`, `restart`, `freeze`, `cut`, `heal`, `loss`, `leave`, `left`, `release`, `run`,
-//! `until` (converged, or what the observers see of a subject), `views` and `deaths`.
+//! `until` (converged, or what the observers see of a subject), `views`, `deaths` and `forget-deaths`.
 
 #![allow(clippy::unwrap_used, reason = "a test fails where it unwraps")]
 
@@ -90,6 +90,7 @@
             let version = number(case, "version");
             on.iter().for_each(|index| network.input(*index, MembershipInput::ReleaseInForce(version)));
         }
+        "forget-deaths" => network.deaths.clear(),
         "run" => network.run(number(case, "for_ms")),
         "until" => return until(network, case),
         "views" => return views(network, number(case, "of") as usize),
