--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -13,6 +13,29 @@
     ///version that the note makes
     pub version: u64,
 }
+///a typed refusal of the administration API (RFC 9457)
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AdminProblem {
+    ///stable code
+    pub code: ::std::string::String,
+    ///a sentence for people
+    pub detail: ::std::string::String,
+    ///faults with their places
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub findings: ::std::vec::Vec<FindingRow>,
+    pub ran: Ran,
+    ///when to come back
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_after_ms: ::std::option::Option<u64>,
+}
+///this journal holds a slot from here on; what stands before of the slot in this journal does not count
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AdoptedRecord {
+    ///epoch of the slot's object
+    pub epoch: u64,
+    ///slot
+    pub slot: u32,
+}
 ///an agent program that a workspace runs
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct AgentProgramEntry {
@@ -165,6 +188,65 @@
     ///number of the request
     pub id: u64,
 }
+///what happens to an entry
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ChangeKind {
+    #[serde(rename = "added")]
+    Added,
+    #[serde(rename = "changed")]
+    Changed,
+    #[serde(rename = "withdrawn")]
+    Withdrawn,
+}
+impl ::std::fmt::Display for ChangeKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Added => f.write_str("added"),
+            Self::Changed => f.write_str("changed"),
+            Self::Withdrawn => f.write_str("withdrawn"),
+        }
+    }
+}
+impl ::std::str::FromStr for ChangeKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "added" => Ok(Self::Added),
+            "changed" => Ok(Self::Changed),
+            "withdrawn" => Ok(Self::Withdrawn),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ChangeKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ChangeKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///tokens were spent without an answer
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ChargedRecord {
@@ -348,6 +430,12 @@
         }
     }
 }
+///tells an instance to leave
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DrainBody {
+    ///name of the instance
+    pub instance: ::std::string::String,
+}
 ///ends a program
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EndBody {
@@ -390,6 +478,14 @@
         Self::Seal(value)
     }
 }
+///what a note does to one entry
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EntryChange {
+    pub change: ChangeKind,
+    pub entry: EntryName,
+    ///fields that differ, by name
+    pub fields: ::std::vec::Vec<FieldChange>,
+}
 ///kind of an entry
 #[derive(
     ::serde::Deserialize,
@@ -463,6 +559,27 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub workspace: ::std::option::Option<::std::string::String>,
 }
+///one field that differs; a missing value is null
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct FieldChange {
+    ///value after
+    pub after: ::serde_json::Value,
+    ///value before
+    pub before: ::serde_json::Value,
+    ///name
+    pub field: ::std::string::String,
+}
+///one fault of some input
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct FindingRow {
+    ///what is wrong
+    pub detail: ::std::string::String,
+    ///line in the file, from 1
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub line: ::std::option::Option<u64>,
+    ///JSON pointer of the faulty value
+    pub place: ::std::string::String,
+}
 ///`FlamingostandWireAndSettingsTypes`
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -560,6 +677,14 @@
     ///last committed turn
     pub turn: u32,
 }
+///part of the calls of a snapshot
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ImagedCallsRecord {
+    ///calls
+    pub calls: ::std::vec::Vec<CallImage>,
+    ///program
+    pub program: ::std::string::String,
+}
 ///part of the messages of a snapshot
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ImagedMessagesRecord {
@@ -575,6 +700,9 @@
 pub struct ImagedRecord {
     ///reserved
     pub allowance_tokens: u64,
+    ///calls that follow in parts
+    #[serde(default)]
+    pub call_count: u32,
     ///calls
     pub calls: ::std::vec::Vec<CallImage>,
     ///sub-agents
@@ -598,6 +726,18 @@
     ///last turn
     pub turn: u32,
 }
+///one instance as the administration API shows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceRow {
+    pub health: MemberHealth,
+    ///name
+    pub name: ::std::string::String,
+    ///its own report; none when it does not answer
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub status: ::std::option::Option<InstanceStatus>,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
 ///who and where this instance is
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct InstanceSettings {
@@ -630,6 +770,14 @@
     ///availability zone
     pub zone: ::std::string::String,
 }
+///configuration in force on one instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct InstanceVersion {
+    ///name
+    pub name: ::std::string::String,
+    ///version
+    pub version: u64,
+}
 ///a call is about to run
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct IntendedRecord {
@@ -798,6 +946,9 @@
 ///where state of a slot comes from
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JournalSource {
+    ///epoch at which the owner of the journal took the slot; only what follows its adoption at this epoch counts
+    #[serde(default)]
+    pub epoch: u64,
     ///journal
     pub incarnation: ::std::string::String,
     ///last entry that counts; all without it
@@ -1311,6 +1462,9 @@
     pub agent_program: ::std::string::String,
     ///reserved for the first turn
     pub allowance_tokens: u64,
+    ///budget that the caller asked for; a repeat must ask for the same
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub asked_budget_tokens: ::std::option::Option<u64>,
     ///budget
     pub budget_tokens: u64,
     ///deadline
@@ -1319,6 +1473,9 @@
     pub max_turns: u32,
     ///model
     pub model: ::std::string::String,
+    ///when it was opened
+    #[serde(default)]
+    pub opened_unix_ms: u64,
     ///parent
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub parent: ::std::option::Option<::std::string::String>,
@@ -1493,6 +1650,12 @@
     ///whether an operator lifted it
     pub lifted: bool,
 }
+///lets a content run again
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PoisonLiftBody {
+    ///digest of the content
+    pub digest: ::std::string::String,
+}
 ///asks for a sign of life
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Probe {
@@ -1703,6 +1866,10 @@
     Imaged(ImagedRecord),
     #[serde(rename = "imaged_messages")]
     ImagedMessages(ImagedMessagesRecord),
+    #[serde(rename = "adopted")]
+    Adopted(AdoptedRecord),
+    #[serde(rename = "imaged_calls")]
+    ImagedCalls(ImagedCallsRecord),
 }
 impl ::std::convert::From<OpenedRecord> for Record {
     fn from(value: OpenedRecord) -> Self {
@@ -1754,6 +1921,43 @@
         Self::ImagedMessages(value)
     }
 }
+impl ::std::convert::From<AdoptedRecord> for Record {
+    fn from(value: AdoptedRecord) -> Self {
+        Self::Adopted(value)
+    }
+}
+impl ::std::convert::From<ImagedCallsRecord> for Record {
+    fn from(value: ImagedCallsRecord) -> Self {
+        Self::ImagedCalls(value)
+    }
+}
+///a note is in force from a version on
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseAccepted {
+    ///whether the note was accepted before
+    pub repeated: bool,
+    ///version
+    pub version: u64,
+}
+///findings of a note
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseCheck {
+    ///whether releases accepted since the note was written are among the reasons
+    #[serde(default)]
+    pub conflict: bool,
+    ///faults with their places; none when the note can be accepted
+    pub findings: ::std::vec::Vec<FindingRow>,
+    ///version that the note was checked against
+    pub version: u64,
+}
+///what a note would change
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseDiff {
+    ///entries in the order of the note
+    pub changes: ::std::vec::Vec<EntryChange>,
+    ///version that the note was compared with
+    pub version: u64,
+}
 ///one thing that a release note adds or changes
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ReleaseEntry {
@@ -1786,6 +1990,14 @@
         Self::Service(value)
     }
 }
+///recognises a repeated note
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseMark {
+    ///digest of the note
+    pub mark: ::std::string::String,
+    ///version that the note made
+    pub version: u64,
+}
 ///what an operator adds, changes and withdraws
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleaseNote {
@@ -1811,16 +2023,36 @@
     pub after_version: u64,
     ///number of the question
     pub id: u64,
+    ///part that is wanted
+    #[serde(default)]
+    pub part: u32,
+    ///snapshot whose next part is wanted, 0 without one
+    #[serde(default)]
+    pub snapshot_version: u64,
 }
 ///releases in order
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReleasePush {
+    ///whether the sender has no configuration in force yet
+    #[serde(default)]
+    pub fresh: bool,
     ///number of the question, 0 without one
     pub id: u64,
     ///newest version that the sender knows
     pub latest_version: u64,
     ///releases
     pub releases: ::std::vec::Vec<AcceptedRelease>,
+    ///a part of a snapshot, for a peer that is too far behind
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub snapshot: ::std::vec::Vec<SnapshotPart>,
+}
+///where the newest release is in force
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReleaseStatus {
+    ///live instances
+    pub instances: ::std::vec::Vec<InstanceVersion>,
+    ///newest version
+    pub version: u64,
 }
 ///what a dispatcher knows of its replica
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1835,9 +2067,38 @@
     pub replica: ::std::string::String,
     ///requests inside
     pub running: u32,
+    ///measured time between tokens
+    #[serde(default)]
+    pub token_gap_ms: u64,
+    ///measured speed of reading uncached prompt tokens, zero when unknown
+    #[serde(default)]
+    pub uncached_per_second: u64,
+    ///expected wait of a turn that joins the queue now
+    #[serde(default)]
+    pub wait_ms: u64,
     ///limit in force
     pub window: u32,
 }
+///one replica of a model as the administration API shows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReplicaRow {
+    ///HTTP address
+    pub address: ::std::string::String,
+    ///instance that holds its queue
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub dispatcher: ::std::option::Option<::std::string::String>,
+    ///whether it takes no new work
+    pub leaving: bool,
+    ///what its dispatcher last reported
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub load: ::std::option::Option<ReplicaLoad>,
+    ///model that it serves
+    pub model: ::std::string::String,
+    ///name from the platform's list
+    pub name: ::std::string::String,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
 ///tokens are reserved for a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReservedRecord {
@@ -1995,9 +2256,54 @@
     ///incarnation of the owner
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub owner: ::std::option::Option<::std::string::String>,
+    ///name of the owning instance; a newer incarnation of the same name proves the owner gone
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub owner_name: ::std::option::Option<::std::string::String>,
     ///journals that the owner has not yet copied into its own, oldest first
     pub sources: ::std::vec::Vec<JournalSource>,
 }
+///one entry of a configuration, or what is left of a withdrawn one
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SnapshotEntry {
+    ///release that added it
+    pub created_version: u64,
+    ///the entry; none after a withdrawal
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub entry: ::std::option::Option<ReleaseEntry>,
+    pub name: EntryName,
+    ///who touched it last
+    pub operator: ::std::string::String,
+    ///when it was touched last
+    pub unix_ms: u64,
+    ///release that touched it last
+    pub version: u64,
+}
+///makes a snapshot valid; written after its parts
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SnapshotManifest {
+    ///digest of all parts in order
+    pub digest: ::std::string::String,
+    ///parts of the snapshot
+    pub part_count: u32,
+    ///version of the configuration
+    pub version: u64,
+}
+///part of a whole configuration with its history
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SnapshotPart {
+    ///entries in order
+    pub entries: ::std::vec::Vec<SnapshotEntry>,
+    ///notes written against an older version cannot be checked
+    pub floor_version: u64,
+    ///notes accepted lately
+    pub marks: ::std::vec::Vec<ReleaseMark>,
+    ///number of this part, from 0
+    pub part: u32,
+    ///parts of the snapshot
+    pub part_count: u32,
+    ///version of the configuration
+    pub version: u64,
+}
 ///journal and ownership
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StateSettings {
@@ -2022,9 +2328,15 @@
     ///largest journal entry; the platform holds values up to a megabyte
     #[serde(default = "defaults::default_u64::<u64, 786432>")]
     pub max_entry_bytes: u64,
+    ///time between two searches for journals that nobody needs
+    #[serde(default = "defaults::default_u64::<u64, 60000>")]
+    pub sweep_ms: u64,
     ///how long an owner stays dead before a takeover is tried
     #[serde(default = "defaults::default_u64::<u64, 300>")]
     pub takeover_delay_ms: u64,
+    ///writes a second that the journals of all instances together may make, half of them deletions
+    #[serde(default = "defaults::default_u64::<u64, 300>")]
+    pub writes_per_second: u64,
 }
 impl ::std::default::Default for StateSettings {
     fn default() -> Self {
@@ -2036,7 +2348,9 @@
             gather_ms: defaults::default_u64::<u64, 5>(),
             handover_delay_ms: defaults::default_u64::<u64, 1500>(),
             max_entry_bytes: defaults::default_u64::<u64, 786432>(),
+            sweep_ms: defaults::default_u64::<u64, 60000>(),
             takeover_delay_ms: defaults::default_u64::<u64, 300>(),
+            writes_per_second: defaults::default_u64::<u64, 300>(),
         }
     }
 }
@@ -2276,51 +2590,53 @@
     }
     pub(super) fn settings_dispatch() -> super::DispatchSettings {
         super::DispatchSettings {
-            first_token_target_ms: Default::default(),
-            initial_window: Default::default(),
-            load_poll_ms: Default::default(),
-            max_queue_ms: Default::default(),
-            max_window: Default::default(),
-            retry_share_percent: Default::default(),
-            token_gap_target_ms: Default::default(),
+            first_token_target_ms: 1400_u64,
+            initial_window: 16_u32,
+            load_poll_ms: 500_u64,
+            max_queue_ms: 30000_u64,
+            max_window: 256_u32,
+            retry_share_percent: 10_u32,
+            token_gap_target_ms: 70_u64,
         }
     }
     pub(super) fn settings_limits() -> super::LimitSettings {
         super::LimitSettings {
-            body_timeout_ms: Default::default(),
-            drain_timeout_ms: Default::default(),
-            head_timeout_ms: Default::default(),
-            max_body_bytes: Default::default(),
-            max_connections: Default::default(),
-            max_messages: Default::default(),
-            max_turn_bytes: Default::default(),
-            request_timeout_ms: Default::default(),
+            body_timeout_ms: 10000_u64,
+            drain_timeout_ms: 600000_u64,
+            head_timeout_ms: 30000_u64,
+            max_body_bytes: 6291456_u64,
+            max_connections: 4096_u32,
+            max_messages: 4096_u32,
+            max_turn_bytes: 524288_u64,
+            request_timeout_ms: 60000_u64,
         }
     }
     pub(super) fn settings_log() -> super::LogSettings {
         super::LogSettings {
-            format: Default::default(),
-            level: Default::default(),
+            format: super::LogFormat::Terminal,
+            level: super::LogLevel::Info,
         }
     }
     pub(super) fn settings_membership() -> super::MembershipSettings {
         super::MembershipSettings {
-            max_bytes_per_second: Default::default(),
-            probe_ms: Default::default(),
-            probe_timeout_ms: Default::default(),
-            suspicion_ms: Default::default(),
+            max_bytes_per_second: 4096_u64,
+            probe_ms: 200_u64,
+            probe_timeout_ms: 150_u64,
+            suspicion_ms: 1000_u64,
         }
     }
     pub(super) fn settings_state() -> super::StateSettings {
         super::StateSettings {
-            allowance_tokens: Default::default(),
-            compact_bytes: Default::default(),
-            compact_entries: Default::default(),
-            ended_keep_ms: Default::default(),
-            gather_ms: Default::default(),
-            handover_delay_ms: Default::default(),
-            max_entry_bytes: Default::default(),
-            takeover_delay_ms: Default::default(),
+            allowance_tokens: 4096_u64,
+            compact_bytes: 67108864_u64,
+            compact_entries: 2000_u32,
+            ended_keep_ms: 600000_u64,
+            gather_ms: 5_u64,
+            handover_delay_ms: 1500_u64,
+            max_entry_bytes: 786432_u64,
+            sweep_ms: 60000_u64,
+            takeover_delay_ms: 300_u64,
+            writes_per_second: 300_u64,
         }
     }
 }
