--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2620,7 +2620,7 @@
     pub(super) fn settings_membership() -> super::MembershipSettings {
         super::MembershipSettings {
             max_bytes_per_second: 4096_u64,
-            probe_ms: 200_u64,
+            probe_ms: 400_u64,
             probe_timeout_ms: 150_u64,
             suspicion_ms: 1000_u64,
         }
