End suspicions that were heard together with their subject

Cause: an instance first heard of as suspect had no timer for it; when the one that raised the suspicion crashed too, the dead instance stayed suspect for ever (found by the random schedules, 475 passed before it). Change: such a record starts a suspicion. Test orphan_suspicion_ends, red before. Ruled out: leaving suspects out of pages, as gossip brings them as well.

--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -182,14 +182,17 @@
             Merged::Joined => {
                 self.view_changed = true;
                 self.suspicions.end(name);
+                if self.is_suspect(name) {
+                    // Whoever raised the suspicion may be gone by the time it ends.
+                    self.start_suspicion(now_ms, name, false);
+                }
                 if gossips {
                     self.outbox.news.push_join(name);
                 }
             }
             Merged::Changed => {
                 self.view_changed = true;
-                let health = self.peers.get(name).map(|peer| peer.member.health);
-                if health != Some(MemberHealth::Suspect) {
+                if !self.is_suspect(name) {
                     self.suspicions.end(name);
                 }
                 if gossips {
@@ -199,6 +202,10 @@
         }
     }
 
+    fn is_suspect(&self, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.member.health == MemberHealth::Suspect)
+    }
+
     pub(super) fn answer_accusation(&mut self, accusation: Accusation) {
         match accusation {
             Accusation::None => {}
--- a/tests/membership_failures.rs
+++ b/tests/membership_failures.rs
@@ -75,3 +75,17 @@
     network.run(60_000);
     assert_eq!(network.deaths, []);
 }
+
+/// the suspicion of an instance that nobody but the suspecting one knew outlives that one.
+#[test]
+fn orphan_suspicion_ends() {
+    let mut network = Network::start(7, 2172944540102766815);
+    network.run(50);
+    network.crash(4);
+    network.crash(1);
+    network.add(2);
+    network.list(2, 0..7);
+    network.run(2_015);
+    network.crash(5);
+    assert!(network.run_until(60_000, Network::converged).is_some());
+}
