Keep some replicas quiet for workspaces that are not heavy

A small customer's turn shares its batch with a large neighbour's: the queue is fair, the step of the engine is not. A router now knows which workspaces use much more than an equal share and keeps the rest's share of each pool for the rest, in an order by hash, so routers agree without talking. A heavy workspace pays 5 s for starting a program there; under real overload it still does.

Ties between replicas are broken at random, before all routers chose the first by name; own choices that no report ever covered are forgotten.

--- a/src/dispatch/load_belief.rs
+++ b/src/dispatch/load_belief.rs
@@ -75,7 +75,8 @@
         let gap_ms =
             if self.report.token_gap_ms > 0 { self.report.token_gap_ms as f64 } else { ASSUMED_GAP_MS };
         let turn_ms = gap_ms * EXPECTED_TOKENS;
-        let read_ms = (uncached_tokens + self.recent_tokens) as f64 * per_token_ms;
+        let recent_tokens = if self.has_recent(now_ms) { self.recent_tokens } else { 0 };
+        let read_ms = (uncached_tokens + recent_tokens) as f64 * per_token_ms;
         if !self.is_current(now_ms) {
             return read_ms + turn_ms + turn_ms * SILENT_LOAD;
         }
@@ -98,6 +99,13 @@
         excess * turn_ms / window + crowding_ms
     }
 
+    /// tells whether the own choices that no report includes are young enough to count.
+    fn has_recent(&self, now_ms: u64) -> bool {
+        self.recent
+            .back()
+            .is_some_and(|(chosen_ms, _)| now_ms.saturating_sub(*chosen_ms) <= MAX_REPORT_AGE_MS)
+    }
+
     fn is_current(&self, now_ms: u64) -> bool {
         self.reported_ms.is_some_and(|reported_ms| now_ms.saturating_sub(reported_ms) <= MAX_REPORT_AGE_MS)
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! instance that serves the replica and holds its queue. Nothing here must last.
 
 mod cache_index;
+mod demand;
 mod dispatcher;
 mod dispatcher_io;
 mod fair_queue;
@@ -23,6 +24,7 @@
 pub use cache_index::CacheIndex;
 pub use cache_index::Holder;
 pub use cache_index::MAX_BELIEF_MS;
+pub use demand::Demand;
 pub use dispatcher::Dispatcher;
 pub use dispatcher_io::DispatchAction;
 pub use dispatcher_io::DispatchInput;
--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -18,10 +18,17 @@
 }
 
 impl Pool {
-    /// adds a few replicas to look at: all of a small pool, else random draws.
+    /// adds a few replicas to look at: all of a small pool from a random one on, else random draws.
+    ///
+    /// The first of equals is chosen, so a fixed order would send all routers to the same one.
     pub fn draw(&self, random: &mut SplitMix, candidates: &mut Vec<ReplicaKey>) {
+        if self.all.is_empty() {
+            return;
+        }
         if self.all.len() <= WHOLE_POOL {
-            candidates.extend_from_slice(&self.all);
+            let first = random.below(self.all.len());
+            candidates.extend_from_slice(&self.all[first..]);
+            candidates.extend_from_slice(&self.all[..first]);
             return;
         }
         for members in [&self.near, &self.all] {
--- a/src/dispatch/replica_state.rs
+++ b/src/dispatch/replica_state.rs
@@ -27,6 +27,8 @@
     pub load: LoadBelief,
     /// whether it fails or lags behind the others.
     pub health: ReplicaHealth,
+    /// place in the order in which its pool keeps replicas quiet.
+    pub quiet_rank: usize,
     /// prompt tokens of this router's live programs that ran there last.
     pub resident_tokens: u64,
     /// when events of its cache were last lost.
@@ -42,6 +44,7 @@
             load: LoadBelief::new(&replica.name),
             replica,
             health: ReplicaHealth::new(),
+            quiet_rank: usize::MAX,
             resident_tokens: 0,
             gap_at_ms: None,
             warm_from_ms: cold_since_ms,
--- a/src/dispatch/router.rs
+++ b/src/dispatch/router.rs
@@ -7,6 +7,8 @@
 use crate::dispatch::Boundary;
 use crate::dispatch::CacheIndex;
 use crate::dispatch::Choice;
+use crate::dispatch::Demand;
+use crate::dispatch::GENERATED_TOKEN_COST;
 use crate::dispatch::Pool;
 use crate::dispatch::PrefixChain;
 use crate::dispatch::Replica;
@@ -37,6 +39,9 @@
 /// price of adding to the live prefixes of a replica, whose memory is limited.
 const RESIDENT_MS_PER_TOKEN: f64 = 0.03;
 
+/// price for a heavy workspace of starting a program on a replica that is kept quiet.
+const QUIET_MS: f64 = 5_000.0;
+
 /// cost of crossing to another zone and back.
 const FAR_ZONE_MS: f64 = 3.0;
 
@@ -55,6 +60,7 @@
     chain: PrefixChain,
     seen_ms: u64,
     counted: bool,
+    workspace: String,
     home: Option<Home>,
 }
 
@@ -82,6 +88,7 @@
     names: BTreeMap<String, ReplicaKey>,
     pools: HashMap<String, Pool>,
     cache: CacheIndex,
+    demand: Demand,
     programs: HashMap<String, ProgramState>,
     choices: u64,
     next_sweep_ms: u64,
@@ -97,6 +104,7 @@
             names: BTreeMap::new(),
             pools: HashMap::new(),
             cache: CacheIndex::default(),
+            demand: Demand::default(),
             programs: HashMap::new(),
             choices: 0,
             next_sweep_ms: SWEEP_MS,
@@ -124,7 +132,20 @@
                     state.gap_at_ms = Some(now_ms);
                 }
             }
-            RouterInput::Finished { replica, program, prompt_tokens, cached_tokens, .. } => {
+            RouterInput::Finished {
+                replica,
+                program,
+                prompt_tokens,
+                cached_tokens,
+                completion_tokens,
+                ..
+            } => {
+                let uncached_tokens = prompt_tokens.saturating_sub(cached_tokens);
+                self.count_demand(
+                    now_ms,
+                    &program,
+                    uncached_tokens + completion_tokens * GENERATED_TOKEN_COST,
+                );
                 self.finished(now_ms, &replica, &program, prompt_tokens, cached_tokens);
             }
             RouterInput::Failed { replica, fault } => self.failed(now_ms, &replica, fault),
@@ -143,6 +164,7 @@
         program.seen_ms = now_ms;
         if !program.counted {
             program.counted = true;
+            program.workspace.clone_from(&job.workspace);
             for boundary in program.chain.boundaries() {
                 self.cache.count_program(boundary.digest);
             }
@@ -276,10 +298,25 @@
         let move_ms = unknown_tokens as f64 * MOVE_MS_PER_TOKEN;
         let resident_ms = state.resident_tokens as f64 * RESIDENT_MS_PER_TOKEN;
         let turn_ms = state.load.expected_ms(now_ms, unknown_tokens);
-        let expected_ms = turn_ms + zone_ms + move_ms + resident_ms;
+        let keeps_out = cached_tokens <= shared_tokens && self.is_kept_from(state, &job.workspace);
+        let quiet_ms = if keeps_out { QUIET_MS } else { 0.0 };
+        let expected_ms = turn_ms + zone_ms + move_ms + resident_ms + quiet_ms;
         Candidate { key, cached_tokens, expected_ms }
     }
 
+    /// tells whether a replica is kept quiet for others than this workspace.
+    fn is_kept_from(&self, state: &ReplicaState, workspace: &str) -> bool {
+        let Some(pool) = self.pools.get(&state.replica.model) else { return false };
+        let quiet_count = pool.all.len() as f64 * self.demand.quiet_share();
+        (state.quiet_rank as f64) < quiet_count && self.demand.is_heavy(workspace)
+    }
+
+    fn count_demand(&mut self, now_ms: u64, program: &str, cost_tokens: u64) {
+        if let Some(program) = self.programs.get(program) {
+            self.demand.record(now_ms, &program.workspace, cost_tokens);
+        }
+    }
+
     fn note_choice(&mut self, now_ms: u64, job: &TurnJob, candidate: Candidate) {
         let state = &mut self.replicas[candidate.key];
         state.health.chosen(now_ms);
@@ -320,6 +357,19 @@
                 pool.near.push(*key);
             }
         }
+        self.rank_quiet();
+    }
+
+    /// orders each pool by a hash of the names, so that all routers keep the same replicas quiet.
+    fn rank_quiet(&mut self) {
+        for pool in self.pools.values() {
+            let hash = |key: &ReplicaKey| xxh3_64_with_seed(self.replicas[*key].replica.name.as_bytes(), 0);
+            let mut order: Vec<(u64, ReplicaKey)> = pool.all.iter().map(|key| (hash(key), *key)).collect();
+            order.sort_unstable();
+            for (rank, (_, key)) in order.into_iter().enumerate() {
+                self.replicas[key].quiet_rank = rank;
+            }
+        }
     }
 
     fn take_loads(&mut self, now_ms: u64, loads: Vec<ReplicaLoad>) {
