--- a/src/dispatch/router.rs
+++ b/src/dispatch/router.rs
@@ -9,8 +9,9 @@
 use crate::dispatch::Choice;
 use crate::dispatch::Demand;
 use crate::dispatch::GENERATED_TOKEN_COST;
+use crate::dispatch::Home;
 use crate::dispatch::Pool;
-use crate::dispatch::PrefixChain;
+use crate::dispatch::ProgramState;
 use crate::dispatch::Replica;
 use crate::dispatch::ReplicaKey;
 use crate::dispatch::ReplicaState;
@@ -54,23 +55,6 @@
 /// time between two searches for such programs.
 const SWEEP_MS: u64 = 60_000;
 
-/// what a router knows of one program.
-#[derive(Debug, Default)]
-struct ProgramState {
-    chain: PrefixChain,
-    seen_ms: u64,
-    counted: bool,
-    workspace: String,
-    home: Option<Home>,
-}
-
-/// where a program ran last.
-#[derive(Clone, Copy, Debug)]
-struct Home {
-    replica: ReplicaKey,
-    tokens: u64,
-}
-
 /// a replica that could run a turn.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
