--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,9 +7,11 @@
 mod connection;
 mod error;
 mod executor;
+mod head_reader;
 mod response;
 mod server;
 mod sse;
+mod token_bucket;
 
 pub use client::Client;
 pub use client::ClientSettings;
@@ -27,3 +29,4 @@
 pub use server::serve;
 pub use sse::SseEvent;
 pub use sse::SseReader;
+pub use token_bucket::TokenBucket;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,17 +3,30 @@
 //! The library holds everything; the programs `flamingostand` and `flamingoctl` are thin.
 //! Decisions are plain state machines; sockets, clocks and random sources stay at the edges.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod ctl;
 pub mod dispatch;
+pub mod entry;
 pub mod finding;
 pub mod ids;
+pub mod instance;
+pub mod journal;
 pub mod member;
 pub mod membership;
+pub mod mesh;
+pub mod operator;
 pub mod owner;
+pub mod ownership;
 pub mod platform;
+pub mod program;
+pub mod quickstart;
 pub mod release;
 pub mod rendezvous;
 pub mod schema;
+pub mod settings;
 pub mod slots;
+pub mod telemetry;
 pub mod timeline;
+pub mod upstream;
