Delay handovers by how long a proposal stands, not by the last change of the view

The view of members is published anew when a member reports another release version, so at some releases a second the view never stayed unchanged for handover_delay_ms and no slot would have moved.

--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -167,7 +167,7 @@
         match input {
             Input::Members(view) => {
                 self.share_writes(&view);
-                self.ownership.members(view);
+                self.ownership.members(now, view);
             }
             Input::Configuration(configuration) => self.programs.configure(now, configuration),
             Input::Request { ticket, request } => self.request(now, ticket, request, out),
@@ -186,7 +186,7 @@
             }
             Input::Leave => {
                 self.leaving_since_ms.get_or_insert(now.ms);
-                self.ownership.leave();
+                self.ownership.leave(now);
             }
         }
     }
--- a/src/ownership/claims.rs
+++ b/src/ownership/claims.rs
@@ -5,6 +5,7 @@
 use crate::ownership::Ownership;
 use crate::ownership::OwnershipStep;
 use crate::ownership::SourceKey;
+use crate::ownership::ownership::Proposal;
 use crate::ownership::slot_row::Phase;
 use crate::ownership::slot_write::SlotWrite;
 use crate::ownership::slot_write::WriteKind;
@@ -16,22 +17,31 @@
 const UNKNOWN_OWNER_DELAYS: u64 = 10;
 
 impl Ownership {
-    /// computes the member that should hold each slot.
-    pub(super) fn propose(&mut self) {
+    /// computes the member that should hold each slot, when other members take work than before.
+    pub(super) fn propose(&mut self, now: Now) {
         let Some(view) = &self.view else { return };
         let me = &self.settings.me;
         let leaving = self.leaving;
         let takes = |member: &&Member| member.takes_work() && !(leaving && member.incarnation == *me);
-        for (index, proposed) in self.proposed.iter_mut().enumerate() {
-            let members = view.members.iter().filter(takes);
+        let taking: Vec<&Member> = view.members.iter().filter(takes).collect();
+        let same = taking.iter().map(|member| &member.incarnation).eq(&self.taking);
+        if same {
+            return;
+        }
+        for (index, proposal) in self.proposals.iter_mut().enumerate() {
+            let members = taking.iter().copied();
             let first = rendezvous::first(&format!("slot/{index:06}"), members, |member| &member.name);
-            *proposed = first.map(|member| member.incarnation.clone());
+            let member = first.map(|member| member.incarnation.clone());
+            if proposal.member != member {
+                *proposal = Proposal { member, since_ms: now.ms };
+            }
         }
+        self.taking = taking.into_iter().map(|member| member.incarnation.clone()).collect();
     }
 
     /// whether this instance should hold a slot.
     pub(super) fn is_proposed_here(&self, slot: SlotId) -> bool {
-        self.proposed[slot.0 as usize].as_ref() == Some(&self.settings.me)
+        self.proposals[slot.0 as usize].member.as_ref() == Some(&self.settings.me)
     }
 
     /// notes since when each owner is believed to be gone.
@@ -90,14 +100,13 @@
     pub(super) fn decide(&mut self, now: Now, steps: &mut Vec<OwnershipStep>) {
         // What was read for a load in the last round has been taken by now.
         self.drop_readers();
-        let changed_ms = self.view.as_ref().map_or(0, |view| view.changed_ms);
-        let settled = now.ms >= changed_ms + self.settings.takeover_delay_ms;
         for index in 0..self.rows.len() {
             let slot = SlotId(index as u32);
             let row = &self.rows[index];
             if row.write.is_some() {
                 continue;
             }
+            let settled = now.ms >= self.proposals[index].since_ms + self.settings.takeover_delay_ms;
             match row.phase {
                 Phase::Idle if self.is_proposed_here(slot) => match row.owner() {
                     None if settled => self.claim(now, slot),
--- a/src/ownership/handover.rs
+++ b/src/ownership/handover.rs
@@ -24,8 +24,8 @@
         if !self.rows[slot.0 as usize].sources().is_empty() || self.next_owner(slot).is_none() {
             return;
         }
-        let changed_ms = self.view.as_ref().map_or(0, |view| view.changed_ms);
-        if !self.leaving && now.ms < changed_ms + self.settings.handover_delay_ms {
+        let since_ms = self.proposals[slot.0 as usize].since_ms;
+        if !self.leaving && now.ms < since_ms + self.settings.handover_delay_ms {
             return;
         }
         let limit = if self.leaving { MAX_LEAVING_HANDOVERS } else { MAX_HANDOVERS };
@@ -88,7 +88,7 @@
 
     /// the member that should hold a slot in place of this instance, if it can be given now.
     fn next_owner(&self, slot: SlotId) -> Option<(Incarnation, String)> {
-        let proposed = self.proposed[slot.0 as usize].as_ref()?;
+        let proposed = self.proposals[slot.0 as usize].member.as_ref()?;
         if *proposed == self.settings.me {
             return None;
         }
--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -32,7 +32,7 @@
     pub slot_count: u32,
     /// how long an owner stays gone before a takeover is tried.
     pub takeover_delay_ms: u64,
-    /// how long the view of members stays unchanged before slots move.
+    /// how long another member stays proposed for a slot before it moves.
     pub handover_delay_ms: u64,
 }
 
@@ -90,12 +90,23 @@
     Elsewhere,
 }
 
+/// the member that should hold a slot.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Proposal {
+    /// the member; none when no member takes work.
+    pub(super) member: Option<Incarnation>,
+    /// since when.
+    pub(super) since_ms: u64,
+}
+
 /// which slots this incarnation holds.
 #[derive(Debug)]
 pub struct Ownership {
     pub(super) settings: OwnershipSettings,
     pub(super) view: Option<Arc<MemberView>>,
-    pub(super) proposed: Vec<Option<Incarnation>>,
+    /// members that take work, as the proposals were made for them.
+    pub(super) taking: Vec<Incarnation>,
+    pub(super) proposals: Vec<Proposal>,
     pub(super) rows: Vec<SlotRow>,
     pub(super) feed: SlotFeed,
     pub(super) readers: BTreeMap<SourceKey, JournalReader>,
@@ -113,7 +124,8 @@
         Self {
             settings,
             view: None,
-            proposed: vec![None; count],
+            taking: Vec::new(),
+            proposals: vec![Proposal::default(); count],
             rows: vec![SlotRow::unknown(); count],
             feed: SlotFeed::default(),
             readers: BTreeMap::new(),
@@ -126,9 +138,9 @@
     }
 
     /// the members changed.
-    pub fn members(&mut self, view: Arc<MemberView>) {
+    pub fn members(&mut self, now: Now, view: Arc<MemberView>) {
         self.view = Some(view);
-        self.propose();
+        self.propose(now);
     }
 
     /// the members as last seen.
@@ -137,9 +149,9 @@
     }
 
     /// this instance is leaving: every slot goes to another member.
-    pub fn leave(&mut self) {
+    pub fn leave(&mut self, now: Now) {
         self.leaving = true;
-        self.propose();
+        self.propose(now);
     }
 
     /// whether no slot is held or on its way.
@@ -149,7 +161,7 @@
 
     /// whether some slot is held that no other member can take.
     pub fn has_successor(&self) -> bool {
-        self.proposed.iter().any(|proposed| proposed.is_some())
+        self.proposals.iter().any(|proposal| proposal.member.is_some())
     }
 
     /// slots whose state is in memory.
