Write nothing for a step without output, as the scenario files have it

owner_scenarios passed only while it rewrote its files: a step without actions gave an empty line where the file has none. The expected outputs are unchanged.

--- a/tests/support/owner_world/script.rs
+++ b/tests/support/owner_world/script.rs
@@ -136,8 +136,11 @@
         }
         // Commits that were gathered go out.
         self.advance(20);
-        let mut text = std::mem::take(&mut self.lines).join("\n");
-        text.push('\n');
+        let mut text = String::new();
+        for line in self.lines.drain(..) {
+            text.push_str(&line);
+            text.push('\n');
+        }
         text
     }
 
