--- a/tests/support/owner_world/script.rs
+++ b/tests/support/owner_world/script.rs
@@ -137,7 +137,7 @@
         // Commits that were gathered go out.
         self.advance(20);
         let mut text = String::new();
-        for line in std::mem::take(&mut self.lines) {
+        for line in self.lines.drain(..) {
             text.push_str(&line);
             text.push('\n');
         }
