Give operators the programs, the poison list, the history and drains; keep the cache of live programs

Found while giving operators a look at any program, which asks the same way. Ruled out: asking with the program's own workspace (the engine does not know it). Change: an empty workspace, which no caller's key opens, may look. Before (the check put out of force): scenario cache_sweep failed, "gave up waiting: the engines hold as many programs" at 0 instead of 1. After: it passes; cache of ended and of unknown programs is released, that of a live one stays.

--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -20,7 +20,7 @@
 }
 
 /// builds the response for the last event of an answer.
-pub(crate) fn event_response(event: &OwnerEvent) -> Response {
+pub fn event_response(event: &OwnerEvent) -> Response {
     match event {
         OwnerEvent::Opened(opened) => json(StatusCode::Ok, opened),
         OwnerEvent::Turned(answer) => json(StatusCode::Ok, answer),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod turn_stream;
 mod where_answer;
 
+pub use answers::event_response;
 pub use answers::problem_response;
 pub use bearer::bearer_key;
 pub use routes::handle;
--- a/src/instance/instance.rs
+++ b/src/instance/instance.rs
@@ -34,6 +34,8 @@
 use crate::instance::mesh_inbox::MeshInbox;
 use crate::instance::owner_driver::DriverEnd;
 use crate::instance::owner_driver::OwnerDriver;
+use crate::instance::queries::OwnerCounts;
+use crate::instance::queries::OwnerQuery;
 use crate::instance::release_driver::ReleaseDriver;
 use crate::instance::sweep::sweep_caches;
 use crate::member::Member;
@@ -93,6 +95,8 @@
         let (dispatch_inbox, dispatch_receiver) = async_channel::unbounded();
         let (membership_inbox, membership_receiver) = async_channel::unbounded();
         let (release_inbox, release_receiver) = async_channel::unbounded();
+        let (owner_queries, owner_questions) = async_channel::unbounded();
+        let (release_queries, release_questions) = async_channel::unbounded();
         let slot_count = settings.slot_count;
         let shared = Arc::new(Shared {
             slot_count,
@@ -121,6 +125,9 @@
             dispatch_inbox,
             membership_inbox,
             release_inbox,
+            owner_queries,
+            release_queries,
+            owner_counts: ArcSwap::from_pointee(OwnerCounts::default()),
             mesh: OnceLock::new(),
             askers: Registry::default(),
             forwards: Registry::default(),
@@ -136,12 +143,17 @@
         let own = own_member(&shared.settings, &incarnation);
         let seed = shared.now().unix_ms;
         let membership = Membership::new(&shared.settings.membership, &shared.settings.cluster, own, seed);
-        let owner = OwnerDriver::new(&shared, incarnation.clone());
+        let owner = OwnerDriver::new(&shared, incarnation.clone(), owner_questions.clone());
         let dispatch = DispatchDriver::new(&shared, dispatch_receiver);
         let members = MembershipDriver::new(&shared, membership, Arc::clone(&socket), membership_receiver);
-        let releases = ReleaseDriver::new(&shared, Releases::new(incarnation.clone()), release_receiver);
+        let releases = ReleaseDriver::new(
+            &shared,
+            Releases::new(incarnation.clone()),
+            release_receiver,
+            release_questions,
+        );
         let tasks = vec![
-            spawner.spawn(run_owner(Arc::clone(&shared), owner, left_sender)),
+            spawner.spawn(run_owner(Arc::clone(&shared), owner, owner_questions, left_sender)),
             spawner.spawn(dispatch.run()),
             spawner.spawn(members.run()),
             spawner.spawn(releases.run()),
@@ -179,13 +191,18 @@
     }
 }
 
-async fn run_owner(shared: Arc<Shared>, first: OwnerDriver, left: async_channel::Sender<()>) {
+async fn run_owner(
+    shared: Arc<Shared>,
+    first: OwnerDriver,
+    queries: Receiver<OwnerQuery>,
+    left: async_channel::Sender<()>,
+) {
     let mut driver = first;
     loop {
         match driver.run().await {
             DriverEnd::Deposed => {
                 let incarnation = Incarnation::start_now();
-                driver = OwnerDriver::new(&shared, incarnation.clone());
+                driver = OwnerDriver::new(&shared, incarnation.clone(), queries.clone());
                 shared.restart_as(&incarnation);
             }
             DriverEnd::Left => {
--- a/src/instance/mesh_inbox.rs
+++ b/src/instance/mesh_inbox.rs
@@ -15,6 +15,8 @@
 use crate::release::ReleaseInput;
 use crate::schema::Forward;
 use crate::schema::MeshMessage;
+use crate::schema::ProgramsPull;
+use crate::schema::ProgramsPush;
 use crate::schema::StatusPush;
 use crate::schema::TimelinePush;
 
@@ -87,6 +89,13 @@
                     let _ = sender.try_send(push.events);
                 }
             }
+            MeshMessage::ProgramsPull(pull) => answer_programs(&shared, from, pull),
+            MeshMessage::ProgramsPush(push) => {
+                if let Some(Question::Programs(sender)) = shared.questions.with(push.id, Question::clone) {
+                    let _ = sender.try_send(push.programs);
+                }
+            }
+            MeshMessage::Drain(_) => shared.begin_leaving(),
             MeshMessage::Poison(held) => shared.tell_owner(Input::Poison(held)),
             MeshMessage::SlotMoved(_) => {}
         }
@@ -114,6 +123,16 @@
     }
 }
 
+fn answer_programs(shared: &Arc<Shared>, from: &PeerIdentity, pull: ProgramsPull) {
+    let task_shared = Arc::clone(shared);
+    let peer = from.clone();
+    shared.spawner.detach(async move {
+        let programs = task_shared.own_programs(pull.workspace, pull.limit as usize).await;
+        let push = ProgramsPush { id: pull.id, programs };
+        let _ = task_shared.mesh().reply(&peer, MeshMessage::ProgramsPush(push));
+    });
+}
+
 /// tells whether something sent to `address` went over the closed connection, or may have.
 fn was_on(closed: &PeerIdentity, address: Option<SocketAddr>, connection: Option<ConnectionId>) -> bool {
     match connection {
--- a/src/instance/owner_driver.rs
+++ b/src/instance/owner_driver.rs
@@ -13,6 +13,8 @@
 use crate::dispatch::RouterInput;
 use crate::ids::Incarnation;
 use crate::instance::Shared;
+use crate::instance::queries::OwnerCounts;
+use crate::instance::queries::OwnerQuery;
 use crate::instance::service_calls::run_look_up;
 use crate::instance::service_calls::run_service_call;
 use crate::instance::shared::Asker;
@@ -44,6 +46,7 @@
     shared: Arc<Shared>,
     owner: Owner,
     inbox: Receiver<Input>,
+    queries: Receiver<OwnerQuery>,
     sender: Sender<Input>,
     /// the route of each job of the owner.
     routes: HashMap<u64, OwnRoute>,
@@ -70,7 +73,7 @@
 }
 
 impl OwnerDriver {
-    pub(crate) fn new(shared: &Arc<Shared>, me: Incarnation) -> Self {
+    pub(crate) fn new(shared: &Arc<Shared>, me: Incarnation, queries: Receiver<OwnerQuery>) -> Self {
         let (sender, inbox) = async_channel::unbounded();
         let settings = OwnerSettings {
             state: shared.settings.state.clone(),
@@ -82,7 +85,7 @@
         let owner = Owner::new(settings, shared.now());
         shared.owner_inbox.store(Arc::new(sender.clone()));
         let shared = Arc::clone(shared);
-        Self { shared, owner, inbox, sender, routes: HashMap::new(), failed: HashMap::new() }
+        Self { shared, owner, inbox, queries, sender, routes: HashMap::new(), failed: HashMap::new() }
     }
 
     /// runs until this incarnation is over.
@@ -90,11 +93,13 @@
         let mut ticked = Instant::now();
         loop {
             let wait = TICK.saturating_sub(ticked.elapsed());
+            self.answer_queries();
             let input = match timeout(wait, self.inbox.recv()).await {
                 Some(Ok(input)) => input,
                 Some(Err(_)) => return DriverEnd::Closed,
                 None => {
                     ticked = Instant::now();
+                    self.publish_counts();
                     Input::Tick
                 }
             };
@@ -104,6 +109,28 @@
         }
     }
 
+    fn answer_queries(&self) {
+        while let Ok(query) = self.queries.try_recv() {
+            match query {
+                OwnerQuery::Programs { workspace, limit, reply } => {
+                    let _ = reply.try_send(self.owner.program_states(workspace.as_deref(), limit));
+                }
+                OwnerQuery::Poison { reply } => {
+                    let _ = reply.try_send(self.owner.poison());
+                }
+            }
+        }
+    }
+
+    fn publish_counts(&self) {
+        let counts = OwnerCounts {
+            programs: self.owner.programs() as u32,
+            journal_entries: self.owner.journal_entries(),
+            platform_calls: self.owner.platform_calls(),
+        };
+        self.shared.owner_counts.store(Arc::new(counts));
+    }
+
     fn step(&mut self, input: Input) -> Option<DriverEnd> {
         self.forget_ended_job(&input);
         let mut end = None;
--- a/src/instance/questions.rs
+++ b/src/instance/questions.rs
@@ -5,11 +5,19 @@
 use flamingo_edge::timeout;
 
 use crate::instance::Shared;
+use crate::instance::queries::OwnerQuery;
+use crate::instance::queries::ReleaseQuery;
 use crate::instance::shared::Question;
+use crate::owner::Input;
 use crate::release::ReleaseAnswer;
 use crate::release::ReleaseInput;
+use crate::schema::AcceptedRelease;
 use crate::schema::InstanceStatus;
 use crate::schema::MeshMessage;
+use crate::schema::PoisonHeld;
+use crate::schema::ProgramState;
+use crate::schema::ProgramsPull;
+use crate::schema::ReleaseCheck;
 use crate::schema::ReleaseNote;
 use crate::schema::StatusPull;
 use crate::schema::TimelineEvent;
@@ -45,6 +53,67 @@
         found
     }
 
+    /// states of the programs that this instance owns.
+    pub(crate) async fn own_programs(&self, workspace: Option<String>, limit: usize) -> Vec<ProgramState> {
+        let (reply, answer) = async_channel::bounded(1);
+        let _ = self.owner_queries.try_send(OwnerQuery::Programs { workspace, limit, reply });
+        timeout(ANSWER_WAIT, answer.recv()).await.and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// states of the programs of all instances that answer, by name.
+    pub async fn all_programs(self: &Arc<Self>, workspace: Option<String>, limit: u32) -> Vec<ProgramState> {
+        let (sender, answers) = async_channel::unbounded();
+        let id = self.questions.insert(Question::Programs(sender));
+        let asked = self.ask_members(&MeshMessage::ProgramsPull(ProgramsPull {
+            id,
+            workspace: workspace.clone(),
+            limit,
+        }));
+        let mut programs = self.own_programs(workspace, limit as usize).await;
+        let collect = async {
+            for _ in 0..asked {
+                let Ok(part) = answers.recv().await else {
+                    return;
+                };
+                programs.extend(part);
+            }
+        };
+        timeout(ANSWER_WAIT, collect).await;
+        self.questions.remove(id);
+        programs.sort_by(|left, right| left.program.cmp(&right.program));
+        programs.truncate(limit as usize);
+        programs
+    }
+
+    /// contents that are held back or were.
+    pub async fn poison(&self) -> Vec<PoisonHeld> {
+        let (reply, answer) = async_channel::bounded(1);
+        let _ = self.owner_queries.try_send(OwnerQuery::Poison { reply });
+        timeout(ANSWER_WAIT, answer.recv()).await.and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// lets a content that was held back run again, here and on the other instances.
+    pub fn lift_poison(&self, mut held: PoisonHeld) {
+        held.lifted = true;
+        held.changed_unix_ms = self.now().unix_ms;
+        self.tell_owner(Input::Poison(held.clone()));
+        self.tell_others(&MeshMessage::Poison(held));
+    }
+
+    /// the latest releases, newest first.
+    pub async fn release_history(&self, limit: usize) -> Vec<Arc<AcceptedRelease>> {
+        let (reply, answer) = async_channel::bounded(1);
+        let _ = self.release_queries.try_send(ReleaseQuery::History { limit, reply });
+        timeout(ANSWER_WAIT, answer.recv()).await.and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// what stands against a note; nothing when the releases do not answer in time.
+    pub(crate) async fn check_note(&self, note: ReleaseNote) -> Option<ReleaseCheck> {
+        let (reply, answer) = async_channel::bounded(1);
+        let _ = self.release_queries.try_send(ReleaseQuery::Check { note: Box::new(note), reply });
+        timeout(ANSWER_WAIT, answer.recv()).await?.ok()
+    }
+
     /// collects the time line of all members, ordered by hybrid time.
     pub async fn whole_timeline(self: &Arc<Self>, mut pull: TimelinePull) -> Vec<TimelineEvent> {
         let mut events = self.timeline.select(&pull);
--- a/src/instance/release_driver.rs
+++ b/src/instance/release_driver.rs
@@ -11,12 +11,14 @@
 use crate::dispatch::WorkspaceShare;
 use crate::ids::Incarnation;
 use crate::instance::Shared;
+use crate::instance::queries::ReleaseQuery;
 use crate::instance::shared::Question;
 use crate::membership::MembershipInput;
 use crate::owner::Input;
 use crate::release::ReleaseAction;
 use crate::release::ReleaseInput;
 use crate::release::Releases;
+use crate::release::check_row;
 use crate::schema::MeshMessage;
 use crate::timeline::What;
 
@@ -28,11 +30,17 @@
     shared: Arc<Shared>,
     releases: Releases,
     inbox: Receiver<ReleaseInput>,
+    queries: Receiver<ReleaseQuery>,
 }
 
 impl ReleaseDriver {
-    pub(crate) fn new(shared: &Arc<Shared>, releases: Releases, inbox: Receiver<ReleaseInput>) -> Self {
-        Self { shared: Arc::clone(shared), releases, inbox }
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        releases: Releases,
+        inbox: Receiver<ReleaseInput>,
+        queries: Receiver<ReleaseQuery>,
+    ) -> Self {
+        Self { shared: Arc::clone(shared), releases, inbox, queries }
     }
 
     /// runs until the inbox closes.
@@ -40,6 +48,7 @@
         let mut ticked = Instant::now();
         loop {
             let wait = TICK.saturating_sub(ticked.elapsed());
+            self.answer_queries();
             let input = match timeout(wait, self.inbox.recv()).await {
                 Some(Ok(input)) => input,
                 Some(Err(_)) => return,
@@ -55,6 +64,19 @@
         }
     }
 
+    fn answer_queries(&self) {
+        while let Ok(query) = self.queries.try_recv() {
+            match query {
+                ReleaseQuery::History { limit, reply } => {
+                    let _ = reply.try_send(self.releases.history(limit));
+                }
+                ReleaseQuery::Check { note, reply } => {
+                    let _ = reply.try_send(check_row(&note, self.releases.log()));
+                }
+            }
+        }
+    }
+
     fn perform(&self, action: ReleaseAction) {
         match action {
             ReleaseAction::Platform { call, request } => {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -23,6 +23,9 @@
 use crate::ids::SlotId;
 use crate::instance::Registry;
 use crate::instance::UpstreamView;
+use crate::instance::queries::OwnerCounts;
+use crate::instance::queries::OwnerQuery;
+use crate::instance::queries::ReleaseQuery;
 use crate::member::MemberView;
 use crate::membership::MembershipInput;
 use crate::mesh::ConnectionId;
@@ -36,6 +39,7 @@
 use crate::schema::InstanceStatus;
 use crate::schema::MeshMessage;
 use crate::schema::OwnerEvent;
+use crate::schema::ProgramState;
 use crate::schema::TimelineEvent;
 use crate::settings::Settings;
 use crate::slots::SlotTable;
@@ -111,6 +115,7 @@
     Status(Sender<InstanceStatus>),
     Timeline(Sender<Vec<TimelineEvent>>),
     Release(Sender<ReleaseAnswer>),
+    Programs(Sender<Vec<ProgramState>>),
 }
 
 /// what all tasks of one instance share: snapshots, inboxes and edges.
@@ -155,6 +160,9 @@
     pub(crate) dispatch_inbox: Sender<DispatchInput>,
     pub(crate) membership_inbox: Sender<MembershipInput>,
     pub(crate) release_inbox: Sender<ReleaseInput>,
+    pub(crate) owner_queries: Sender<OwnerQuery>,
+    pub(crate) release_queries: Sender<ReleaseQuery>,
+    pub(crate) owner_counts: ArcSwap<OwnerCounts>,
     pub(crate) mesh: OnceLock<Arc<Mesh>>,
     pub(crate) askers: Registry<AskerKey, Asker>,
     pub(crate) forwards: Registry<ForwardKey, Forwarded>,
@@ -227,16 +235,17 @@
     /// the state of this instance for operators.
     pub fn status(&self) -> InstanceStatus {
         let slots = self.slots.load();
+        let counts = self.owner_counts.load();
         InstanceStatus {
             name: self.settings.instance.name.clone(),
             incarnation: self.view.load().me.as_str().to_owned(),
             zone: self.settings.instance.zone.clone(),
             release_version: self.configuration.load().version,
             slots: slots.rows.iter().filter(|row| row.serving).count() as u32,
-            programs: 0,
+            programs: counts.programs,
             leaving: self.leaving.load(Ordering::Relaxed),
-            journal_entries: 0,
-            platform_calls: 0,
+            journal_entries: counts.journal_entries,
+            platform_calls: counts.platform_calls,
         }
     }
 }
--- a/src/instance/sweep.rs
+++ b/src/instance/sweep.rs
@@ -19,8 +19,8 @@
 /// time between two questions about programs, so that a sweep stays cheap.
 const QUESTION_PAUSE: Duration = Duration::from_millis(5);
 
-/// workspace under which an instance looks at a program; no key opens it.
-pub(crate) const SWEEP_WORKSPACE: &str = "";
+/// stands for the workspace when an instance itself looks at a program; no key opens it.
+pub const NO_WORKSPACE: &str = "";
 
 /// releases cache that replicas of this dispatcher hold for programs that are gone.
 pub(crate) async fn sweep_caches(shared: Arc<Shared>) {
@@ -71,7 +71,7 @@
 
 /// asks the owner; only a clear answer counts, so an unreachable owner keeps its programs' cache.
 async fn is_gone(shared: &Arc<Shared>, program: &str) -> bool {
-    let state = ForwardedState { program: program.to_owned(), workspace: SWEEP_WORKSPACE.to_owned() };
+    let state = ForwardedState { program: program.to_owned(), workspace: NO_WORKSPACE.to_owned() };
     match Ask::new(shared, OwnerRequest::State(state)).last().await {
         OwnerEvent::State(state) => state.phase == ProgramPhase::Ended,
         OwnerEvent::Problem(problem) => problem.code == "unknown_program",
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -21,7 +21,8 @@
         | MeshMessage::StatusPull(_)
         | MeshMessage::StatusPush(_)
         | MeshMessage::Poison(_)
-        | MeshMessage::SlotMoved(_) => Class::Control,
+        | MeshMessage::SlotMoved(_)
+        | MeshMessage::Drain(_) => Class::Control,
         MeshMessage::Forward(_)
         | MeshMessage::ForwardEvent(_)
         | MeshMessage::CancelRequest(_)
@@ -29,7 +30,9 @@
         | MeshMessage::DispatchEvent(_)
         | MeshMessage::CancelJob(_)
         | MeshMessage::TimelinePull(_)
-        | MeshMessage::TimelinePush(_) => Class::Bulk,
+        | MeshMessage::TimelinePush(_)
+        | MeshMessage::ProgramsPull(_)
+        | MeshMessage::ProgramsPush(_) => Class::Bulk,
     }
 }
 
@@ -51,6 +54,9 @@
         MeshMessage::TimelinePush(_) => "timeline_push",
         MeshMessage::Poison(_) => "poison",
         MeshMessage::SlotMoved(_) => "slot_moved",
+        MeshMessage::ProgramsPull(_) => "programs_pull",
+        MeshMessage::ProgramsPush(_) => "programs_push",
+        MeshMessage::Drain(_) => "drain",
     }
 }
 
--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -33,6 +33,7 @@
 use crate::program::Replay;
 use crate::schema::OwnerRequest;
 use crate::schema::PoisonHeld;
+use crate::schema::ProgramState;
 use crate::timeline::What;
 
 /// a commit that takes longer than this means that the platform does not take writes.
@@ -157,6 +158,11 @@
         self.calls.count()
     }
 
+    /// states of the programs held here, by name.
+    pub fn program_states(&self, workspace: Option<&str>, limit: usize) -> Vec<ProgramState> {
+        self.programs.states(workspace, limit)
+    }
+
     /// contents that are held back or were.
     pub fn poison(&self) -> Vec<PoisonHeld> {
         self.programs.poison()
--- a/src/program/programs.rs
+++ b/src/program/programs.rs
@@ -302,6 +302,14 @@
         }
     }
 
+    /// finds a program to look at; instances ask without a workspace, which no caller's key opens.
+    pub(super) fn find_to_look(&self, id: &ProgramId, workspace: &str) -> Result<&Program, Box<Problem>> {
+        match self.program(id) {
+            Some(program) if workspace.is_empty() => Ok(program),
+            _ => self.find(id, workspace),
+        }
+    }
+
     /// bounds in force for the run that `id` belongs to.
     pub(super) fn bounds(&self, id: &ProgramId) -> Option<RunBounds> {
         let root = self.program(&id.root())?;
--- a/src/program/requests.rs
+++ b/src/program/requests.rs
@@ -219,9 +219,23 @@
         }
     }
 
+    /// states of the programs held here, by name.
+    pub fn states(&self, workspace: Option<&str>, limit: usize) -> Vec<ProgramState> {
+        let mut ids: Vec<&ProgramId> = Vec::new();
+        for slot in self.slots.values() {
+            for (id, program) in &slot.programs {
+                if workspace.is_none_or(|workspace| program.opened.workspace == workspace) {
+                    ids.push(id);
+                }
+            }
+        }
+        ids.sort_unstable();
+        ids.into_iter().take(limit).filter_map(|id| self.program_state(id)).collect()
+    }
+
     pub(super) fn state(&self, ticket: u64, request: &ForwardedState, out: &mut Outbox) -> Accepted {
         let id = ProgramId::from(request.program.as_str());
-        if !self.find(&id, &request.workspace)?.is_open() {
+        if !self.find_to_look(&id, &request.workspace)?.is_open() {
             let detail = "the opening is being committed";
             return Err(Box::new(refuse_for(409, "opening", detail, RETRY_SOON_MS)));
         }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -436,6 +436,12 @@
     ///name of the instance
     pub instance: ::std::string::String,
 }
+///an operator wants the receiver to leave
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DrainOrder {
+    ///who asked
+    pub operator: ::std::string::String,
+}
 ///ends a program
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EndBody {
@@ -1328,6 +1334,12 @@
     Poison(PoisonHeld),
     #[serde(rename = "slot_moved")]
     SlotMoved(SlotMoved),
+    #[serde(rename = "programs_pull")]
+    ProgramsPull(ProgramsPull),
+    #[serde(rename = "programs_push")]
+    ProgramsPush(ProgramsPush),
+    #[serde(rename = "drain")]
+    Drain(DrainOrder),
 }
 impl ::std::convert::From<Forward> for MeshMessage {
     fn from(value: Forward) -> Self {
@@ -1404,6 +1416,21 @@
         Self::SlotMoved(value)
     }
 }
+impl ::std::convert::From<ProgramsPull> for MeshMessage {
+    fn from(value: ProgramsPull) -> Self {
+        Self::ProgramsPull(value)
+    }
+}
+impl ::std::convert::From<ProgramsPush> for MeshMessage {
+    fn from(value: ProgramsPush) -> Self {
+        Self::ProgramsPush(value)
+    }
+}
+impl ::std::convert::From<DrainOrder> for MeshMessage {
+    fn from(value: DrainOrder) -> Self {
+        Self::Drain(value)
+    }
+}
 ///answer to a challenge
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct MeshProof {
@@ -1784,6 +1811,25 @@
     ///workspace
     pub workspace: ::std::string::String,
 }
+///asks for the programs that an instance owns
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProgramsPull {
+    ///number of the question
+    pub id: u64,
+    ///most programs
+    pub limit: u32,
+    ///only of this workspace
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub workspace: ::std::option::Option<::std::string::String>,
+}
+///programs of one instance
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProgramsPush {
+    ///number of the question
+    pub id: u64,
+    ///programs
+    pub programs: ::std::vec::Vec<ProgramState>,
+}
 ///whether a refused request ran
 #[derive(
     ::serde::Deserialize,
--- a/tests/process_scenarios.rs
+++ b/tests/process_scenarios.rs
@@ -13,6 +13,7 @@
 #[test_case("lost_replies")]
 #[test_case("service_faults")]
 #[test_case("rolling_restart")]
+#[test_case("cache_sweep")]
 #[test_case("release_faults")]
 fn scenario(name: &str) {
     let path = format!("tests/scenarios/process/{name}");
--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -48,17 +48,33 @@
         self.send(peer, Method::Post, path, Some(body))
     }
 
+    /// posts to an engine in the name of a program.
+    pub fn post_for(&self, peer: SocketAddr, path: &str, body: &Value, program: &str) -> Answer {
+        let mut request = self.request(peer, Method::Post, path, Some(body));
+        request.insert_header("x-program-id", program);
+        request.insert_header("x-request-id", format!("planted-{program}"));
+        self.exchange(peer, request)
+    }
+
     pub fn put(&self, peer: SocketAddr, path: &str, body: &Value) -> Answer {
         self.send(peer, Method::Put, path, Some(body))
     }
 
     fn send(&self, peer: SocketAddr, method: Method, path: &str, body: Option<&Value>) -> Answer {
+        self.exchange(peer, self.request(peer, method, path, body))
+    }
+
+    fn request(&self, peer: SocketAddr, method: Method, path: &str, body: Option<&Value>) -> Request {
         let url = Url::parse(&format!("http://{peer}{path}")).expect("a test's path is valid");
         let mut request = Request::new(method, url);
         request.insert_header("authorization", format!("Bearer {}", self.key));
         if let Some(body) = body {
             request.set_body(serde_json::to_vec(body).expect("a value serialises"));
         }
+        request
+    }
+
+    fn exchange(&self, peer: SocketAddr, request: Request) -> Answer {
         block_on(async {
             // A fresh connection each time: tests kill the processes behind kept ones.
             let Ok(exchange) = self.client.send_fresh(peer, request).await else {
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -185,8 +185,10 @@
             until("members see each other", START_TRIES, || {
                 let answer = self.operator.get(process.operators, "/admin/v1/instances");
                 let rows = answer.body.as_array()?;
-                let alive =
-                    rows.iter().filter(|row| row["health"] == "alive" && row["leaving"] == false).count();
+                let alive = rows
+                    .iter()
+                    .filter(|row| row["health"] == "alive" && row["status"]["leaving"] == false)
+                    .count();
                 let slots: u64 = rows.iter().map(|row| row["status"]["slots"].as_u64().unwrap_or(0)).sum();
                 (alive == count && slots == 64).then_some(())
             });
--- a/tests/processes/script.rs
+++ b/tests/processes/script.rs
@@ -70,6 +70,9 @@
             "state" => self.state(case),
             "join" => self.join(case),
             "runs" => self.runs(case),
+            "holds" => self.holds(),
+            "wait-holds" => self.wait_holds(case),
+            "plant" => self.plant(case),
             "in-force" => self.in_force(case),
             "members" => self.members(case),
             "kill" => self.with_process(case, Process::kill),
@@ -267,6 +270,38 @@
         format!("{total}")
     }
 
+    /// counts the programs that engines hold cache for.
+    fn holds(&mut self) -> String {
+        let cluster = self.cluster();
+        let mut programs = std::collections::BTreeSet::new();
+        for process in cluster.engines.values() {
+            let answer = cluster.operator.get(process.address, "/v1/cache/holds");
+            for hold in answer.body.as_array().into_iter().flatten() {
+                programs.insert(hold["program"].as_str().unwrap_or_default().to_owned());
+            }
+        }
+        format!("{}", programs.len())
+    }
+
+    fn wait_holds(&mut self, case: &TestCase) -> String {
+        let count = word(case, "count").expect("count=N");
+        until("the engines hold as many programs", WISH_TRIES, || {
+            (self.holds() == count).then(|| count.clone())
+        })
+    }
+
+    /// lets an engine run a turn that no instance knows of.
+    fn plant(&mut self, case: &TestCase) -> String {
+        let program = word(case, "program").expect("program=NAME");
+        let messages = [json!({ "role": "user", "content": "a turn of an instance that is gone" })];
+        let body = json!({ "model": "reader", "messages": messages, "max_tokens": 4, "stream": true });
+        let cluster = self.cluster();
+        let engine = cluster.engines.values().next().expect("an engine").address;
+        let answer = cluster.operator.post_for(engine, "/v1/chat/completions", &body, &program);
+        assert_eq!(answer.status, 200, "the engine runs the turn");
+        "ok".to_owned()
+    }
+
     fn in_force(&mut self, case: &TestCase) -> String {
         self.wait_in_force(word(case, "version").expect("version=N").parse().expect("a number"))
     }
