--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,12 +5,14 @@
 //! instance that serves the replica and holds its queue. Nothing here must last.
 
 mod cache_index;
+mod demand;
 mod dispatcher;
 mod dispatcher_io;
 mod fair_queue;
 mod load_belief;
 mod pool;
 mod prefix_chain;
+mod program_state;
 mod replica_health;
 mod replica_queue;
 mod replica_state;
@@ -23,6 +25,7 @@
 pub use cache_index::CacheIndex;
 pub use cache_index::Holder;
 pub use cache_index::MAX_BELIEF_MS;
+pub use demand::Demand;
 pub use dispatcher::Dispatcher;
 pub use dispatcher_io::DispatchAction;
 pub use dispatcher_io::DispatchInput;
@@ -35,6 +38,8 @@
 pub use pool::SplitMix;
 pub use prefix_chain::Boundary;
 pub use prefix_chain::PrefixChain;
+pub use program_state::Home;
+pub use program_state::ProgramState;
 pub use replica_health::ReplicaHealth;
 pub use replica_queue::GENERATED_TOKEN_COST;
 pub use replica_queue::Rejection;
