--- a/examples/owner_figures.rs
+++ b/examples/owner_figures.rs
@@ -34,8 +34,8 @@
 
 use owner_world::caller::WORKSPACE;
 use owner_world::caller::text;
+use owner_world::plan::configuration;
 use owner_world::platform::PlatformFake;
-use owner_world::world::configuration;
 
 /// time a platform call takes.
 const PLATFORM_MS: u64 = 3;
--- a/tests/support/owner_world/mod.rs
+++ b/tests/support/owner_world/mod.rs
@@ -3,12 +3,16 @@
 #![allow(dead_code, reason = "each test uses a part")]
 
 pub mod caller;
+pub mod plan;
 pub mod platform;
 pub mod script;
+pub mod trace;
 pub mod upstreams;
 pub mod world;
+mod world_calls;
+mod world_checks;
 
 #[allow(unused_imports, reason = "each test uses a part")]
-pub use world::Plan;
+pub use plan::Plan;
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use world::World;
--- a/tests/support/owner_world/script.rs
+++ b/tests/support/owner_world/script.rs
@@ -21,9 +21,9 @@
 
 use super::caller::WORKSPACE;
 use super::caller::text;
+use super::plan::configuration;
 use super::platform::PlatformFake;
 use super::upstreams::failed;
-use super::world::configuration;
 
 /// wall time at the start.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
--- a/tests/support/owner_world/world.rs
+++ b/tests/support/owner_world/world.rs
@@ -4,7 +4,6 @@
 use flamingostand::clock::Now;
 use flamingostand::config::Configuration;
 use flamingostand::ids::Incarnation;
-use flamingostand::journal;
 use flamingostand::member::Member;
 use flamingostand::member::MemberView;
 use flamingostand::owner::Action;
@@ -12,24 +11,13 @@
 use flamingostand::owner::LookUpOutcome;
 use flamingostand::owner::Owner;
 use flamingostand::owner::OwnerSettings;
-use flamingostand::owner::ServiceOutcome;
 use flamingostand::owner::ServiceRequest;
-use flamingostand::platform::PlatformError;
-use flamingostand::platform::PlatformReply;
 use flamingostand::platform::PlatformRequest;
-use flamingostand::platform::PlatformResult;
-use flamingostand::schema::AgentProgramEntry;
-use flamingostand::schema::CallState;
-use flamingostand::schema::EntryBody;
 use flamingostand::schema::JobEvent;
 use flamingostand::schema::JobFault;
-use flamingostand::schema::JournalEntry;
 use flamingostand::schema::LimitSettings;
 use flamingostand::schema::MemberHealth;
 use flamingostand::schema::OwnerEvent;
-use flamingostand::schema::Record;
-use flamingostand::schema::ServiceEntry;
-use flamingostand::schema::StateSettings;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -37,8 +25,11 @@
 use super::caller::Caller;
 use super::caller::Next;
 use super::caller::Step;
-use super::caller::WORKSPACE;
+use super::plan::Plan;
+use super::plan::Report;
+use super::plan::configuration;
 use super::platform::PlatformFake;
+use super::trace::brief;
 use super::upstreams::Upstreams;
 use super::upstreams::failed;
 
@@ -51,68 +42,7 @@
 /// virtual time after which every caller must be done.
 const LIMIT_MS: u64 = 240_000;
 
-/// how often, and which, faults happen.
-#[derive(Clone, Debug, Default)]
-pub struct Faults {
-    /// share of platform calls whose reply is lost; half of them take effect, some of these late.
-    pub lost_reply: f64,
-    /// share of platform calls that are refused.
-    pub refused: f64,
-    /// share of jobs that fail.
-    pub job: f64,
-    /// share of service calls that fail.
-    pub service: f64,
-    /// share of requests that are sent twice.
-    pub duplicate: f64,
-    /// number of kills, pauses, outages, suspicions and leaves during the run.
-    pub kills: u32,
-    pub pauses: u32,
-    pub outages: u32,
-    pub suspicions: u32,
-    pub leaves: u32,
-    /// longest outage.
-    pub outage_ms: u64,
-    /// during which faults are started.
-    pub active_ms: u64,
-}
-
-impl Faults {
-    /// so many times the kills, pauses, outages, suspicions and leaves, and over a longer time.
-    pub fn multiply(&mut self, times: u32) {
-        self.kills *= times;
-        self.pauses *= times;
-        self.outages *= times;
-        self.suspicions *= times;
-        self.leaves *= times;
-        self.active_ms *= u64::from(times);
-    }
-}
-
-/// one run.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    pub seed: u64,
-    pub instances: usize,
-    pub programs: usize,
-    pub turns: usize,
-    pub budget_tokens: u64,
-    pub faults: Faults,
-    /// journal settings.
-    pub state: StateSettings,
-}
-
-/// what a run showed.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub turns: u64,
-    pub calls_run: u64,
-    pub platform_calls: BTreeMap<&'static str, u64>,
-    pub ended_ms: u64,
-    pub deposed: u32,
-    pub stopped: BTreeMap<String, u32>,
-}
-
-enum Event {
+pub(super) enum Event {
     Tick { at: usize, start: u64 },
     Deliver { at: usize, start: u64, input: Box<Input> },
     Perform { at: usize, start: u64, action: Box<Action> },
@@ -127,57 +57,57 @@
     Fault,
 }
 
-struct Instance {
-    name: String,
-    incarnation: Incarnation,
-    owner: Option<Owner>,
+pub(super) struct Instance {
+    pub(super) name: String,
+    pub(super) incarnation: Incarnation,
+    pub(super) owner: Option<Owner>,
     /// number of this start.
-    start: u64,
-    paused_until: u64,
-    leaving: bool,
+    pub(super) start: u64,
+    pub(super) paused_until: u64,
+    pub(super) leaving: bool,
     /// when others believe it dead, per observer.
-    suspected_until: Vec<u64>,
-    down_since: Option<u64>,
+    pub(super) suspected_until: Vec<u64>,
+    pub(super) down_since: Option<u64>,
 }
 
 /// a watch that waits.
-struct Watcher {
-    at: usize,
-    start: u64,
-    call: u64,
-    request: PlatformRequest,
-    until: u64,
+pub(super) struct Watcher {
+    pub(super) at: usize,
+    pub(super) start: u64,
+    pub(super) call: u64,
+    pub(super) request: PlatformRequest,
+    pub(super) until: u64,
 }
 
 /// the world.
 pub struct World {
-    plan: Plan,
-    rng: StdRng,
-    now: u64,
-    sequence: u64,
-    queue: BTreeMap<(u64, u64), Event>,
+    pub(super) plan: Plan,
+    pub(super) rng: StdRng,
+    pub(super) now: u64,
+    pub(super) sequence: u64,
+    pub(super) queue: BTreeMap<(u64, u64), Event>,
     pub platform: PlatformFake,
     pub upstreams: Upstreams,
-    instances: Vec<Instance>,
+    pub(super) instances: Vec<Instance>,
     pub callers: Vec<Caller>,
-    tickets: BTreeMap<u64, (usize, usize)>,
-    current: Vec<Option<u64>>,
-    next_ticket: u64,
-    starts: u64,
-    outage_until: u64,
-    watchers: Vec<Watcher>,
-    running_jobs: BTreeMap<(u64, u64), ()>,
+    pub(super) tickets: BTreeMap<u64, (usize, usize)>,
+    pub(super) current: Vec<Option<u64>>,
+    pub(super) next_ticket: u64,
+    pub(super) starts: u64,
+    pub(super) outage_until: u64,
+    pub(super) watchers: Vec<Watcher>,
+    pub(super) running_jobs: BTreeMap<(u64, u64), ()>,
     /// committed turns by program and number: digest of the answer.
-    committed: BTreeMap<(String, u32), String>,
+    pub(super) committed: BTreeMap<(String, u32), String>,
     /// entries by key: a late repeat of a write may bring a deleted one back, with the same content.
-    entries: BTreeMap<String, Vec<u8>>,
+    pub(super) entries: BTreeMap<String, Vec<u8>>,
     /// committed attempt of each call.
-    attempts: BTreeMap<String, u32>,
+    pub(super) attempts: BTreeMap<String, u32>,
     /// keys of attempts that were committed as `not_run`.
-    not_run: Vec<String>,
+    pub(super) not_run: Vec<String>,
     pub report: Report,
-    configuration: Arc<Configuration>,
-    good: usize,
+    pub(super) configuration: Arc<Configuration>,
+    pub(super) good: usize,
     /// whether events are printed.
     pub trace: bool,
 }
@@ -318,12 +248,12 @@
         }
     }
 
-    fn push(&mut self, at: u64, event: Event) {
+    pub(super) fn push(&mut self, at: u64, event: Event) {
         self.sequence += 1;
         self.queue.insert((at, self.sequence), event);
     }
 
-    fn push_in(&mut self, after_ms: u64, event: Event) {
+    pub(super) fn push_in(&mut self, after_ms: u64, event: Event) {
         self.push(self.now + after_ms, event);
     }
 
@@ -386,7 +316,7 @@
         Ok(())
     }
 
-    fn now(&self) -> Now {
+    pub(super) fn now(&self) -> Now {
         Now { ms: self.now, unix_ms: START_UNIX_MS + self.now }
     }
 
@@ -526,158 +456,6 @@
         Ok(())
     }
 
-    fn platform_call(&mut self, at: usize, start: u64, call: u64, request: PlatformRequest) {
-        let faults = self.plan.faults.clone();
-        let active = self.now < faults.active_ms;
-        if self.now < self.outage_until {
-            let error =
-                if self.rng.random_bool(0.5) { PlatformError::Unavailable } else { PlatformError::Unknown };
-            let input = Box::new(Input::Platform { call, result: Err(error) });
-            let after = self.rng.random_range(1..300);
-            self.push_in(after, Event::Deliver { at, start, input });
-            return;
-        }
-        if active && self.rng.random_bool(faults.refused) {
-            let error = PlatformError::RateLimited { retry_after_ms: 30 };
-            let input = Box::new(Input::Platform { call, result: Err(error) });
-            self.push_in(2, Event::Deliver { at, start, input });
-            return;
-        }
-        if active && self.rng.random_bool(faults.lost_reply) {
-            let input = Box::new(Input::Platform { call, result: Err(PlatformError::Unknown) });
-            let after = self.rng.random_range(5..400);
-            self.push_in(after, Event::Deliver { at, start, input });
-            if self.rng.random_bool(0.7) {
-                let late = if self.rng.random_bool(0.3) { 4000 } else { 10 };
-                let after = self.rng.random_range(1..late);
-                self.push_in(after, Event::PlatformApply { at, start, call, request, reply: false });
-            }
-            return;
-        }
-        let after = self.rng.random_range(1..4);
-        self.push_in(after, Event::PlatformApply { at, start, call, request, reply: true });
-    }
-
-    fn apply(
-        &mut self,
-        at: usize,
-        start: u64,
-        call: u64,
-        request: PlatformRequest,
-        reply: bool,
-    ) -> Result<(), String> {
-        if let PlatformRequest::Watch { wait_ms, .. } = &request {
-            let until = self.now + wait_ms;
-            *self.platform.calls.entry("watch").or_default() += 1;
-            self.watchers.push(Watcher { at, start, call, request, until });
-            return Ok(());
-        }
-        let result = self.platform.call(&request);
-        if self.trace && !matches!(&request, PlatformRequest::List { .. }) {
-            println!(
-                "{} {}: apply {} {:?}",
-                self.now,
-                self.instances[at].incarnation,
-                request.kind(),
-                describe(&request)
-            );
-        }
-        if let (PlatformRequest::Create { key, value }, Ok(PlatformReply::Written { .. })) =
-            (&request, &result)
-        {
-            self.note_commit(key, value)?;
-        }
-        if reply {
-            self.reply(at, start, call, result);
-        }
-        Ok(())
-    }
-
-    fn reply(&mut self, at: usize, start: u64, call: u64, result: PlatformResult) {
-        let after = self.rng.random_range(1..3);
-        let input = Box::new(Input::Platform { call, result });
-        self.push_in(after, Event::Deliver { at, start, input });
-    }
-
-    /// the reference: a turn is committed once, by one owner.
-    fn note_commit(&mut self, key: &str, value: &[u8]) -> Result<(), String> {
-        if journal::parse_journal_key(key).is_none() {
-            return Ok(());
-        }
-        let entry: JournalEntry = journal::decode(value).map_err(|error| error.to_string())?;
-        if let Some(known) = self.entries.get(key) {
-            // A paused reader may seal a journal that was deleted meanwhile, and a late write may come again.
-            let harmless = known == value || matches!(entry.body, EntryBody::Seal(_));
-            return if harmless { Ok(()) } else { Err(format!("{key} was written with two contents")) };
-        }
-        self.entries.insert(key.to_owned(), value.to_vec());
-        let EntryBody::Batch(batch) = entry.body else { return Ok(()) };
-        for record in batch.records {
-            match &record {
-                Record::Intended(intended) => {
-                    self.attempts.insert(intended.call.clone(), intended.attempt);
-                }
-                Record::Resolved(resolved) if resolved.state == CallState::NotRun => {
-                    let attempt = self.attempts.get(&resolved.call).copied().unwrap_or(1);
-                    let suffix = if attempt > 1 { format!("#{attempt}") } else { String::new() };
-                    self.not_run.push(format!("{}:{}{suffix}", resolved.program, resolved.call));
-                }
-                _ => {}
-            }
-            let Record::Turned(turned) = record else { continue };
-            let answer = serde_json::to_string(&turned.answer).unwrap_or_default();
-            if self.committed.insert((turned.program.clone(), turned.turn), answer).is_some() {
-                return Err(format!("turn {} of {} was committed twice", turned.turn, turned.program));
-            }
-            self.report.turns += 1;
-        }
-        Ok(())
-    }
-
-    fn wake_watchers(&mut self) {
-        let mut waiting = std::mem::take(&mut self.watchers);
-        waiting.retain(|watcher| self.instances[watcher.at].start == watcher.start);
-        for watcher in waiting {
-            let PlatformRequest::Watch { prefix, after_revision, .. } = &watcher.request else { continue };
-            let news = self.platform.revision > *after_revision
-                && self
-                    .platform
-                    .log
-                    .iter()
-                    .rev()
-                    .any(|change| change.version > *after_revision && change.key.starts_with(prefix));
-            if !news && self.now < watcher.until {
-                self.watchers.push(watcher);
-                continue;
-            }
-            let result = self.platform.call(&watcher.request);
-            self.reply(watcher.at, watcher.start, watcher.call, result);
-        }
-    }
-
-    fn service_call(&mut self, at: usize, start: u64, service: u64, request: ServiceRequest) {
-        let fault = if self.now < self.plan.faults.active_ms { self.plan.faults.service } else { 0.0 };
-        let after = self.rng.random_range(1..30);
-        if !self.rng.random_bool(fault) {
-            self.push_in(after, Event::ServiceArrives { at, start, service, request, reply: true });
-            return;
-        }
-        let (outcome, arrives) = match self.rng.random_range(0..4) {
-            0 => (ServiceOutcome::NotSent { detail: String::new() }, None),
-            1 => (
-                ServiceOutcome::Answered { status: 503, body: serde_json::json!({ "ran": "not_run" }) },
-                None,
-            ),
-            2 => (ServiceOutcome::Broken { detail: String::new() }, None),
-            _ => (ServiceOutcome::Broken { detail: String::new() }, Some(self.rng.random_range(1..3000))),
-        };
-        if let Some(late) = arrives {
-            self.push_in(late, Event::ServiceArrives { at, start, service, request, reply: false });
-        }
-        let input = Box::new(Input::Service { service, outcome });
-        self.push_in(after, Event::Deliver { at, start, input });
-    }
-
     fn kill(&mut self, at: usize, restart_ms: u64) {
         let instance = &mut self.instances[at];
         instance.owner = None;
@@ -802,123 +580,4 @@
         }
         Ok(())
     }
-
-    /// no answer goes out before it is committed, and each names what was committed.
-    fn check_answer(&self, event: &OwnerEvent) -> Result<(), String> {
-        let OwnerEvent::Turned(answer) = event else { return Ok(()) };
-        let committed = self.committed.get(&(answer.program.clone(), answer.turn));
-        let released = serde_json::to_string(&answer.message).unwrap_or_default();
-        if committed == Some(&released) {
-            return Ok(());
-        }
-        Err(format!("turn {} of {} was answered but not committed so", answer.turn, answer.program))
-    }
-
-    fn open_alarm(&self) -> Option<&str> {
-        let recorded = self.callers.iter().flat_map(|caller| &caller.recorded);
-        recorded.map(String::as_str).find(|call| !self.upstreams.runs.contains_key(*call))
-    }
-
-    fn check_end(&mut self) -> Result<(), String> {
-        self.report.ended_ms = self.now;
-        self.report.platform_calls = self.platform.calls.clone();
-        for (program, spent) in &self.upstreams.spent {
-            if *spent > self.plan.budget_tokens {
-                return Err(format!("{program} spent {spent} of {}", self.plan.budget_tokens));
-            }
-        }
-        for caller in &self.callers {
-            for (at, step) in caller.steps.iter().enumerate() {
-                let Step::Call { idempotent, .. } = step else { continue };
-                let call = format!("{}-c{at}", caller.program.replace('.', "_"));
-                let runs = self.upstreams.runs.get(&call).copied().unwrap_or(0);
-                self.report.calls_run += u64::from(runs);
-                if !idempotent && runs > 1 {
-                    return Err(format!("{call} ran {runs} times"));
-                }
-            }
-        }
-        if let Some(key) = self.not_run.iter().find(|key| self.upstreams.keys_run.contains(*key)) {
-            return Err(format!("{key} ran though it was said not to"));
-        }
-        Ok(())
-    }
-}
-
-fn describe(request: &PlatformRequest) -> String {
-    match request {
-        PlatformRequest::Create { key, value } | PlatformRequest::Update { key, value, .. } => {
-            if key.starts_with("slot/") {
-                let object: Result<flamingostand::schema::SlotObject, _> = journal::decode(value);
-                return format!("{key} {object:?}");
-            }
-            let entry: Result<JournalEntry, _> = journal::decode(value);
-            format!("{key} {}", brief(&entry))
-        }
-        PlatformRequest::Get { key } | PlatformRequest::Delete { key } => key.clone(),
-        _ => String::new(),
-    }
-}
-
-fn brief(action: &impl std::fmt::Debug) -> String {
-    let mut text = format!("{action:?}");
-    let end = text.char_indices().nth(400).map_or(text.len(), |(index, _)| index);
-    text.truncate(end);
-    text
-}
-
-pub fn configuration(budget_tokens: u64) -> Configuration {
-    let mut configuration = Configuration { version: 1, ..Configuration::default() };
-    let entry = AgentProgramEntry {
-        id: "reader".to_owned(),
-        workspace: WORKSPACE.to_owned(),
-        model: "m".to_owned(),
-        budget_tokens,
-        max_turns: 430,
-        deadline_ms: 86_400_000,
-        system_prompt: None,
-    };
-    configuration.agent_programs.insert((WORKSPACE.to_owned(), "reader".to_owned()), Arc::new(entry));
-    for (id, finds_by_key) in [("mail", false), ("pay", true), ("alarm", false)] {
-        let entry =
-            ServiceEntry { id: id.to_owned(), checks_fencing: false, finds_by_key, timeout_ms: 30_000 };
-        configuration.services.insert(id.to_owned(), Arc::new(entry));
-    }
-    configuration
-}
-
-impl Plan {
-    /// a run whose size and faults follow from the seed.
-    pub fn seeded(seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
-        let state = StateSettings {
-            max_entry_bytes: [2048, 786_432][rng.random_range(0..2)],
-            compact_entries: [20, 2000][rng.random_range(0..2)],
-            sweep_ms: [400, 60_000][rng.random_range(0..2)],
-            allowance_tokens: [0, 64, 4096][rng.random_range(0..3)],
-            ..StateSettings::default()
-        };
-        Self {
-            seed,
-            instances: rng.random_range(2..=4),
-            programs: rng.random_range(1..=4),
-            turns: rng.random_range(2..=6),
-            budget_tokens: [600, 3000, 1_000_000][rng.random_range(0..3)],
-            faults: Faults {
-                lost_reply: [0.0, 0.03, 0.15][rng.random_range(0..3)],
-                refused: [0.0, 0.05][rng.random_range(0..2)],
-                job: [0.0, 0.1, 0.4][rng.random_range(0..3)],
-                service: [0.0, 0.2, 0.5][rng.random_range(0..3)],
-                duplicate: [0.0, 0.2, 0.5][rng.random_range(0..3)],
-                kills: rng.random_range(0..4),
-                pauses: rng.random_range(0..4),
-                outages: rng.random_range(0..2),
-                suspicions: rng.random_range(0..3),
-                leaves: rng.random_range(0..3),
-                outage_ms: 8000,
-                active_ms: 6000,
-            },
-            state,
-        }
-    }
 }
--- /dev/null
+++ b/tests/support/owner_world/world_checks.rs
@@ -0,0 +1,47 @@
+use flamingostand::schema::OwnerEvent;
+
+use super::caller::Step;
+use super::world::World;
+
+impl World {
+    /// no answer goes out before it is committed, and each names what was committed.
+    pub(super) fn check_answer(&self, event: &OwnerEvent) -> Result<(), String> {
+        let OwnerEvent::Turned(answer) = event else { return Ok(()) };
+        let committed = self.committed.get(&(answer.program.clone(), answer.turn));
+        let released = serde_json::to_string(&answer.message).unwrap_or_default();
+        if committed == Some(&released) {
+            return Ok(());
+        }
+        Err(format!("turn {} of {} was answered but not committed so", answer.turn, answer.program))
+    }
+
+    pub(super) fn open_alarm(&self) -> Option<&str> {
+        let recorded = self.callers.iter().flat_map(|caller| &caller.recorded);
+        recorded.map(String::as_str).find(|call| !self.upstreams.runs.contains_key(*call))
+    }
+
+    pub(super) fn check_end(&mut self) -> Result<(), String> {
+        self.report.ended_ms = self.now;
+        self.report.platform_calls = self.platform.calls.clone();
+        for (program, spent) in &self.upstreams.spent {
+            if *spent > self.plan.budget_tokens {
+                return Err(format!("{program} spent {spent} of {}", self.plan.budget_tokens));
+            }
+        }
+        for caller in &self.callers {
+            for (at, step) in caller.steps.iter().enumerate() {
+                let Step::Call { idempotent, .. } = step else { continue };
+                let call = format!("{}-c{at}", caller.program.replace('.', "_"));
+                let runs = self.upstreams.runs.get(&call).copied().unwrap_or(0);
+                self.report.calls_run += u64::from(runs);
+                if !idempotent && runs > 1 {
+                    return Err(format!("{call} ran {runs} times"));
+                }
+            }
+        }
+        if let Some(key) = self.not_run.iter().find(|key| self.upstreams.keys_run.contains(*key)) {
+            return Err(format!("{key} ran though it was said not to"));
+        }
+        Ok(())
+    }
+}
