--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -31,13 +31,51 @@
 pub struct Caller {
     client: Client,
     key: String,
+    keeps: bool,
 }
 
 impl Caller {
     pub fn new(key: &str) -> Self {
         let settings =
             ClientSettings { connect_timeout_ms: 1_000, silence_timeout_ms: 30_000, idle_per_peer: 4 };
-        Self { client: Client::new(settings), key: key.to_owned() }
+        Self { client: Client::new(settings), key: key.to_owned(), keeps: false }
+    }
+
+    /// a caller that keeps its connections.
+    pub fn kept(key: &str) -> Self {
+        Self { keeps: true, ..Self::new(key) }
+    }
+
+    /// reads a text.
+    pub fn text(&self, peer: SocketAddr, path: &str) -> String {
+        let request = self.request(peer, Method::Get, path, None);
+        block_on(async {
+            let Ok(exchange) = self.client.send(peer, request).await else {
+                return String::new();
+            };
+            let bytes = exchange.bytes(MAX_ANSWER_BYTES).await.unwrap_or_default();
+            String::from_utf8_lossy(&bytes).into_owned()
+        })
+    }
+
+    /// posts a request of an engine's interface and reads the stream to its end.
+    pub fn stream(&self, peer: SocketAddr, path: &str, body: &Value, request_id: &str) {
+        let mut request = self.request(peer, Method::Post, path, Some(body));
+        request.insert_header("x-request-id", request_id);
+        block_on(async {
+            let mut exchange = self.client.send(peer, request).await.expect("the engine answers");
+            while exchange.next_line().await.expect("the stream is whole").is_some() {}
+        });
+    }
+
+    /// makes an object of the platform.
+    pub fn create(&self, peer: SocketAddr, path: &str) {
+        let mut request = self.request(peer, Method::Put, path, Some(&Value::Null));
+        request.insert_header("if-none-match", "*");
+        block_on(async {
+            let exchange = self.client.send(peer, request).await.expect("the platform answers");
+            exchange.bytes(MAX_ANSWER_BYTES).await.expect("the answer is whole");
+        });
     }
 
     pub fn get(&self, peer: SocketAddr, path: &str) -> Answer {
@@ -77,7 +115,12 @@
     fn exchange(&self, peer: SocketAddr, request: Request) -> Answer {
         block_on(async {
             // A fresh connection each time: tests kill the processes behind kept ones.
-            let Ok(exchange) = self.client.send_fresh(peer, request).await else {
+            let sent = if self.keeps {
+                self.client.send(peer, request).await
+            } else {
+                self.client.send_fresh(peer, request).await
+            };
+            let Ok(exchange) = sent else {
                 return Answer { status: 0, body: Value::Null };
             };
             let status = u16::from(exchange.response.status());
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -38,6 +38,11 @@
         Self { child, address, operators: address, mesh: address, frozen: false }
     }
 
+    /// number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// sends a signal to this process alone.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
@@ -93,8 +98,9 @@
 impl Cluster {
     /// starts a platform, engines, services and instances, and waits until all see each other.
     pub fn start(name: &str, entries: usize, engines: usize, services: usize, entry_settings: Value) -> Self {
-        let folder =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+        let folder = option_env!("CARGO_TARGET_TMPDIR")
+            .map_or_else(std::env::temp_dir, PathBuf::from)
+            .join(format!("{name}-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the test's folder can be made");
         let platform = start_standin(&["platform"], &[]);
         let operator = Caller::new(OPERATOR_KEY);
@@ -145,7 +151,7 @@
             serde_json::from_str(&fs::read_to_string(&path).expect("settings")).expect("JSON");
         let address =
             |key: &str| settings["listen"][key].as_str().expect("an address").parse().expect("an address");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_flamingostand"));
+        let mut command = Command::new(program("flamingostand", option_env!("CARGO_BIN_EXE_flamingostand")));
         command.arg("run").arg(&path);
         let mut process = Process::start(command, address("callers"));
         process.operators = address("operators");
@@ -246,10 +252,20 @@
     }
 }
 
+/// path of a program of this package: what cargo names to tests, or beside the running example.
+pub fn program(name: &str, known: Option<&str>) -> PathBuf {
+    if let Some(path) = known {
+        return PathBuf::from(path);
+    }
+    let own = std::env::current_exe().expect("the path of the running program");
+    own.ancestors().nth(2).expect("a folder above the examples").join(name)
+}
+
 /// starts a stand-in and waits until it listens.
 pub fn start_standin(arguments: &[&str], options: &[&str]) -> Process {
     let address = free_address();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_flamingo-standin"));
+    let mut command =
+        Command::new(program("flamingo-standin", option_env!("CARGO_BIN_EXE_flamingo-standin")));
     command.args(arguments).args(["--listen", &address.to_string()]).args(options);
     let process = Process::start(command, address);
     until("the stand-in listens", START_TRIES, || std::net::TcpStream::connect(address).ok().map(drop));
