--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -172,7 +172,7 @@
             let Some(queue) = self.queues.get_mut(&name) else { continue };
             let expired = queue.expire(now_ms);
             queue.tick(now_ms);
-            let retry_after_ms = queue.load(&name).wait_ms.max(1);
+            let retry_after_ms = if expired.is_empty() { 0 } else { queue.load(&name).wait_ms.max(1) };
             for ticket in expired {
                 self.places.remove(&ticket);
                 let detail = "the turn could not start in time";
--- a/src/dispatch/replica_queue.rs
+++ b/src/dispatch/replica_queue.rs
@@ -28,6 +28,9 @@
 /// failures in a row after which a replica's queue is handed back to the owners.
 const MAX_FAILURES_IN_A_ROW: u32 = 3;
 
+/// time between two searches for idle workspaces.
+const SWEEP_MS: u64 = 5_000;
+
 /// how long a replica that failed in a row gets no more than one turn at a time.
 const SUSPENSION_MS: u64 = 2_000;
 
@@ -76,6 +79,7 @@
     max_queue_ms: u64,
     failures_in_a_row: u32,
     suspended_until_ms: u64,
+    next_sweep_ms: u64,
     /// whether the replica takes no new work.
     pub leaving: bool,
     /// whether this instance serves the replica no longer.
@@ -98,6 +102,7 @@
             max_queue_ms: settings.max_queue_ms,
             failures_in_a_row: 0,
             suspended_until_ms: 0,
+            next_sweep_ms: 0,
             leaving: false,
             withdrawn: false,
         }
@@ -260,6 +265,10 @@
     pub fn tick(&mut self, now_ms: u64) {
         self.window.adapt(now_ms);
         self.rate.tick(now_ms, !self.queue.is_empty());
+        if now_ms < self.next_sweep_ms {
+            return;
+        }
+        self.next_sweep_ms = now_ms + SWEEP_MS;
         self.queue.sweep();
     }
 
