Refuse at once what waits for a slot whose move the platform does not take

Cause: instances that had just started hand slots over after 1.5 s; when the platform went away in that moment the update of the slot stayed unsettled and requests for it waited up to request_timeout_ms without an answer (time line: 204 to 792 updates with unknown result in 30 s, no event for the call). Ruled out: starved ticks of the owner's driver (timers run on every input), the rate budget, the door's repeats. Short blips (300 ms, scenario leave) still wait and are sent on.

--- a/src/owner/owner.rs
+++ b/src/owner/owner.rs
@@ -15,6 +15,7 @@
 use crate::owner::platform_calls::Purpose;
 use crate::owner::poison_store::PoisonStore;
 use crate::owner::refusals::busy;
+use crate::owner::refusals::move_stuck;
 use crate::owner::refusals::not_owner;
 use crate::owner::refusals::owner_moved;
 use crate::owner::refusals::stopped;
@@ -204,11 +205,20 @@
         self.journal.set_pause(2 * sharing * 1000 / self.settings.state.writes_per_second.max(1));
     }
 
+    /// where a request belongs; a slot whose last commits do not get through cannot move either.
+    fn place(&self, now: Now, slot: SlotId) -> Place {
+        match self.ownership.place(slot) {
+            Place::Draining if self.journal.stalled_ms(now) > STALL_MS => Place::Stuck,
+            place => place,
+        }
+    }
+
     fn request(&mut self, now: Now, ticket: u64, request: OwnerRequest, out: &mut Outbox) {
         let slot = program_of(&request).slot(self.settings.slot_count);
-        match self.ownership.place(slot) {
+        match self.place(now, slot) {
             Place::Here if self.programs.holds(slot) => self.programs.request(now, ticket, request, out),
             Place::Elsewhere => out.refuse(ticket, not_owner(slot)),
+            Place::Stuck => out.refuse(ticket, move_stuck()),
             place => {
                 let longest_ms = self.settings.limits.request_timeout_ms;
                 // A move is a matter of some platform calls; a drain lasts as long as the turns under way.
@@ -370,12 +380,13 @@
         }
         for waiting in self.waiting.take() {
             let slot = program_of(&waiting.request).slot(self.settings.slot_count);
-            match self.ownership.place(slot) {
+            match self.place(now, slot) {
                 Place::Here if self.programs.holds(slot) => {
                     self.move_records(out);
                     self.programs.request(now, waiting.ticket, waiting.request, out);
                 }
                 Place::Elsewhere => out.refuse(waiting.ticket, not_owner(slot)),
+                Place::Stuck => out.refuse(waiting.ticket, move_stuck()),
                 Place::Here | Place::Soon | Place::Draining => {
                     // There is room: the queue was just emptied.
                     let _ = self.waiting.push(waiting);
--- a/src/owner/refusals.rs
+++ b/src/owner/refusals.rs
@@ -32,6 +32,12 @@
     Problem { retry_after_ms: Some(STALL_MS), ran: Ran::Unknown, ..problem }
 }
 
+/// the platform does not take the move of a slot; what asks for it was not started.
+pub(super) fn move_stuck() -> Problem {
+    let problem = refuse(503, "platform_unavailable", "the platform does not take the move of the slot");
+    Problem { retry_after_ms: Some(STALL_MS), ..problem }
+}
+
 /// too many requests wait, or one waited for too long.
 pub(super) fn busy() -> Problem {
     let problem = refuse(503, "slot_moving", "the slot is being moved; nothing ran");
--- a/src/ownership/ownership.rs
+++ b/src/ownership/ownership.rs
@@ -77,6 +77,9 @@
     Deposed,
 }
 
+/// failures in a row after which the move of a slot is stuck.
+const STUCK_FAILURES: u32 = 5;
+
 /// where a request for a slot belongs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -86,6 +89,8 @@
     Soon,
     /// elsewhere, once what is under way here has ended.
     Draining,
+    /// nowhere for now: the platform does not take the move, and until it does nobody may serve.
+    Stuck,
     /// at another instance.
     Elsewhere,
 }
@@ -175,7 +180,10 @@
         if row.phase == Phase::Serving {
             return Place::Here;
         }
-        if row.phase == Phase::Draining {
+        if row.write.as_ref().is_some_and(|write| write.failures >= STUCK_FAILURES) {
+            return Place::Stuck;
+        }
+        if row.phase == Phase::Draining && row.write.is_none() {
             return Place::Draining;
         }
         if !self.feed.is_listed() || row.phase != Phase::Idle || row.write.is_some() {
--- a/tests/processes/script.rs
+++ b/tests/processes/script.rs
@@ -215,6 +215,9 @@
             return "started".to_owned();
         }
         let answer = self.ask_until(has(case, "until-served"), || self.caller.post(peer, &path, &body));
+        if answer.status == 0 {
+            self.explain();
+        }
         call_seen(&answer)
     }
 
@@ -395,6 +398,25 @@
         cluster.entries[&name].address
     }
 
+    /// prints what the instances know, for the log of a failed test.
+    fn explain(&mut self) {
+        let cluster = self.cluster();
+        for (name, process) in cluster.awake() {
+            let answer = cluster.operator.get(process.operators, "/admin/v1/timeline?limit=60");
+            for event in
+                answer.body.as_array().into_iter().flatten().filter(|event| event["instance"] == **name)
+            {
+                println!("{event}");
+            }
+            println!("{name} {}", cluster.operator.get(process.address, "/health").body);
+            for line in cluster.operator.text(process.operators, "/metrics").lines() {
+                if line.starts_with("owner_") || line.starts_with("platform_") || line.starts_with("entry_") {
+                    println!("{name} {line}");
+                }
+            }
+        }
+    }
+
     fn ask_until(&self, again: bool, ask: impl Fn() -> Answer) -> Answer {
         if !again {
             return ask();
