Bound retries of turns, tell quiet instances of loads, and prove engine faults, poison, hang-ups and double faults

Cause: the retry budget of the dispatch module was not asked by the driver, so retries after broken streams were bounded by attempts only; an instance that sent no turns for 10 s heard of no loads and counted every replica as half full. Change: a retry beyond the budget is refused as overloaded at once; a replica that failed is chosen again when there is no other; one quiet instance every 400 ms hears of the loads. Process scenarios added: engine_faults, poison, hang_up, outage_kill (platform outage, lost replies and a kill together), freeze_kill.

--- a/src/instance/dispatch_driver.rs
+++ b/src/instance/dispatch_driver.rs
@@ -26,6 +26,9 @@
 /// how long an instance that sent a turn hears of the loads.
 const INTEREST_MS: u64 = 10_000;
 
+/// time between two reports to instances that sent no turns lately.
+const STRANGER_PAUSE_MS: u64 = 400;
+
 /// drives the dispatcher: feeds it inputs and carries out its actions.
 pub(crate) struct DispatchDriver {
     shared: Arc<Shared>,
@@ -35,13 +38,23 @@
     started: HashMap<u64, (SocketAddr, String)>,
     /// instances that sent turns lately, with the time of the last one.
     interested: BTreeMap<SocketAddr, u64>,
+    next_stranger_ms: u64,
+    stranger_turn: usize,
 }
 
 impl DispatchDriver {
     pub(crate) fn new(shared: &Arc<Shared>, inbox: Receiver<DispatchInput>) -> Self {
         let dispatcher = Dispatcher::new(&shared.settings.dispatch);
         let shared = Arc::clone(shared);
-        Self { shared, dispatcher, inbox, started: HashMap::new(), interested: BTreeMap::new() }
+        Self {
+            shared,
+            dispatcher,
+            inbox,
+            started: HashMap::new(),
+            interested: BTreeMap::new(),
+            next_stranger_ms: 0,
+            stranger_turn: 0,
+        }
     }
 
     /// runs until the inbox closes.
@@ -126,6 +139,21 @@
         }
     }
 
+    /// an instance that sent no turns lately; each hears of the loads now and then.
+    fn next_stranger(&mut self, now_ms: u64) -> Option<SocketAddr> {
+        if now_ms < self.next_stranger_ms {
+            return None;
+        }
+        self.next_stranger_ms = now_ms + STRANGER_PAUSE_MS;
+        self.stranger_turn += 1;
+        let view = self.shared.view.load();
+        let own = self.shared.settings.listen.mesh;
+        let others: Vec<SocketAddr> =
+            view.members.iter().filter(|member| !member.is_gone()).map(|member| member.mesh).collect();
+        let chosen = *others.get(self.stranger_turn % others.len().max(1))?;
+        (chosen != own && !self.interested.contains_key(&chosen)).then_some(chosen)
+    }
+
     fn note_interest(&mut self, ticket: u64, now_ms: u64) {
         let origin = self.shared.turns.with(ticket, TurnOrigin::clone);
         if let Some(TurnOrigin::Peer { peer, .. }) = origin {
@@ -137,7 +165,9 @@
     fn report(&mut self, now_ms: u64, loads: Vec<ReplicaLoad>) {
         self.shared.router().handle(now_ms, RouterInput::Loads(loads.clone()));
         self.interested.retain(|_, at_ms| *at_ms + INTEREST_MS > now_ms);
-        for peer in self.interested.keys() {
+        let mut peers: Vec<SocketAddr> = self.interested.keys().copied().collect();
+        peers.extend(self.next_stranger(now_ms));
+        for peer in &peers {
             let message = MeshMessage::Load(LoadReport { loads: loads.clone() });
             let _ = self.shared.mesh().send(*peer, None, message);
         }
--- a/src/instance/owner_driver.rs
+++ b/src/instance/owner_driver.rs
@@ -10,6 +10,8 @@
 use slog::warn;
 
 use crate::dispatch::DispatchInput;
+use crate::dispatch::RetryBudget;
+use crate::dispatch::RetryPlan;
 use crate::dispatch::RouterInput;
 use crate::ids::Incarnation;
 use crate::instance::Shared;
@@ -50,8 +52,9 @@
     sender: Sender<Input>,
     /// the route of each job of the owner.
     routes: HashMap<u64, OwnRoute>,
-    /// replicas that failed the turn under way, by program.
-    failed: HashMap<String, Vec<String>>,
+    /// failed attempts of the turn under way, by program.
+    tried: HashMap<String, Tried>,
+    retries: RetryBudget,
 }
 
 /// what the driver remembers of a job under way.
@@ -61,6 +64,12 @@
     replica: String,
 }
 
+/// failed attempts of one turn.
+struct Tried {
+    replicas: Vec<String>,
+    last: JobFailed,
+}
+
 /// why a driver ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DriverEnd {
@@ -83,9 +92,10 @@
             name: shared.settings.instance.name.clone(),
         };
         let owner = Owner::new(settings, shared.now());
+        let retries = RetryBudget::new(shared.settings.dispatch.retry_share_percent);
         shared.owner_inbox.store(Arc::new(sender.clone()));
         let shared = Arc::clone(shared);
-        Self { shared, owner, inbox, queries, sender, routes: HashMap::new(), failed: HashMap::new() }
+        Self { shared, owner, inbox, queries, sender, routes: HashMap::new(), tried: HashMap::new(), retries }
     }
 
     /// runs until this incarnation is over.
@@ -194,12 +204,20 @@
 
     fn start_job(&mut self, job: u64, mut turn: TurnJob) {
         if turn.attempt <= 1 {
-            self.failed.remove(&turn.program);
+            self.tried.remove(&turn.program);
+            self.retries.first_attempt();
+        }
+        let tried = self.tried.get(&turn.program);
+        if tried.is_some_and(|tried| self.retries.plan(&tried.last, turn.attempt - 1) == RetryPlan::GiveUp) {
+            self.fail_job(job, JobFault::Overloaded, "the retry budget of this instance is spent");
+            return;
         }
-        let none = Vec::new();
-        let excluded = self.failed.get(&turn.program).unwrap_or(&none);
+        let excluded = tried.map_or(&[][..], |tried| &tried.replicas);
         let now = self.shared.now();
-        let choice = self.shared.router().choose(now.ms, &turn, excluded);
+        let mut router = self.shared.router();
+        // A replica that failed once is better than none.
+        let choice = router.choose(now.ms, &turn, excluded).or_else(|| router.choose(now.ms, &turn, &[]));
+        drop(router);
         let Some(choice) = choice else {
             self.fail_job(job, JobFault::Overloaded, "no replica of the model takes work");
             return;
@@ -281,11 +299,14 @@
         let Some(route) = self.routes.remove(job) else {
             return;
         };
-        if matches!(event, JobEvent::Failed(_)) {
-            self.failed.entry(route.program).or_default().push(route.replica);
-        } else {
-            self.failed.remove(&route.program);
-        }
+        let JobEvent::Failed(failed) = event else {
+            self.tried.remove(&route.program);
+            return;
+        };
+        let none = || Tried { replicas: Vec::new(), last: failed.clone() };
+        let tried = self.tried.entry(route.program).or_insert_with(none);
+        tried.replicas.push(route.replica);
+        tried.last = failed.clone();
     }
 }
 
--- a/tests/process_scenarios.rs
+++ b/tests/process_scenarios.rs
@@ -14,6 +14,11 @@
 #[test_case("service_faults")]
 #[test_case("rolling_restart")]
 #[test_case("cache_sweep")]
+#[test_case("engine_faults")]
+#[test_case("poison")]
+#[test_case("hang_up")]
+#[test_case("outage_kill")]
+#[test_case("freeze_kill")]
 #[test_case("release_faults")]
 fn scenario(name: &str) {
     let path = format!("tests/scenarios/process/{name}");
--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -78,6 +78,15 @@
         });
     }
 
+    /// sends a request and closes the connection shortly after.
+    pub fn hang_up(&self, peer: SocketAddr, path: &str, body: &Value) {
+        let request = self.request(peer, Method::Post, path, Some(body));
+        block_on(async {
+            let sent = self.client.send_fresh(peer, request);
+            flamingo_edge::timeout(Duration::from_millis(300), sent).await;
+        });
+    }
+
     pub fn get(&self, peer: SocketAddr, path: &str) -> Answer {
         self.send(peer, Method::Get, path, None)
     }
--- a/tests/processes/script.rs
+++ b/tests/processes/script.rs
@@ -70,6 +70,14 @@
             "state" => self.state(case),
             "join" => self.join(case),
             "runs" => self.runs(case),
+            "explain" => {
+                self.explain();
+                "ok".to_owned()
+            }
+            "leaving" => self.leaving(case),
+            "hang-up" => self.hang_up(case),
+            "wait-idle" => self.wait_idle(),
+            "held-back" => self.held_back(),
             "holds" => self.holds(),
             "wait-holds" => self.wait_holds(case),
             "plant" => self.plant(case),
@@ -273,6 +281,48 @@
         format!("{total}")
     }
 
+    fn leaving(&mut self, case: &TestCase) -> String {
+        let name = word(case, "name").expect("name=NAME");
+        self.cluster().mark_leaving(&name);
+        "ok".to_owned()
+    }
+
+    /// sends a turn and closes the connection without reading the answer.
+    fn hang_up(&mut self, case: &TestCase) -> String {
+        let program = self.programs[&word(case, "as").expect("as=NAME")].0.clone();
+        let peer = self.door(case, Some(&program));
+        let body =
+            json!({ "messages": [{ "role": "user", "content": case.input.trim_end() }], "max_tokens": 4000 });
+        self.caller.hang_up(peer, &format!("/v1/programs/{program}/turns"), &body);
+        "hung up".to_owned()
+    }
+
+    /// waits until no engine runs anything.
+    fn wait_idle(&mut self) -> String {
+        let cluster = self.cluster();
+        let caller = cluster.operator.clone();
+        let engines: Vec<_> = cluster.engines.values().map(|process| process.address).collect();
+        until("the engines are idle", WISH_TRIES, || {
+            let busy = |peer| caller.get(peer, "/v1/load").body["running"].as_u64() != Some(0);
+            (!engines.iter().copied().any(busy)).then(|| "idle".to_owned())
+        })
+    }
+
+    /// counts the contents that are held back, on the instance that knows the fewest.
+    fn held_back(&mut self) -> String {
+        let cluster = self.cluster();
+        let caller = cluster.operator.clone();
+        let doors: Vec<_> = cluster.awake().map(|(_, process)| process.operators).collect();
+        until("every instance holds a content back", WISH_TRIES, || {
+            let counts = doors.iter().map(|peer| {
+                let answer = caller.get(*peer, "/admin/v1/poison");
+                let held = |row: &&Value| row["deaths"].as_u64() >= Some(2) && row["lifted"] == false;
+                answer.body.as_array().map_or(0, |rows| rows.iter().filter(held).count())
+            });
+            counts.min().filter(|count| *count > 0).map(|count| format!("{count} on every instance"))
+        })
+    }
+
     /// counts the programs that engines hold cache for.
     fn holds(&mut self) -> String {
         let cluster = self.cluster();
