--- a/tests/settings_load.rs
+++ b/tests/settings_load.rs
@@ -24,7 +24,7 @@
     let settings = settings::parse(settings::EXAMPLE).expect("the example is good");
     assert_eq!(settings.listen.mesh.port(), 7403);
     assert_eq!(settings.slot_count, 64);
-    assert_eq!(settings.membership.probe_ms, 200, "left out, so the default");
+    assert_eq!(settings.membership.probe_ms, 400, "left out, so the default");
     assert!(!format!("{settings:?}").contains("0123456789abcdef"), "the key is printed");
     let other = include_str!("../examples/settings/munster-a-1.json");
     settings::parse(other).expect("the other example is good");
