--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2606,7 +2606,7 @@
     pub id: ::std::string::String,
     ///BLAKE3 of each key in force, as hexadecimal digits; two overlap during a rotation
     pub key_hashes: ::std::vec::Vec<::std::string::String>,
-    ///programs that may run at once
+    ///programs that may run at once; kept and shown, not enforced yet
     #[serde(default = "defaults::default_u64::<u32, 100000>")]
     pub max_running: u32,
     ///share of the engines relative to other workspaces
