--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -4,9 +4,9 @@
 use http_types::StatusCode;
 
 use crate::finding::Findings;
+use crate::program::refuse;
 use crate::schema::OwnerEvent;
 use crate::schema::Problem;
-use crate::schema::Ran;
 
 /// builds the response for a problem, with its media type and when to come back.
 pub fn problem_response(problem: &Problem) -> Response {
@@ -31,32 +31,19 @@
     }
 }
 
-/// a refusal by the door; nothing ran.
-pub(crate) fn refusal(status: u16, code: &str, detail: impl Into<String>) -> Problem {
-    Problem {
-        status,
-        code: code.to_owned(),
-        ran: Ran::NotRun,
-        detail: detail.into(),
-        retry_after_ms: None,
-        place: None,
-        known: None,
-    }
-}
-
 /// a refusal of a body that could not be read.
 pub(crate) fn unreadable(error: ReadError) -> Problem {
     match error {
-        ReadError::TooLarge => refusal(413, "body_too_large", error.to_string()),
-        ReadError::TooSlow => refusal(408, "body_too_slow", error.to_string()),
-        ReadError::Broken => refusal(400, "body_broken", error.to_string()),
+        ReadError::TooLarge => refuse(413, "body_too_large", error.to_string()),
+        ReadError::TooSlow => refuse(408, "body_too_slow", error.to_string()),
+        ReadError::Broken => refuse(400, "body_broken", error.to_string()),
     }
 }
 
 /// a refusal of a body that does not match its schema; lists every fault with its place.
 pub(crate) fn faulty_body(findings: &Findings) -> Response {
     let first = findings.list.first();
-    let mut problem = refusal(400, "invalid_body", findings.to_string());
+    let mut problem = refuse(400, "invalid_body", findings.to_string());
     problem.place = first.map(|finding| finding.place.clone());
     let mut value = serde_json::to_value(&problem).unwrap_or_default();
     value["findings"] = serde_json::to_value(&findings.list).unwrap_or_default();
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -15,7 +15,6 @@
 
 use crate::entry::answers::event_response;
 use crate::entry::answers::faulty_body;
-use crate::entry::answers::refusal;
 use crate::entry::answers::unreadable;
 use crate::entry::bearer_key;
 use crate::entry::problem_response;
@@ -25,6 +24,7 @@
 use crate::ids::ProgramId;
 use crate::instance::Ask;
 use crate::instance::Shared;
+use crate::program::refuse;
 use crate::schema::CallBody;
 use crate::schema::EndBody;
 use crate::schema::ForwardedCall;
@@ -83,10 +83,10 @@
         ["v1", "programs", id, "turns"] => (Method::Post, Route::Turn(ProgramId::from(*id))),
         ["v1", "programs", id, "calls"] => (Method::Post, Route::Call(ProgramId::from(*id))),
         ["v1", "programs", id, "end"] => (Method::Post, Route::End(ProgramId::from(*id))),
-        _ => return Err(refusal(404, "no_such_path", format!("there is nothing at {path}"))),
+        _ => return Err(refuse(404, "no_such_path", format!("there is nothing at {path}"))),
     };
     if request.method() != wanted {
-        return Err(refusal(405, "wrong_method", format!("{path} takes {wanted}")));
+        return Err(refuse(405, "wrong_method", format!("{path} takes {wanted}")));
     }
     Ok(route)
 }
@@ -99,7 +99,7 @@
     }
     let Some(workspace) = workspace_of(shared, &incoming.request) else {
         let detail = "the Authorization header holds no key of a workspace";
-        return problem_response(&refusal(401, "unknown_key", detail));
+        return problem_response(&refuse(401, "unknown_key", detail));
     };
     let body = match incoming.body().await {
         Ok(body) => body,
@@ -127,7 +127,7 @@
     match future::or(answer, hung_up).await {
         Some(event) => event_response(&event),
         // Nobody reads this; the connection is gone.
-        None => problem_response(&refusal(499, "caller_gone", "the caller hung up")),
+        None => problem_response(&refuse(499, "caller_gone", "the caller hung up")),
     }
 }
 
@@ -159,7 +159,7 @@
             }
             if body.call.is_none() {
                 let mut problem =
-                    refusal(400, "call_id_missing", "name the call in `call` or in Idempotency-Key");
+                    refuse(400, "call_id_missing", "name the call in `call` or in Idempotency-Key");
                 problem.place = Some("/call".to_owned());
                 return Err(problem_response(&problem));
             }
@@ -175,7 +175,7 @@
             Ok((OwnerRequest::State(ForwardedState { program: program.to_string(), workspace }), false))
         }
         Route::Health | Route::Where => {
-            Err(problem_response(&refusal(404, "no_such_path", "not a program's path")))
+            Err(problem_response(&refuse(404, "no_such_path", "not a program's path")))
         }
     }
 }
@@ -200,7 +200,7 @@
     let most = shared.settings.limits.max_messages as usize;
     if body.messages.len() > most {
         let detail = format!("{} messages; one request takes at most {most}", body.messages.len());
-        let mut problem = refusal(413, "too_many_messages", detail);
+        let mut problem = refuse(413, "too_many_messages", detail);
         problem.place = Some("/messages".to_owned());
         return Err(problem);
     }
@@ -211,7 +211,7 @@
     let value: serde_json::Value = match serde_json::from_slice(body) {
         Ok(value) => value,
         Err(error) => {
-            let problem = refusal(400, "invalid_json", error.to_string());
+            let problem = refuse(400, "invalid_json", error.to_string());
             return Err(problem_response(&problem));
         }
     };
@@ -235,7 +235,7 @@
             "program" => program = Some(ProgramId::from(value.as_ref())),
             "zone" => zone = Some(value.into_owned()),
             _ => {
-                return problem_response(&refusal(
+                return problem_response(&refuse(
                     400,
                     "unknown_parameter",
                     format!("`{name}` is not a parameter"),
--- a/src/instance/ask.rs
+++ b/src/instance/ask.rs
@@ -13,6 +13,7 @@
 use crate::instance::shared::Forwarded;
 use crate::mesh::SendError;
 use crate::owner::Input;
+use crate::program::refuse;
 use crate::schema::Forward;
 use crate::schema::MeshMessage;
 use crate::schema::OwnerEvent;
@@ -149,15 +150,8 @@
     async fn pause(&self) -> Option<AskEvent> {
         if Instant::now() >= self.deadline {
             let ran = if self.may_have_run { Ran::Unknown } else { Ran::NotRun };
-            let problem = Problem {
-                status: 503,
-                code: "owner_unavailable".to_owned(),
-                ran,
-                detail: "no instance serves this program at the moment".to_owned(),
-                retry_after_ms: Some(OWNER_RETRY_AFTER_MS),
-                place: None,
-                known: None,
-            };
+            let problem = refuse(503, "owner_unavailable", "no instance serves this program at the moment");
+            let problem = Problem { ran, retry_after_ms: Some(OWNER_RETRY_AFTER_MS), ..problem };
             return Some(AskEvent::Last(Box::new(OwnerEvent::Problem(problem))));
         }
         Timer::after(RETRY_PAUSE).await;
--- a/src/journal/codec.rs
+++ b/src/journal/codec.rs
@@ -3,6 +3,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::ids::Incarnation;
+use crate::journal::ByteCounter;
 use crate::schema::Record;
 
 /// prefix of the keys of all journals.
@@ -34,24 +35,8 @@
 
 /// encoded size of one record.
 pub fn record_bytes(record: &Record) -> u64 {
-    let mut counter = ByteCounter { count: 0 };
+    let mut counter = ByteCounter::default();
     // The counter never fails.
     ciborium::into_writer(record, &mut counter).expect("a record encodes");
     counter.count
 }
-
-/// counts bytes in place of keeping them.
-struct ByteCounter {
-    count: u64,
-}
-
-impl std::io::Write for ByteCounter {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.count += bytes.len() as u64;
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! Pure decision code. It does not know what a record means; programs do.
 
+mod byte_counter;
 mod codec;
 mod journal_reader;
 mod journal_writer;
 mod sweeper;
 
+pub use byte_counter::ByteCounter;
 pub use codec::JOURNAL_PREFIX;
 pub use codec::decode;
 pub use codec::encode;
--- a/src/operator/release_routes.rs
+++ b/src/operator/release_routes.rs
@@ -7,6 +7,7 @@
 use crate::entry::problem_response;
 use crate::finding::Findings;
 use crate::instance::Shared;
+use crate::program::refuse;
 use crate::release;
 use crate::schema::AdminProblem;
 use crate::schema::InstanceVersion;
@@ -39,15 +40,10 @@
 pub(crate) async fn check(shared: &Shared, note: ReleaseNote) -> Response {
     match shared.check_note(note).await {
         Some(check) => json(StatusCode::Ok, &check),
-        None => problem_response(&Problem {
-            status: 503,
-            code: "release_unavailable".to_owned(),
-            ran: Ran::NotRun,
-            detail: "the releases do not answer in time".to_owned(),
-            retry_after_ms: Some(BUSY_RETRY_AFTER_MS),
-            place: None,
-            known: None,
-        }),
+        None => {
+            let problem = refuse(503, "release_unavailable", "the releases do not answer in time");
+            problem_response(&Problem { retry_after_ms: Some(BUSY_RETRY_AFTER_MS), ..problem })
+        }
     }
 }
 
--- a/src/operator/routes.rs
+++ b/src/operator/routes.rs
@@ -16,6 +16,7 @@
 use crate::instance::NO_WORKSPACE;
 use crate::instance::Shared;
 use crate::operator::release_routes;
+use crate::program::refuse;
 use crate::schema::DrainBody;
 use crate::schema::DrainOrder;
 use crate::schema::ForwardedState;
@@ -23,8 +24,6 @@
 use crate::schema::MeshMessage;
 use crate::schema::OwnerRequest;
 use crate::schema::PoisonLiftBody;
-use crate::schema::Problem;
-use crate::schema::Ran;
 use crate::schema::ReplicaRow;
 use crate::schema::TimelinePull;
 
@@ -44,7 +43,7 @@
         return metrics_response(&shared);
     }
     let Some(operator) = operator_of(&shared, &incoming.request) else {
-        return refuse(401, "unknown_key", "the Authorization header holds no key of an operator");
+        return refusal(401, "unknown_key", "the Authorization header holds no key of an operator");
     };
     counter!("operator_requests_total").increment(1);
     serve(&shared, &operator, &path, incoming).await
@@ -55,7 +54,7 @@
     let parameters = parameters_of(&incoming.request);
     let body = match incoming.body().await {
         Ok(body) => body,
-        Err(error) => return refuse(400, "body_broken", &error.to_string()),
+        Err(error) => return refusal(400, "body_broken", &error.to_string()),
     };
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     match (method, parts.as_slice()) {
@@ -89,7 +88,7 @@
             Ok(note) => release_routes::accept(shared, note, operator).await,
             Err(response) => response,
         },
-        _ => refuse(404, "no_such_path", &format!("{method} {path} is not part of the administration API")),
+        _ => refusal(404, "no_such_path", &format!("{method} {path} is not part of the administration API")),
     }
 }
 
@@ -141,7 +140,7 @@
 /// tells the named instance to leave, over the mesh when it is another one.
 fn drain(shared: &Arc<Shared>, operator: &str, body: &[u8]) -> Response {
     let Ok(DrainBody { instance }) = serde_json::from_slice(body) else {
-        return refuse(400, "invalid_body", "name the instance: {\"instance\": NAME}");
+        return refusal(400, "invalid_body", "name the instance: {\"instance\": NAME}");
     };
     if instance == shared.settings.instance.name {
         shared.begin_leaving();
@@ -150,12 +149,12 @@
     let view = shared.view.load();
     let named = view.members.iter().find(|member| member.name == instance && !member.is_gone());
     let Some(member) = named else {
-        return refuse(404, "unknown_instance", &format!("no instance {instance} is known to run"));
+        return refusal(404, "unknown_instance", &format!("no instance {instance} is known to run"));
     };
     let order = MeshMessage::Drain(DrainOrder { operator: operator.to_owned() });
     match shared.mesh().send(member.mesh, Some(&member.incarnation), order) {
         Ok(_) => json(StatusCode::Accepted, &serde_json::json!({ "instance": instance })),
-        Err(error) => refuse(503, "instance_unreachable", &error.to_string()),
+        Err(error) => refusal(503, "instance_unreachable", &error.to_string()),
     }
 }
 
@@ -167,11 +166,11 @@
 
 async fn lift_poison(shared: &Shared, body: &[u8]) -> Response {
     let Ok(PoisonLiftBody { digest }) = serde_json::from_slice(body) else {
-        return refuse(400, "invalid_body", "name the content: {\"digest\": DIGEST}");
+        return refusal(400, "invalid_body", "name the content: {\"digest\": DIGEST}");
     };
     let held = shared.poison().await.into_iter().find(|held| held.digest == digest);
     let Some(held) = held else {
-        return refuse(404, "unknown_content", "no content with this digest is held back");
+        return refusal(404, "unknown_content", "no content with this digest is held back");
     };
     shared.lift_poison(held);
     json(StatusCode::Ok, &serde_json::json!({ "digest": digest, "lifted": true }))
@@ -181,7 +180,7 @@
     match parameters.get("limit").map(|text| text.parse()) {
         None => Ok(usual),
         Some(Ok(limit)) => Ok(limit),
-        Some(Err(_)) => Err(refuse(400, "invalid_parameter", "`limit` is not a number")),
+        Some(Err(_)) => Err(refusal(400, "invalid_parameter", "`limit` is not a number")),
     }
 }
 
@@ -200,14 +199,7 @@
     request.url().query_pairs().into_owned().collect()
 }
 
-fn refuse(status: u16, code: &str, detail: &str) -> Response {
-    problem_response(&Problem {
-        status,
-        code: code.to_owned(),
-        ran: Ran::NotRun,
-        detail: detail.to_owned(),
-        retry_after_ms: None,
-        place: None,
-        known: None,
-    })
+/// the response of a refusal; nothing ran.
+fn refusal(status: u16, code: &str, detail: &str) -> Response {
+    problem_response(&refuse(status, code, detail))
 }
--- a/src/program/tokens.rs
+++ b/src/program/tokens.rs
@@ -1,5 +1,6 @@
 use serde::Serialize;
 
+use crate::journal::ByteCounter;
 use crate::schema::ChatMessage;
 
 /// bytes of a message's JSON that make one token.
@@ -21,24 +22,8 @@
 
 /// bytes of the JSON of a message or a body.
 pub(super) fn json_bytes<T: Serialize>(value: &T) -> u64 {
-    let mut counter = ByteCounter { count: 0 };
+    let mut counter = ByteCounter::default();
     // The counter never fails, and what came as JSON serialises.
     let _ = serde_json::to_writer(&mut counter, value);
     counter.count
 }
-
-/// counts bytes in place of keeping them.
-struct ByteCounter {
-    count: u64,
-}
-
-impl std::io::Write for ByteCounter {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.count += bytes.len() as u64;
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
