--- a/src/instance/instance.rs
+++ b/src/instance/instance.rs
@@ -27,6 +27,7 @@
 use crate::instance::Registry;
 use crate::instance::Shared;
 use crate::instance::UpstreamView;
+use crate::instance::cache_watch::watch_caches;
 use crate::instance::dispatch_driver::DispatchDriver;
 use crate::instance::engine_watch::watch_list;
 use crate::instance::engine_watch::watch_loads;
@@ -160,6 +161,7 @@
             spawner.spawn(receive_datagrams(Arc::clone(&shared), socket)),
             spawner.spawn(watch_list(Arc::clone(&shared))),
             spawner.spawn(watch_loads(Arc::clone(&shared))),
+            spawner.spawn(watch_caches(Arc::clone(&shared))),
             spawner.spawn(sweep_caches(Arc::clone(&shared))),
         ];
         let doors = open_doors(&shared, callers, operators);
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,6 +1,7 @@
 //! one running instance: the edges and the tasks that drive the decision code. Owns the wiring only.
 
 mod ask;
+mod cache_watch;
 mod daemon;
 mod dispatch_driver;
 mod engine_watch;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1656,7 +1656,7 @@
     ///IP and port of the object API
     pub address: ::std::string::String,
     ///most calls a second this instance makes
-    #[serde(default = "defaults::default_u64::<u32, 60>")]
+    #[serde(default = "defaults::default_u64::<u32, 200>")]
     pub calls_per_second: u32,
     ///how long one call may take, watches excluded
     #[serde(default = "defaults::default_u64::<u64, 2000>")]
