--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -150,7 +150,7 @@
     pub service_turn: AtomicUsize,
     /// callers' requests under way.
     pub in_flight: AtomicUsize,
-    /// loads of the replicas as last reported, for operators.
+    /// chooses replicas; locked for one decision.
     pub router: Mutex<Router>,
     /// replica of the last turn of each program.
     pub(crate) last_replicas: Mutex<HashMap<String, String>>,
--- a/src/program/calls.rs
+++ b/src/program/calls.rs
@@ -61,11 +61,7 @@
         out: &mut Outbox,
     ) -> Accepted {
         let id = ProgramId::from(request.program.as_str());
-        let program = self.find(&id, &request.workspace)?;
-        if !program.is_open() {
-            let detail = "the opening is being committed";
-            return Err(Box::new(refuse_for(409, "opening", detail, RETRY_SOON_MS)));
-        }
+        let program = self.find_open(&id, &request.workspace)?;
         let Some(name) = request.body.call.clone() else {
             return Err(Box::new(refuse(400, "invalid_call", "the call has no identifier")));
         };
--- a/src/program/programs.rs
+++ b/src/program/programs.rs
@@ -12,6 +12,8 @@
 use crate::program::SlotPrograms;
 use crate::program::budget::RunBounds;
 use crate::program::poison::Poison;
+use crate::program::refusal::RETRY_SOON_MS;
+use crate::program::refusal::refuse_for;
 use crate::program::refuse;
 use crate::program::snapshot::Compaction;
 use crate::program::timers::Timer;
@@ -302,6 +304,16 @@
         }
     }
 
+    /// finds a program whose opening is committed.
+    pub(super) fn find_open(&self, id: &ProgramId, workspace: &str) -> Result<&Program, Box<Problem>> {
+        let program = self.find(id, workspace)?;
+        if !program.is_open() {
+            let detail = "the opening is being committed";
+            return Err(Box::new(refuse_for(409, "opening", detail, RETRY_SOON_MS)));
+        }
+        Ok(program)
+    }
+
     /// finds a program to look at; instances ask without a workspace, which no caller's key opens.
     pub(super) fn find_to_look(&self, id: &ProgramId, workspace: &str) -> Result<&Program, Box<Problem>> {
         match self.program(id) {
--- a/src/program/turns.rs
+++ b/src/program/turns.rs
@@ -46,11 +46,7 @@
         out: &mut Outbox,
     ) -> Accepted {
         let id = ProgramId::from(request.program.as_str());
-        let program = self.find(&id, &request.workspace)?;
-        if !program.is_open() {
-            let detail = "the opening is being committed";
-            return Err(Box::new(refuse_for(409, "opening", detail, RETRY_SOON_MS)));
-        }
+        let program = self.find_open(&id, &request.workspace)?;
         let waiter = Waiter { ticket, stream: request.body.stream };
         let wanted_tokens = request.body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1);
         match place(program, request.body)? {
