--- a/crates/codegen/src/lib.rs
+++ b/crates/codegen/src/lib.rs
@@ -35,6 +35,7 @@
     let schema: RootSchema = serde_json::from_value(value).context("read the schema")?;
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
+    settings.with_replacement("Octets", "crate::schema::Octets", std::iter::empty());
     let mut space = TypeSpace::new(&settings);
     space.add_root_schema(schema).context("convert the schema")?;
     let file = syn::parse2::<syn::File>(space.to_stream()).context("parse the generated tokens")?;
--- a/crates/edge/src/executor.rs
+++ b/crates/edge/src/executor.rs
@@ -27,6 +27,16 @@
         Self { executor }
     }
 
+    /// a handle whose tasks run on the thread that calls `run`, for processes that have one core.
+    pub fn local() -> Self {
+        Self { executor: Arc::new(Executor::new()) }
+    }
+
+    /// runs the tasks of this handle on the calling thread until `main` is done.
+    pub fn run<T>(&self, main: impl Future<Output = T>) -> T {
+        async_io::block_on(self.executor.run(main))
+    }
+
     /// starts a task that nobody waits for.
     pub fn detach(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.executor.spawn(task).detach();
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -16,9 +16,24 @@
              work, finishes what runs, hands its programs over and ends. A second signal ends it at once.",
         )
         .arg(settings_file());
+    let node = Command::new("node")
+        .about("Runs a front door or a ledger node until it is told to stop")
+        .long_about(
+            "Runs one process of a fleet: a front door that takes callers' requests, or a ledger node that holds \
+             budgets and histories on its disk, as the settings say.\n\n\
+             The settings file is checked whole first. SIGTERM or SIGINT ends the process gracefully: a front door \
+             is named to callers no more and finishes what runs.",
+        )
+        .arg(node_settings());
     let check = Command::new("check")
         .about("Checks a settings file and reports every finding with its place")
-        .arg(settings_file());
+        .arg(settings_file())
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .action(ArgAction::SetTrue)
+                .help("The file holds the settings of a front door or a ledger node"),
+        );
     let quickstart = Command::new("quickstart")
         .about("Runs a small deployment with stand-ins in this process and shows it at work")
         .long_about(
@@ -40,6 +55,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(run)
+        .subcommand(node)
         .subcommand(check)
         .subcommand(quickstart)
         .subcommand(completions())
@@ -57,6 +73,15 @@
     )
 }
 
+fn node_settings() -> Arg {
+    Arg::new("settings")
+        .value_name("SETTINGS.json")
+        .value_parser(value_parser!(std::path::PathBuf))
+        .env("FLAMINGOSTAND_CONFIG")
+        .required(true)
+        .help("Settings of the process")
+}
+
 fn settings_file() -> Arg {
     Arg::new("settings")
         .value_name("SETTINGS.json")
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -14,10 +14,17 @@
         /// path of its settings.
         settings: PathBuf,
     },
+    /// run a front door or a ledger node.
+    Node {
+        /// path of its settings.
+        settings: PathBuf,
+    },
     /// check a settings file.
     Check {
         /// path of the file.
         settings: PathBuf,
+        /// whether it belongs to a front door or a ledger node.
+        node: bool,
     },
     /// show a small deployment at work.
     Quickstart {
@@ -43,7 +50,10 @@
         let matches = flamingostand_command().try_get_matches_from(arguments)?;
         Ok(match matches.subcommand() {
             Some(("run", matches)) => Self::Run { settings: path(matches, "settings") },
-            Some(("check", matches)) => Self::Check { settings: path(matches, "settings") },
+            Some(("node", matches)) => Self::Node { settings: path(matches, "settings") },
+            Some(("check", matches)) => {
+                Self::Check { settings: path(matches, "settings"), node: matches.get_flag("node") }
+            }
             Some(("quickstart", matches)) => Self::Quickstart { once: matches.get_flag("once") },
             Some(("completions", matches)) => Self::Completions { shell: shell(matches) },
             _ => Self::ExampleSettings,
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -4,9 +4,13 @@
 use crate::cli::Command;
 use crate::cli::ExitStatus;
 use crate::cli::flamingostand_command;
+use crate::door::run_door;
 use crate::instance::run_daemon;
+use crate::ledger_node::run_ledger_node;
 use crate::quickstart;
 use crate::settings;
+use crate::settings::NodeRole;
+use crate::settings::NodeSettings;
 
 /// reads the command line of `flamingostand` and does what it asks.
 pub fn run_flamingostand(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -33,8 +37,16 @@
             run_daemon(settings::load(&path)?)?;
             Ok(ExitStatus::Done)
         }
-        Command::Check { settings: path } => {
-            settings::load(&path)?;
+        Command::Node { settings: path } => {
+            run_node(&NodeSettings::load(&path)?)?;
+            Ok(ExitStatus::Done)
+        }
+        Command::Check { settings: path, node } => {
+            if node {
+                NodeSettings::load(&path)?;
+            } else {
+                settings::load(&path)?;
+            }
             println!("{}: no findings", path.display());
             Ok(ExitStatus::Done)
         }
@@ -53,3 +65,10 @@
         }
     }
 }
+
+fn run_node(settings: &NodeSettings) -> anyhow::Result<()> {
+    match &settings.role {
+        NodeRole::Door(addresses) => run_door(settings, *addresses),
+        NodeRole::Ledger(disk) => run_ledger_node(settings, disk),
+    }
+}
--- /dev/null
+++ b/src/door/attempt.rs
@@ -0,0 +1,145 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingo_edge::timeout;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::door::connections::Connection;
+use crate::door::connections::SendFailure;
+use crate::door::door::Door;
+use crate::door::lease::Lease;
+use crate::door::request::DoorRequest;
+use crate::platform::AnswerHead;
+use crate::platform::ReplicaOrder;
+use crate::platform::judge;
+use crate::platform::keeps_connection;
+use crate::platform::replica_headers;
+use crate::routing::Outcome;
+
+/// how one try at one replica went, up to the head of the answer.
+pub(super) enum Tried {
+    /// the head of the answer; the body follows.
+    Head(Box<Head>),
+    /// the replica has not run the request and never will.
+    NotRun(NotRun),
+    /// the replica may have run the request.
+    Unclear(Unclear),
+}
+
+/// why a request has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum NotRun {
+    /// the replica says so: it is full, or the time ran out in its queue.
+    Shed,
+    /// another replica has the address.
+    OtherReplica,
+    /// no connection could be opened.
+    Unreachable,
+}
+
+/// why the outcome of a request is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Unclear {
+    /// the connection broke, or brought no answer in the protocol.
+    Broken,
+    /// the answer belongs to another request, or has no signature.
+    Foreign,
+    /// the time is over.
+    TimedOut,
+}
+
+/// an answer whose head was read.
+pub(super) struct Head {
+    pub response: Response<Incoming>,
+    pub connection: Connection,
+    pub lease: Lease,
+    /// how long the replica keeps the connection afterwards.
+    pub keeps: Option<Duration>,
+}
+
+/// sends a request to the replica of a lease.
+pub(super) async fn attempt(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    lease: Lease,
+    last_event: Option<&str>,
+) -> Tried {
+    let left = request.left();
+    match timeout(left, send(door, request, &lease, last_event)).await {
+        None => Tried::Unclear(Unclear::TimedOut),
+        Some(Err(tried)) => {
+            learn(door, &lease, &tried);
+            tried
+        }
+        Some(Ok((connection, response))) => {
+            let id = request.caller.id.as_deref();
+            let tried = match judge(response.status(), response.headers(), id) {
+                AnswerHead::Usable => None,
+                AnswerHead::NotRun => Some(Tried::NotRun(NotRun::Shed)),
+                AnswerHead::OtherReplica => Some(Tried::NotRun(NotRun::OtherReplica)),
+                AnswerHead::Foreign => Some(Tried::Unclear(Unclear::Foreign)),
+            };
+            let keeps = keeps_connection(response.headers());
+            if let Some(tried) = tried {
+                learn(door, &lease, &tried);
+                return tried;
+            }
+            door.replicas().learn(door.now_ms(), lease.pick.key, Outcome::Answered);
+            Tried::Head(Box::new(Head { response, connection, lease, keeps }))
+        }
+    }
+}
+
+/// sends over a kept connection, or over a new one if the kept one turns out closed before a byte went out.
+async fn send(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    lease: &Lease,
+    last_event: Option<&str>,
+) -> Result<(Connection, Response<Incoming>), Tried> {
+    let address = lease.pick.address;
+    let kept = door.connections.take(address);
+    let mut fresh = kept.is_none();
+    let mut next = kept;
+    loop {
+        let mut connection = match next.take() {
+            Some(connection) => connection,
+            None => match Connection::open(&door.spawner, address).await {
+                Some(connection) => connection,
+                None => return Err(Tried::NotRun(NotRun::Unreachable)),
+            },
+        };
+        match connection.send(message(request, lease, last_event)).await {
+            Ok(response) => return Ok((connection, response)),
+            Err(SendFailure::NotSent) if !fresh => fresh = true,
+            Err(SendFailure::NotSent) => return Err(Tried::NotRun(NotRun::Unreachable)),
+            Err(SendFailure::Unclear) => return Err(Tried::Unclear(Unclear::Broken)),
+        }
+    }
+}
+
+fn message(request: &DoorRequest, lease: &Lease, last_event: Option<&str>) -> Request<Full<bytes::Bytes>> {
+    let order = ReplicaOrder { replica: &lease.pick.id, left: request.left(), last_event };
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.target.clone();
+    *message.headers_mut() = replica_headers(&request.headers, &order);
+    message
+}
+
+fn learn(door: &Door, lease: &Lease, tried: &Tried) {
+    let outcome = match tried {
+        Tried::Head(_) | Tried::Unclear(Unclear::TimedOut | Unclear::Foreign) => return,
+        Tried::NotRun(NotRun::Shed) => Outcome::Full,
+        Tried::NotRun(NotRun::OtherReplica | NotRun::Unreachable) | Tried::Unclear(Unclear::Broken) => {
+            door.connections.forget(lease.pick.address);
+            Outcome::Broken
+        }
+    };
+    door.replicas().learn(door.now_ms(), lease.pick.key, outcome);
+}
--- /dev/null
+++ b/src/door/call.rs
@@ -0,0 +1,139 @@
+use std::sync::Arc;
+
+use flamingo_edge::timeout;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Response;
+
+use crate::door::answer::DoorBody;
+use crate::door::answer::whole;
+use crate::door::attempt::Head;
+use crate::door::attempt::NotRun;
+use crate::door::attempt::Tried;
+use crate::door::attempt::Unclear;
+use crate::door::attempt::attempt;
+use crate::door::door::Door;
+use crate::door::lease::Lease;
+use crate::door::refusal::Refusal;
+use crate::door::request::DoorRequest;
+use crate::platform::caller_headers;
+use crate::routing::ReplicaId;
+use crate::routing::Route;
+
+/// replicas that may say in turn that they have not run a request before it is refused.
+const MAX_NOT_RUN: u32 = 4;
+/// largest answer that is not a stream.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// the tries of one request.
+pub(super) struct Tries<'a> {
+    door: &'a Arc<Door>,
+    request: &'a DoorRequest,
+    route: &'a Route,
+    service: String,
+    tried: Vec<ReplicaId>,
+    /// tries whose outcome is unknown.
+    unclear: u32,
+    not_run: u32,
+    last_not_run: Option<NotRun>,
+}
+
+impl<'a> Tries<'a> {
+    pub fn new(door: &'a Arc<Door>, request: &'a DoorRequest, route: &'a Route) -> Result<Self, Refusal> {
+        let service = route.backend(door.draw()).ok_or(Refusal::NoReplica)?.to_owned();
+        Ok(Self {
+            door,
+            request,
+            route,
+            service,
+            tried: Vec::new(),
+            unclear: 0,
+            not_run: 0,
+            last_not_run: None,
+        })
+    }
+
+    /// tries replicas until one answers, or nothing more may be tried.
+    pub async fn head(&mut self) -> Result<Box<Head>, Refusal> {
+        loop {
+            if self.request.left().is_zero() {
+                return Err(if self.unclear > 0 { Refusal::TimedOut } else { Refusal::TooLate });
+            }
+            let Some(pick) = self.door.pick(&self.service, self.request.affinity(self.route), &self.tried) else {
+                return Err(self.out_of_replicas());
+            };
+            self.tried.push(pick.key);
+            match attempt(self.door, self.request, Lease::new(self.door, pick), None).await {
+                Tried::Head(head) => return Ok(head),
+                Tried::NotRun(why) => {
+                    self.not_run += 1;
+                    self.last_not_run = Some(why);
+                    if self.not_run >= MAX_NOT_RUN {
+                        return Err(self.out_of_replicas());
+                    }
+                }
+                Tried::Unclear(why) => self.unclear(why)?,
+            }
+        }
+    }
+
+    /// decides whether the request may go on after a try whose outcome is unknown.
+    pub fn unclear(&mut self, why: Unclear) -> Result<(), Refusal> {
+        self.unclear += 1;
+        if why == Unclear::TimedOut {
+            return Err(Refusal::TimedOut);
+        }
+        if why == Unclear::Broken {
+            self.door.strike(self.request);
+        }
+        let again = self.route.may_repeat() && self.unclear < self.route.max_attempts;
+        if again { Ok(()) } else { Err(Refusal::AnswerLost) }
+    }
+
+    fn out_of_replicas(&self) -> Refusal {
+        match self.last_not_run {
+            _ if self.unclear > 0 => Refusal::AnswerLost,
+            None => Refusal::NoReplica,
+            Some(NotRun::Shed) => Refusal::AllFull,
+            Some(NotRun::OtherReplica | NotRun::Unreachable) => Refusal::Unreachable,
+        }
+    }
+}
+
+/// runs a request whose answer is handed on whole.
+pub(super) async fn call(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    route: &Route,
+) -> Result<Response<DoorBody>, Refusal> {
+    let mut tries = Tries::new(door, request, route)?;
+    loop {
+        let head = tries.head().await?;
+        match read_whole(door, request, *head).await {
+            Ok(response) => return Ok(response),
+            Err(why) => tries.unclear(why)?,
+        }
+    }
+}
+
+/// reads the whole body of an answer, and keeps the connection after it.
+pub(super) async fn read_whole(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    head: Head,
+) -> Result<Response<DoorBody>, Unclear> {
+    let Head { response, connection, lease, keeps } = head;
+    let (parts, body) = response.into_parts();
+    let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let body = match timeout(request.left(), read).await {
+        None => return Err(Unclear::TimedOut),
+        Some(Err(_)) => return Err(Unclear::Broken),
+        Some(Ok(body)) => body.to_bytes(),
+    };
+    drop(lease);
+    door.connections.put(connection, keeps);
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = caller_headers(&parts.headers);
+    Ok(response)
+}
--- /dev/null
+++ b/src/door/door.rs
@@ -0,0 +1,145 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use arc_swap::ArcSwapOption;
+use flamingo_edge::Spawner;
+use slog::Logger;
+use slog::info;
+
+use crate::door::FleetView;
+use crate::door::connections::Connections;
+use crate::door::request::DoorRequest;
+use crate::ledger_client::LedgerClient;
+use crate::routing::ReplicaId;
+use crate::routing::ReplicaPick;
+use crate::routing::ReplicaTable;
+use crate::routing::Route;
+use crate::routing::RouteTable;
+use crate::routing::Wanted;
+use crate::schema::PoisonStrike;
+use crate::settings::DoorAddresses;
+use crate::settings::NodeSettings;
+
+/// what the tasks of a front door share.
+pub(super) struct Door {
+    pub settings: NodeSettings,
+    pub addresses: DoorAddresses,
+    pub spawner: Spawner,
+    pub log: Logger,
+    pub started: Instant,
+    /// names this start of the process.
+    pub incarnation: String,
+    pub ledger: LedgerClient,
+    pub connections: Connections,
+    pub table: ArcSwapOption<RouteTable>,
+    replicas: Mutex<ReplicaTable>,
+    fleet: Mutex<FleetView>,
+    strikes: Mutex<Vec<PoisonStrike>>,
+    is_leaving: AtomicBool,
+    draws: AtomicU64,
+}
+
+impl Door {
+    pub fn new(
+        settings: NodeSettings,
+        addresses: DoorAddresses,
+        incarnation: String,
+        spawner: Spawner,
+        log: Logger,
+    ) -> Self {
+        let ledger = LedgerClient::new(settings.tolerance.lost_disks, log.clone());
+        Self {
+            settings,
+            addresses,
+            spawner,
+            log,
+            started: Instant::now(),
+            incarnation,
+            ledger,
+            connections: Connections::default(),
+            table: ArcSwapOption::empty(),
+            replicas: Mutex::default(),
+            fleet: Mutex::default(),
+            strikes: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            draws: AtomicU64::new(rand::random()),
+        }
+    }
+
+    /// milliseconds since the start of the process.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub fn replicas(&self) -> MutexGuard<'_, ReplicaTable> {
+        self.replicas.lock().expect("replica lock poisoned")
+    }
+
+    pub fn fleet(&self) -> MutexGuard<'_, FleetView> {
+        self.fleet.lock().expect("fleet lock poisoned")
+    }
+
+    /// chooses a replica, which then counts one more request until its lease is dropped.
+    pub fn pick(&self, service: &str, affinity: Option<&str>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
+        let wanted = Wanted { service, zone: &self.settings.instance.zone, affinity };
+        self.replicas().pick(self.now_ms(), &wanted, avoid)
+    }
+
+    /// a number that spreads evenly, to split traffic between backends.
+    pub fn draw(&self) -> u64 {
+        // An odd constant with no pattern in its bits visits all numbers, far apart from each other.
+        self.draws.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed) >> 16
+    }
+
+    /// tokens that one event stands for at the engines of a route.
+    pub fn tokens_per_event(&self, route: &Route) -> u64 {
+        let table = self.table.load();
+        let engines = route.backends.iter().filter_map(|backend| {
+            table.as_ref()?.service(&backend.service)?.engine.as_ref().map(|engine| engine.tokens_per_event)
+        });
+        engines.max().unwrap_or(1)
+    }
+
+    /// puts a newer configuration in force; older ones are ignored.
+    pub fn put_in_force(&self, table: RouteTable) {
+        let known = self.table.load().as_ref().map_or(0, |table| table.version);
+        if table.version <= known {
+            return;
+        }
+        info!(self.log, "a configuration is in force"; "version" => table.version,
+            "routes" => table.route_count(), "previous" => known);
+        self.table.store(Some(Arc::new(table)));
+    }
+
+    /// takes note that a replica broke while it may have run a request.
+    pub fn strike(&self, request: &DoorRequest) {
+        let content = request.content_digest();
+        let strike = request.caller.id.clone().unwrap_or_default();
+        info!(self.log, "a replica broke under a request"; "request" => &strike, "content" => &content);
+        self.strikes.lock().expect("strike lock poisoned").push(PoisonStrike { content, strike });
+    }
+
+    /// the strikes since the last report.
+    pub fn take_strikes(&self) -> Vec<PoisonStrike> {
+        std::mem::take(&mut self.strikes.lock().expect("strike lock poisoned"))
+    }
+
+    /// whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.table.load().is_some() && self.ledger.is_reachable()
+    }
+
+    /// starts to leave: the door takes requests for a while, but is not named any more.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/src/door/entry.rs
@@ -0,0 +1,136 @@
+use std::sync::Arc;
+use std::time::Instant;
+
+use flamingo_edge::timeout;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use slog::info;
+
+use crate::door::answer::DoorBody;
+use crate::door::answer::plain;
+use crate::door::answer::whole;
+use crate::door::call::call;
+use crate::door::door::Door;
+use crate::door::refusal::Refusal;
+use crate::door::request::DoorRequest;
+use crate::door::request::deadline;
+use crate::door::turn::turn;
+use crate::platform::CallerRequest;
+use crate::platform::MAX_ADDRESSES;
+use crate::platform::READINESS_PATH;
+use crate::platform::RESOLVE_PATH;
+use crate::platform::caller_zone;
+use crate::platform::resolve_body;
+use crate::routing::RequestKind;
+use crate::routing::Route;
+
+/// answers a request of a caller.
+pub(super) async fn answer_caller(door: Arc<Door>, request: Request<Incoming>) -> Response<DoorBody> {
+    let received = Instant::now();
+    let (head, body) = request.into_parts();
+    let caller = CallerRequest::read(&head.headers);
+    let id = caller.id.clone();
+    let outcome = match find_route(&door, &head.headers, head.uri.path()) {
+        Err(refusal) => Err(refusal),
+        Ok((route, max_body_bytes)) => {
+            let deadline = deadline(received, &route, &caller);
+            match read_body(body, max_body_bytes, deadline).await {
+                Err(refusal) => Err(refusal),
+                Ok(body) => {
+                    let request = DoorRequest {
+                        method: head.method,
+                        target: head.uri,
+                        headers: head.headers,
+                        caller,
+                        body,
+                        deadline,
+                        received,
+                    };
+                    run(&door, &request, &route).await
+                }
+            }
+        }
+    };
+    let mut response = outcome.unwrap_or_else(|refusal| {
+        let reason: &'static str = refusal.into();
+        metrics::counter!("door_refusals_total", "reason" => reason).increment(1);
+        info!(door.log, "a request was not answered by a replica"; "request" => id, "reason" => reason,
+            "status" => refusal.status().as_u16(), "waited_ms" => received.elapsed().as_millis() as u64);
+        refusal.response()
+    });
+    if door.is_leaving() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn find_route(door: &Door, headers: &HeaderMap, path: &str) -> Result<(Arc<Route>, usize), Refusal> {
+    let table = door.table.load();
+    let table = table.as_ref().ok_or(Refusal::NoConfiguration)?;
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok()).ok_or(Refusal::BadRequest)?;
+    let route = table.route(host, path).ok_or(Refusal::NoRoute)?;
+    Ok((Arc::clone(route), table.limits.max_body_bytes))
+}
+
+async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<bytes::Bytes, Refusal> {
+    let left = deadline.saturating_duration_since(Instant::now());
+    match timeout(left, Limited::new(body, max_bytes).collect()).await {
+        None => Err(Refusal::TooLate),
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Some(Err(_)) => Err(Refusal::BodyBroken),
+    }
+}
+
+async fn run(door: &Arc<Door>, request: &DoorRequest, route: &Arc<Route>) -> Result<Response<DoorBody>, Refusal> {
+    let is_poisoned = {
+        let fleet = door.fleet();
+        fleet.has_poison() && fleet.is_poisoned(&request.content_digest())
+    };
+    if is_poisoned {
+        return Err(Refusal::Poisoned);
+    }
+    match route.kind {
+        RequestKind::Streaming => turn(door, request, route).await,
+        RequestKind::Idempotent | RequestKind::NonIdempotent => call(door, request, route).await,
+    }
+}
+
+/// answers the platform's readiness check.
+pub(super) fn answer_readiness(door: &Door, request: &Request<Incoming>) -> Response<DoorBody> {
+    match request.uri().path() {
+        READINESS_PATH if door.is_ready() => plain(StatusCode::OK, "ready"),
+        READINESS_PATH => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        _ => plain(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+/// answers a caller that asks which doors to use.
+pub(super) fn answer_directory(door: &Door, request: &Request<Incoming>) -> Response<DoorBody> {
+    if request.uri().path() != RESOLVE_PATH {
+        return plain(StatusCode::NOT_FOUND, "no such path");
+    }
+    let own = door.addresses.callers.to_string();
+    let is_ready = door.is_ready();
+    let now_ms = door.now_ms();
+    let fleet = door.fleet();
+    let mut addresses = fleet.addresses(now_ms, &own, is_ready, caller_zone(request.uri().query()));
+    if is_ready || addresses.is_empty() {
+        addresses.insert(0, &own);
+    }
+    addresses.truncate(MAX_ADDRESSES);
+    let keep_s = door.settings.bounds.directory_ttl_ms as f64 / 1_000.0;
+    let mut response = Response::new(whole(resolve_body(&addresses, keep_s)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- a/src/instance/mesh_inbox.rs
+++ b/src/instance/mesh_inbox.rs
@@ -97,7 +97,8 @@
             }
             MeshMessage::Drain(_) => shared.begin_leaving(),
             MeshMessage::Poison(held) => shared.tell_owner(Input::Poison(held)),
-            MeshMessage::SlotMoved(_) => {}
+            // Instances hold no ledger; front doors ask its nodes.
+            MeshMessage::SlotMoved(_) | MeshMessage::LedgerAsk(_) | MeshMessage::LedgerAnswer(_) => {}
         }
     }
 
--- /dev/null
+++ b/src/ledger_client/client.rs
@@ -0,0 +1,258 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use async_channel::Sender;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::ledger::empty_view;
+use crate::mesh::ConnectionId;
+use crate::mesh::Mesh;
+use crate::schema::LedgerAnswer;
+use crate::schema::LedgerAsk;
+use crate::schema::LedgerMember;
+use crate::schema::LedgerPush;
+use crate::schema::LedgerReply;
+use crate::schema::LedgerRequest;
+use crate::schema::LedgerView;
+use crate::schema::MeshMessage;
+
+/// silence after which a node no longer counts as reachable: several reports without an answer.
+const REACHABLE_MS: u64 = 1_500;
+/// age at which a question is forgotten whose answers never came; above all waits for answers.
+const FORGET_MS: u64 = 10_000;
+/// weight of the newest round trip in the average.
+const ROUND_TRIP_WEIGHT: f64 = 0.2;
+
+/// something heard about a question.
+#[derive(Debug)]
+pub struct Heard {
+    /// member that was asked.
+    pub member: String,
+    /// turn that the question named.
+    pub turn: Option<String>,
+    /// what was heard.
+    pub event: HeardEvent,
+}
+
+/// what was heard about a question.
+#[derive(Debug)]
+pub enum HeardEvent {
+    /// an answer.
+    Reply(LedgerReply),
+    /// the connection is gone; the question may have been taken.
+    Lost,
+}
+
+/// the questions of one door to the ledger nodes.
+pub struct LedgerClient {
+    mesh: OnceLock<Arc<Mesh>>,
+    view: ArcSwap<LedgerView>,
+    asked: Mutex<HashMap<u64, Asked>>,
+    nodes: Mutex<HashMap<String, NodeRow>>,
+    last_id: AtomicU64,
+    started: Instant,
+    log: Logger,
+}
+
+struct Asked {
+    member: String,
+    turn: Option<String>,
+    connection: Option<ConnectionId>,
+    sender: Sender<Heard>,
+    /// answers that are still to come.
+    answers_left: u32,
+    sent_ms: u64,
+}
+
+/// what is known of the way to a node.
+#[derive(Clone, Copy, Debug)]
+struct NodeRow {
+    heard_ms: u64,
+    round_trip_ms: f64,
+}
+
+impl LedgerClient {
+    /// a client that knows no node yet.
+    pub fn new(lost_disks: u32, log: Logger) -> Self {
+        Self {
+            mesh: OnceLock::new(),
+            view: ArcSwap::from_pointee(empty_view(lost_disks)),
+            asked: Mutex::default(),
+            nodes: Mutex::default(),
+            last_id: AtomicU64::new(0),
+            started: Instant::now(),
+            log,
+        }
+    }
+
+    /// takes the connections that questions go out on; set once at the start.
+    pub fn set_mesh(&self, mesh: Arc<Mesh>) {
+        let _ = self.mesh.set(mesh);
+    }
+
+    /// the view that the door follows.
+    pub fn view(&self) -> Arc<LedgerView> {
+        self.view.load_full()
+    }
+
+    /// follows a newer view; older ones are ignored.
+    pub fn adopt(&self, view: &LedgerView) {
+        let previous = self.view.rcu(|known| {
+            if view.epoch > known.epoch { Arc::new(view.clone()) } else { Arc::clone(known) }
+        });
+        if view.epoch > previous.epoch {
+            info!(self.log, "a ledger view is in force"; "epoch" => view.epoch, "members" => view.members.len());
+        }
+    }
+
+    /// whether enough nodes answered lately to store and to read.
+    pub fn is_reachable(&self) -> bool {
+        let view = self.view.load();
+        let now_ms = self.now_ms();
+        let nodes = self.nodes.lock().expect("nodes lock poisoned");
+        let is_near = |member: &&LedgerMember| {
+            nodes.get(&member.name).is_some_and(|row| now_ms < row.heard_ms + REACHABLE_MS)
+        };
+        let count = view.members.iter().filter(is_near).count();
+        count >= view.quorum().write() && count >= view.quorum().read()
+    }
+
+    /// the member that answers soonest.
+    pub(super) fn nearest<'a>(&self, view: &'a LedgerView) -> Option<&'a str> {
+        let now_ms = self.now_ms();
+        let nodes = self.nodes.lock().expect("nodes lock poisoned");
+        let distance = |member: &&LedgerMember| match nodes.get(&member.name) {
+            Some(row) if now_ms < row.heard_ms + REACHABLE_MS => row.round_trip_ms,
+            _ => f64::MAX,
+        };
+        let nearest = view.members.iter().min_by(|left, right| distance(left).total_cmp(&distance(right)));
+        nearest.map(|member| member.name.as_str())
+    }
+
+    /// asks a member; what is heard goes to `sender`. `false` if the question could not be sent.
+    pub fn ask(
+        &self,
+        member: &LedgerMember,
+        epoch: u64,
+        request: LedgerRequest,
+        turn: Option<&str>,
+        sender: &Sender<Heard>,
+    ) -> bool {
+        let answers_left = match &request {
+            // What is known comes at once, and again once the reservation is on disk.
+            LedgerRequest::Begin(_) => 2,
+            _ => 1,
+        };
+        let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
+        let asked = Asked {
+            member: member.name.clone(),
+            turn: turn.map(str::to_owned),
+            connection: None,
+            sender: sender.clone(),
+            answers_left,
+            sent_ms: self.now_ms(),
+        };
+        self.asked.lock().expect("asked lock poisoned").insert(id, asked);
+        let message = MeshMessage::LedgerAsk(LedgerAsk { id, epoch, request });
+        match self.send(member, message) {
+            Some(connection) => {
+                if let Some(asked) = self.asked.lock().expect("asked lock poisoned").get_mut(&id) {
+                    asked.connection = Some(connection);
+                }
+                true
+            }
+            None => {
+                self.asked.lock().expect("asked lock poisoned").remove(&id);
+                false
+            }
+        }
+    }
+
+    fn send(&self, member: &LedgerMember, message: MeshMessage) -> Option<ConnectionId> {
+        let Ok(address) = member.mesh.parse::<SocketAddr>() else {
+            warn!(self.log, "the address of a ledger node makes no sense"; "mesh" => &member.mesh);
+            return None;
+        };
+        self.mesh.get()?.send(address, None, message).ok()
+    }
+
+    /// tells a member of the view that the door follows.
+    pub(super) fn teach(&self, member: &LedgerMember, view: &LedgerView, sender: &Sender<Heard>) {
+        let push = LedgerPush { view: view.clone(), records: Vec::new() };
+        self.ask(member, view.epoch, LedgerRequest::Push(push), None, sender);
+    }
+
+    /// takes an answer.
+    pub fn on_answer(&self, answer: LedgerAnswer) {
+        let now_ms = self.now_ms();
+        let mut all = self.asked.lock().expect("asked lock poisoned");
+        let Some(asked) = all.get_mut(&answer.id) else {
+            return;
+        };
+        let is_first = asked.answers_left == 2 || !matches!(answer.reply, LedgerReply::Stored(_));
+        let waited_ms = now_ms.saturating_sub(asked.sent_ms);
+        asked.answers_left -= 1;
+        let ended = asked.answers_left == 0 || matches!(answer.reply, LedgerReply::Stale(_));
+        let heard = Heard {
+            member: asked.member.clone(),
+            turn: asked.turn.clone(),
+            event: HeardEvent::Reply(answer.reply),
+        };
+        self.hear(&asked.member, now_ms, is_first.then_some(waited_ms));
+        // A receiver that is gone has heard enough.
+        let _ = asked.sender.try_send(heard);
+        if ended {
+            all.remove(&answer.id);
+        }
+    }
+
+    fn hear(&self, member: &str, now_ms: u64, waited_ms: Option<u64>) {
+        let mut nodes = self.nodes.lock().expect("nodes lock poisoned");
+        let Some(row) = nodes.get_mut(member) else {
+            let round_trip_ms = waited_ms.unwrap_or(0) as f64;
+            nodes.insert(member.to_owned(), NodeRow { heard_ms: now_ms, round_trip_ms });
+            return;
+        };
+        row.heard_ms = now_ms;
+        if let Some(waited_ms) = waited_ms {
+            row.round_trip_ms += ROUND_TRIP_WEIGHT * (waited_ms as f64 - row.round_trip_ms);
+        }
+    }
+
+    /// takes note that a connection is gone with the questions on it.
+    pub fn on_closed(&self, connection: ConnectionId) {
+        let mut all = self.asked.lock().expect("asked lock poisoned");
+        all.retain(|_, asked| {
+            if asked.connection != Some(connection) {
+                return true;
+            }
+            let heard = Heard {
+                member: asked.member.clone(),
+                turn: asked.turn.clone(),
+                event: HeardEvent::Lost,
+            };
+            let _ = asked.sender.try_send(heard);
+            false
+        });
+    }
+
+    /// forgets questions whose answers never came.
+    pub fn expire(&self) {
+        let now_ms = self.now_ms();
+        let mut all = self.asked.lock().expect("asked lock poisoned");
+        all.retain(|_, asked| now_ms < asked.sent_ms + FORGET_MS);
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
--- /dev/null
+++ b/src/ledger_client/mod.rs
@@ -0,0 +1,16 @@
+//! how a front door uses the ledger: reserves tokens, fetches histories, and stores turns that have ended.
+//!
+//! Owns the questions under way to ledger nodes and the view that the door follows.
+
+mod client;
+mod finish;
+mod reservation;
+
+pub use client::Heard;
+pub use client::HeardEvent;
+pub use client::LedgerClient;
+pub use finish::NotStored;
+pub use reservation::Begun;
+pub use reservation::NotConfirmed;
+pub use reservation::Reservation;
+pub use reservation::TurnStart;
--- /dev/null
+++ b/src/ledger_node/mod.rs
@@ -0,0 +1,12 @@
+//! the daemon of a ledger node: wires the ledger's decisions to the mesh, the disk and the platform.
+
+mod daemon;
+mod event;
+mod inbox;
+mod peers;
+mod retirement;
+mod runner;
+mod view_store;
+
+pub use daemon::run_ledger_node;
+pub(crate) use view_store::read_view;
--- a/src/mesh/frame.rs
+++ b/src/mesh/frame.rs
@@ -32,7 +32,9 @@
         | MeshMessage::TimelinePull(_)
         | MeshMessage::TimelinePush(_)
         | MeshMessage::ProgramsPull(_)
-        | MeshMessage::ProgramsPush(_) => Class::Bulk,
+        | MeshMessage::ProgramsPush(_)
+        | MeshMessage::LedgerAsk(_)
+        | MeshMessage::LedgerAnswer(_) => Class::Bulk,
     }
 }
 
@@ -57,6 +59,8 @@
         MeshMessage::ProgramsPull(_) => "programs_pull",
         MeshMessage::ProgramsPush(_) => "programs_push",
         MeshMessage::Drain(_) => "drain",
+        MeshMessage::LedgerAsk(_) => "ledger_ask",
+        MeshMessage::LedgerAnswer(_) => "ledger_answer",
     }
 }
 
--- a/src/mesh/mesh.rs
+++ b/src/mesh/mesh.rs
@@ -104,9 +104,14 @@
 
     /// queues a message on the connection that a peer's message came on; never waits.
     pub fn reply(&self, peer: &PeerIdentity, message: MeshMessage) -> Result<(), SendError> {
+        self.reply_on(peer.connection, message)
+    }
+
+    /// queues a message on a connection; never waits.
+    pub fn reply_on(&self, connection: ConnectionId, message: MeshMessage) -> Result<(), SendError> {
         let (class, frame) = self.encode(message)?;
         let links = self.shared.links.load();
-        let link = links.by_id.get(&peer.connection).ok_or(SendError::Closed)?;
+        let link = links.by_id.get(&connection).ok_or(SendError::Closed)?;
         settle(link, link.queue.push(class, frame))
     }
 
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -43,6 +43,20 @@
     pub max_strangers: usize,
 }
 
+impl MeshLimits {
+    /// bounds between front doors and ledger nodes, where a silent connection must be given up within the time
+    /// that a caller waits for a new one.
+    pub fn of_fleet() -> Self {
+        Self {
+            handshake_timeout_ms: 1_000,
+            write_timeout_ms: 1_000,
+            ping_ms: 400,
+            close_timeout_ms: 100,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for MeshLimits {
     fn default() -> Self {
         Self {
--- a/src/platform/api.rs
+++ b/src/platform/api.rs
@@ -42,6 +42,13 @@
         /// version that it must have.
         version: u64,
     },
+    /// replaces the status of an object, which is kept beside its value.
+    SetStatus {
+        /// key of the object.
+        key: String,
+        /// its new status.
+        value: Vec<u8>,
+    },
     /// removes an object, whatever its version.
     Delete {
         /// key of the object.
@@ -68,6 +75,7 @@
             Self::List { .. } => "list",
             Self::Create { .. } => "create",
             Self::Update { .. } => "update",
+            Self::SetStatus { .. } => "set_status",
             Self::Delete { .. } => "delete",
             Self::Watch { .. } => "watch",
             Self::Instances => "instances",
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -25,7 +25,9 @@
 use crate::platform::PlatformReply;
 use crate::platform::PlatformRequest;
 use crate::platform::PlatformResult;
+use crate::platform::named_objects;
 use crate::platform::wire;
+use crate::schema::ObjectForm;
 use crate::schema::PlatformSettings;
 
 /// idle connections kept to the platform.
@@ -46,6 +48,8 @@
     pub address: SocketAddr,
     /// most calls made in any second; a watch counts as one.
     pub calls_per_second: u32,
+    /// form of the object API.
+    pub form: ObjectForm,
     /// how long one call may take, its wait for the rate budget and a watch's own wait excluded.
     pub timeout_ms: u64,
 }
@@ -57,6 +61,7 @@
         Ok(Self {
             address: settings.address.parse().context("the platform's address")?,
             calls_per_second: settings.calls_per_second,
+            form: settings.form,
             timeout_ms: settings.timeout_ms,
         })
     }
@@ -140,7 +145,7 @@
     }
 
     async fn attempt(&self, request: &PlatformRequest, fresh: bool) -> Result<PlatformReply, Attempt> {
-        let message = wire::encode(self.options.address, request).map_err(PlatformError::Invalid)?;
+        let message = self.encode(request).map_err(PlatformError::Invalid)?;
         self.wait_for_budget().await?;
         self.call_count.fetch_add(1, Ordering::Relaxed);
         let limit = Duration::from_millis(self.limit_ms(request));
@@ -150,6 +155,13 @@
         }
     }
 
+    fn encode(&self, request: &PlatformRequest) -> Result<Request, String> {
+        match self.options.form {
+            ObjectForm::Keyed => wire::encode(self.options.address, request),
+            ObjectForm::Named => named_objects::encode(self.options.address, request),
+        }
+    }
+
     fn limit_ms(&self, request: &PlatformRequest) -> u64 {
         match request {
             PlatformRequest::Watch { wait_ms, .. } => self.options.timeout_ms + wait_ms,
@@ -202,7 +214,7 @@
         let body = exchange.bytes(MAX_REPLY_BYTES).await;
         match status {
             StatusCode::NotFound => return Err(PlatformError::NotFound.into()),
-            StatusCode::PreconditionFailed => return Err(PlatformError::Conflict.into()),
+            StatusCode::PreconditionFailed | StatusCode::Conflict => return Err(PlatformError::Conflict.into()),
             StatusCode::Gone => return Err(PlatformError::Gap.into()),
             StatusCode::TooManyRequests => return Err(PlatformError::RateLimited { retry_after_ms }.into()),
             StatusCode::ServiceUnavailable => return Err(PlatformError::Unavailable.into()),
@@ -213,7 +225,11 @@
             _ => {}
         }
         let body = body.map_err(|_| Attempt::Broken)?;
-        wire::decode(request, version, body).map_err(|why| PlatformError::Invalid(why).into())
+        let reply = match self.options.form {
+            ObjectForm::Keyed => wire::decode(request, version, body),
+            ObjectForm::Named => named_objects::decode(request, &body),
+        };
+        reply.map_err(|why| PlatformError::Invalid(why).into())
     }
 }
 
@@ -233,9 +249,10 @@
 
 fn is_write(request: &PlatformRequest) -> bool {
     match request {
-        PlatformRequest::Create { .. } | PlatformRequest::Update { .. } | PlatformRequest::Delete { .. } => {
-            true
-        }
+        PlatformRequest::Create { .. }
+        | PlatformRequest::Update { .. }
+        | PlatformRequest::SetStatus { .. }
+        | PlatformRequest::Delete { .. } => true,
         PlatformRequest::Get { .. }
         | PlatformRequest::List { .. }
         | PlatformRequest::Watch { .. }
--- /dev/null
+++ b/src/platform/replica_answer.rs
@@ -0,0 +1,72 @@
+//! the headers of replicas' answers.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_ENCODING;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::RETRY_AFTER;
+
+use crate::platform::caller_request::text;
+use crate::platform::caller_request::without_connection_headers;
+
+const REQUEST_ID: &str = "x-request-id";
+/// says that the replica has not run the request; no other header or status does.
+const NOT_EXECUTED: &str = "x-not-executed";
+/// proves that the answer is the replica's; without it a success does not count.
+const RESPONSE_SIGNATURE: &str = "x-response-signature";
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// what the head of a replica's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerHead {
+    /// the answer of the request, to be handed on whatever its status.
+    Usable,
+    /// the request has not run there and never will.
+    NotRun,
+    /// another replica has the address now; the request has not run.
+    OtherReplica,
+    /// the answer belongs to another request, or cannot be trusted.
+    Foreign,
+}
+
+/// judges the head of an answer to the request `id`.
+pub fn judge(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> AnswerHead {
+    let echoed = text(headers, REQUEST_ID);
+    if echoed.is_some() && echoed.as_deref() != id {
+        return AnswerHead::Foreign;
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return AnswerHead::OtherReplica;
+    }
+    if headers.contains_key(NOT_EXECUTED) {
+        return AnswerHead::NotRun;
+    }
+    let trusted = headers.contains_key(RESPONSE_SIGNATURE) && !headers.contains_key(CONTENT_ENCODING);
+    if status.is_success() && !(trusted && echoed.is_some()) {
+        return AnswerHead::Foreign;
+    }
+    AnswerHead::Usable
+}
+
+/// how long a replica keeps an idle connection; zero if it closes it after this answer.
+pub fn keeps_connection(headers: &HeaderMap) -> Option<Duration> {
+    let options = text(headers, CONNECTION.as_str()).unwrap_or_default();
+    if options.split(',').any(|option| option.trim().eq_ignore_ascii_case("close")) {
+        return Some(Duration::ZERO);
+    }
+    let parameters = text(headers, KEEP_ALIVE)?;
+    let seconds = parameters.split(',').find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// the headers of an answer for the caller. The body's length is set by what sends it.
+pub fn caller_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = without_connection_headers(headers);
+    kept.remove(CONTENT_LENGTH);
+    // When to come back is the system's to say; a replica knows only itself.
+    kept.remove(RETRY_AFTER);
+    kept
+}
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -25,6 +25,9 @@
         PlatformRequest::Update { key, value, version } => {
             store.update(key, value, *version).map(|version| PlatformReply::Written { version })
         }
+        PlatformRequest::SetStatus { key, .. } => {
+            store.get(key).map(|found| PlatformReply::Written { version: found.version })
+        }
         PlatformRequest::Delete { key } => store.delete(key).map(|_| PlatformReply::Deleted),
         PlatformRequest::Watch { prefix, after_revision, .. } => {
             let seen = store.watch_after(prefix, *after_revision);
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -67,6 +67,7 @@
     match request {
         PlatformRequest::Get { key } => Ok(Request::new(Method::Get, object_url(address, key)?)),
         PlatformRequest::Delete { key } => Ok(Request::new(Method::Delete, object_url(address, key)?)),
+        PlatformRequest::SetStatus { .. } => Err("objects under keys have no status".to_owned()),
         PlatformRequest::Create { key, value } => {
             let mut message = Request::new(Method::Put, object_url(address, key)?);
             message.insert_header("if-none-match", "*");
@@ -113,7 +114,9 @@
         PlatformRequest::Get { key } => {
             Ok(PlatformReply::Object(Object { key: key.clone(), version: version()?, value: body }))
         }
-        PlatformRequest::Create { .. } | PlatformRequest::Update { .. } => {
+        PlatformRequest::Create { .. }
+        | PlatformRequest::Update { .. }
+        | PlatformRequest::SetStatus { .. } => {
             Ok(PlatformReply::Written { version: version()? })
         }
         PlatformRequest::Delete { .. } => Ok(PlatformReply::Deleted),
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,23 @@
+//! where requests may go: the routes of the operators' configuration and the replicas behind them.
+//!
+//! Owns what a front door believes of replicas. Decisions only; time comes in as an argument.
+
+mod pick;
+mod replica_table;
+mod route;
+mod route_table;
+mod service;
+
+pub use pick::Wanted;
+pub use replica_table::Outcome;
+pub use replica_table::ReplicaEntry;
+pub use replica_table::ReplicaId;
+pub use replica_table::ReplicaPick;
+pub use replica_table::ReplicaTable;
+pub use route::Backend;
+pub use route::RequestKind;
+pub use route::Route;
+pub use route_table::CallerLimits;
+pub use route_table::RouteTable;
+pub use service::EngineSpec;
+pub use service::ServiceSpec;
--- /dev/null
+++ b/src/routing/replica_table.rs
@@ -0,0 +1,238 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::routing::Wanted;
+use crate::routing::pick;
+use crate::schema::ReplicaUse;
+
+/// how long an entry that vanished while the platform was away is still used after its return.
+///
+/// Entries lapse during an outage although their replicas live; those that do are back within this time.
+const LAPSED_GRACE_MS: u64 = 2_000;
+/// first time that a replica is left alone after it broke a connection; doubles with each further one.
+const FIRST_REST_MS: u64 = 250;
+/// longest time that a replica is left alone; an entry of a crashed replica lapses after a few seconds.
+const LONGEST_REST_MS: u64 = 4_000;
+
+new_key_type! {
+    /// names a replica in the table of this process.
+    pub struct ReplicaId;
+}
+
+/// what a replica says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaEntry {
+    /// id, new at most starts.
+    pub id: String,
+    /// service.
+    pub service: String,
+    /// address.
+    pub address: SocketAddr,
+    /// availability zone.
+    pub zone: String,
+    /// requests that it runs at once.
+    pub slots: u32,
+    /// whether it is leaving.
+    pub leaving: bool,
+    /// start of its process in Unix milliseconds; tells two starts under one id apart.
+    pub started_unix_ms: u64,
+}
+
+/// how a request to a replica went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// it answered.
+    Answered,
+    /// it said that it is full.
+    Full,
+    /// the connection could not be opened, or broke.
+    Broken,
+}
+
+/// a replica that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaPick {
+    /// the replica.
+    pub key: ReplicaId,
+    /// its id.
+    pub id: String,
+    /// its address.
+    pub address: SocketAddr,
+    /// requests that it had under way as far as is known.
+    pub running: u32,
+}
+
+#[derive(Debug)]
+pub(super) struct Replica {
+    pub entry: ReplicaEntry,
+    /// requests of this door under way.
+    own_running: u32,
+    /// requests of other doors under way, as reported last.
+    others_running: u32,
+    rest_until_ms: u64,
+    broken_count: u32,
+    /// when the entry stops to be used, after it vanished around an outage.
+    drop_at_ms: Option<u64>,
+    pub last_picked: u64,
+}
+
+impl Replica {
+    pub fn busy_share(&self) -> f64 {
+        f64::from(self.own_running + self.others_running) / f64::from(self.entry.slots.max(1))
+    }
+
+    fn is_usable(&self, now_ms: u64) -> bool {
+        !self.entry.leaving && self.drop_at_ms.is_none_or(|drop_at_ms| now_ms < drop_at_ms)
+    }
+}
+
+/// the replicas of all services as this door knows them.
+#[derive(Debug, Default)]
+pub struct ReplicaTable {
+    replicas: SlotMap<ReplicaId, Replica>,
+    by_id: HashMap<String, ReplicaId>,
+    pick_count: u64,
+}
+
+impl ReplicaTable {
+    /// takes all entries; after an outage, those that are missing are dropped a little later.
+    pub fn replace(&mut self, now_ms: u64, entries: Vec<ReplicaEntry>, after_outage: bool) {
+        let mut gone: Vec<String> = self.by_id.keys().cloned().collect();
+        gone.retain(|id| !entries.iter().any(|entry| entry.id == *id));
+        for entry in entries {
+            self.put(entry);
+        }
+        for id in gone {
+            self.remove(now_ms, &id, after_outage);
+        }
+    }
+
+    /// takes an entry that is new or has changed.
+    pub fn put(&mut self, entry: ReplicaEntry) {
+        if let Some(replica) = self.by_id.get(&entry.id).and_then(|key| self.replicas.get_mut(*key)) {
+            if entry.started_unix_ms != replica.entry.started_unix_ms {
+                replica.rest_until_ms = 0;
+                replica.broken_count = 0;
+            }
+            replica.drop_at_ms = None;
+            replica.entry = entry;
+            return;
+        }
+        let id = entry.id.clone();
+        let replica = Replica {
+            entry,
+            own_running: 0,
+            others_running: 0,
+            rest_until_ms: 0,
+            broken_count: 0,
+            drop_at_ms: None,
+            last_picked: 0,
+        };
+        let key = self.replicas.insert(replica);
+        self.by_id.insert(id, key);
+    }
+
+    /// takes note that an entry is gone.
+    pub fn remove(&mut self, now_ms: u64, id: &str, after_outage: bool) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        if let Some(replica) = self.replicas.get_mut(key).filter(|_| after_outage) {
+            replica.drop_at_ms.get_or_insert(now_ms + LAPSED_GRACE_MS);
+            return;
+        }
+        self.by_id.remove(id);
+        self.replicas.remove(key);
+    }
+
+    /// drops entries that stayed away after an outage.
+    pub fn expire(&mut self, now_ms: u64) {
+        let replicas = &mut self.replicas;
+        self.by_id.retain(|_, key| {
+            let stays = replicas.get(*key).is_some_and(|replica| {
+                replica.drop_at_ms.is_none_or(|drop_at_ms| now_ms < drop_at_ms)
+            });
+            if !stays {
+                replicas.remove(*key);
+            }
+            stays
+        });
+    }
+
+    /// chooses a replica and counts a request to it; `avoid` are replicas that were tried already.
+    pub fn pick(&mut self, now_ms: u64, wanted: &Wanted<'_>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
+        let usable = self.replicas.iter().filter(|(key, replica)| {
+            replica.entry.service == wanted.service && replica.is_usable(now_ms) && !avoid.contains(key)
+        });
+        let usable: Vec<&Replica> = usable.map(|(_, replica)| replica).collect();
+        let rested: Vec<&Replica> =
+            usable.iter().copied().filter(|replica| now_ms >= replica.rest_until_ms).collect();
+        // A replica that broke is better than none: it may be the only one, and back already.
+        let candidates = if rested.is_empty() { &usable } else { &rested };
+        let id = pick::best(wanted, candidates)?.entry.id.clone();
+        let key = *self.by_id.get(&id)?;
+        let replica = self.replicas.get_mut(key)?;
+        self.pick_count += 1;
+        replica.last_picked = self.pick_count;
+        replica.own_running += 1;
+        let running = replica.own_running + replica.others_running;
+        Some(ReplicaPick { key, id, address: replica.entry.address, running })
+    }
+
+    /// a request to a replica is over.
+    pub fn release(&mut self, key: ReplicaId) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.own_running = replica.own_running.saturating_sub(1);
+        }
+    }
+
+    /// learns how a request went.
+    pub fn learn(&mut self, now_ms: u64, key: ReplicaId, outcome: Outcome) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered => replica.broken_count = 0,
+            // Its queue is full for the moment; what other doors have there is known only later.
+            Outcome::Full => replica.others_running = replica.others_running.max(replica.entry.slots),
+            Outcome::Broken => {
+                let rest_ms = FIRST_REST_MS << replica.broken_count.min(8);
+                replica.rest_until_ms = now_ms + rest_ms.min(LONGEST_REST_MS);
+                replica.broken_count += 1;
+            }
+        }
+    }
+
+    /// takes what other doors have under way.
+    pub fn set_others(&mut self, loads: &[ReplicaUse]) {
+        for replica in self.replicas.values_mut() {
+            replica.others_running = 0;
+        }
+        for load in loads {
+            let known = self.by_id.get(&load.replica).and_then(|key| self.replicas.get_mut(*key));
+            if let Some(replica) = known {
+                replica.others_running = load.running;
+            }
+        }
+    }
+
+    /// what this door has under way.
+    pub fn own_loads(&self) -> Vec<ReplicaUse> {
+        let busy = self.replicas.values().filter(|replica| replica.own_running > 0);
+        busy.map(|replica| ReplicaUse { replica: replica.entry.id.clone(), running: replica.own_running })
+            .collect()
+    }
+
+    /// usable replicas of each service.
+    pub fn usable_counts(&self, now_ms: u64) -> BTreeMap<&str, usize> {
+        let mut counts = BTreeMap::new();
+        for replica in self.replicas.values().filter(|replica| replica.is_usable(now_ms)) {
+            *counts.entry(replica.entry.service.as_str()).or_default() += 1;
+        }
+        counts
+    }
+}
--- a/src/schema/checker.rs
+++ b/src/schema/checker.rs
@@ -15,8 +15,17 @@
 const SCHEMA_TEXT: &str = include_str!("../../schemas/wire.json");
 
 /// definitions that arrive from outside and are checked before they are read.
-const CHECKED: [&str; 8] =
-    ["Settings", "ReleaseNote", "OpenBody", "TurnBody", "CallBody", "EndBody", "DrainBody", "PoisonLiftBody"];
+const CHECKED: [&str; 9] = [
+    "Settings",
+    "NodeSettings",
+    "ReleaseNote",
+    "OpenBody",
+    "TurnBody",
+    "CallBody",
+    "EndBody",
+    "DrainBody",
+    "PoisonLiftBody",
+];
 
 /// longest sentence of a finding.
 const MAX_DETAIL_CHARS: usize = 300;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -63,6 +63,20 @@
     ///records in order
     pub records: ::std::vec::Vec<Record>,
 }
+///bounds that the deployment promises its callers
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BoundSettings {
+    ///time after which an accepted configuration is in force
+    pub config_ms: u64,
+    ///time after which a healed connection counts as sound
+    pub contact_ms: u64,
+    ///longest time that callers may keep an answer of the directory
+    pub directory_ttl_ms: u64,
+    ///time after which a leaving replica gets no more work
+    pub drain_ms: u64,
+    ///time from SIGTERM to SIGKILL
+    pub grace_ms: u64,
+}
 ///outcome of a call
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CallAnswer {
@@ -430,6 +444,48 @@
         }
     }
 }
+///addresses as IP and port
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DoorListen {
+    ///address that callers send requests to
+    pub callers: ::std::string::String,
+    ///address that callers ask which doors to use
+    pub directory: ::std::string::String,
+    ///address of the platform's readiness check
+    pub readiness: ::std::string::String,
+}
+///what a front door tells the ledger nodes, and through them the other doors
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DoorReport {
+    ///address that callers send requests to
+    pub callers: ::std::string::String,
+    ///requests that it has under way
+    pub loads: ::std::vec::Vec<ReplicaUse>,
+    ///name of the instance
+    pub name: ::std::string::String,
+    ///whether it takes requests
+    pub ready: bool,
+    ///start of the process
+    pub started: ::std::string::String,
+    ///replicas that ended under a request since the last report
+    pub strikes: ::std::vec::Vec<PoisonStrike>,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
+///a front door as a ledger node knows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DoorRow {
+    ///time since its last report
+    pub age_ms: u64,
+    ///address that callers send requests to
+    pub callers: ::std::string::String,
+    ///name of the instance
+    pub name: ::std::string::String,
+    ///whether it takes requests
+    pub ready: bool,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
 ///tells an instance to leave
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DrainBody {
@@ -606,6 +662,16 @@
         Self(value)
     }
 }
+///what a ledger node knows of all doors
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct FleetNews {
+    ///doors
+    pub doors: ::std::vec::Vec<DoorRow>,
+    ///requests under way at each replica, through other doors than the one that asks
+    pub loads: ::std::vec::Vec<ReplicaUse>,
+    ///contents that ended several replicas
+    pub poisoned: ::std::vec::Vec<::std::string::String>,
+}
 ///a program's state is dropped
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ForgottenRecord {
@@ -940,6 +1006,13 @@
         value.parse()
     }
 }
+///the node belongs to a view
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JoinedView {
+    ///whether the node has all that its disk should hold
+    pub complete: bool,
+    pub view: LedgerView,
+}
 ///one object of a journal
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct JournalEntry {
@@ -961,6 +1034,286 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub through: ::std::option::Option<u64>,
 }
+///a turn as a node keeps it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct KeptTurn {
+    ///turn that it goes on from
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub previous: ::std::option::Option<::std::string::String>,
+    ///its input, then each of its events with a line feed
+    pub said: crate::schema::Octets,
+    ///id of the turn
+    pub turn: ::std::string::String,
+}
+///what a node knows of a program, and of the history that was asked for
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerAccount {
+    ///whether the node has all that its disk should hold
+    pub complete: bool,
+    ///the turn and those before it, the newest first, as far as the node has them without a gap; empty unless asked for
+    pub history: ::std::vec::Vec<KeptTurn>,
+    ///whether the turn that was named is known; true if none was named
+    pub knows_turn: bool,
+    ///tokens held by each turn of the program
+    pub spends: ::std::vec::Vec<LedgerSpend>,
+}
+///an answer of a ledger node; a question may have several
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerAnswer {
+    ///names the question
+    pub id: u64,
+    pub reply: LedgerReply,
+}
+///a question to a ledger node
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerAsk {
+    ///view that the sender knows
+    pub epoch: u64,
+    ///names the question on its connection
+    pub id: u64,
+    pub request: LedgerRequest,
+}
+///a turn asks for tokens of its program and for what was said before
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerBegin {
+    ///the most that the turn may generate
+    pub most_tokens: u64,
+    ///turn that this one goes on from
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub previous: ::std::option::Option<::std::string::String>,
+    ///program
+    pub program: ::std::string::String,
+    ///id of the turn
+    pub request: ::std::string::String,
+    ///whether the node that answers sends the history and not only whether it has it
+    pub wants_history: bool,
+}
+///a turn has ended
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerFinish {
+    ///program
+    pub program: ::std::string::String,
+    ///id of the turn
+    pub request: ::std::string::String,
+    ///what is kept of it
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub turn: ::std::option::Option<LedgerTurn>,
+    ///tokens handed to the caller
+    pub used_tokens: u64,
+}
+///asks for all that was said up to a turn
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerHistory {
+    ///id of the last turn
+    pub turn: ::std::string::String,
+}
+///a node that holds a copy of the ledger
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerMember {
+    ///identity of its disk; a new one after the disk was lost
+    pub disk: ::std::string::String,
+    ///mesh address
+    pub mesh: ::std::string::String,
+    ///name of the instance
+    pub name: ::std::string::String,
+}
+///asks a node for its records on behalf of a node that catches up
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerPull {
+    ///number of the last record received; 0 for all
+    pub after: u64,
+    pub view: LedgerView,
+}
+///hands records of a node that leaves to one that stays
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerPush {
+    ///records
+    pub records: ::std::vec::Vec<LedgerRecord>,
+    pub view: LedgerView,
+}
+///what a ledger node writes to its disk
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum LedgerRecord {
+    #[serde(rename = "reserved")]
+    Reserved(ReservedTokens),
+    #[serde(rename = "finished")]
+    Finished(LedgerFinish),
+    #[serde(rename = "joined")]
+    Joined(JoinedView),
+}
+impl ::std::convert::From<ReservedTokens> for LedgerRecord {
+    fn from(value: ReservedTokens) -> Self {
+        Self::Reserved(value)
+    }
+}
+impl ::std::convert::From<LedgerFinish> for LedgerRecord {
+    fn from(value: LedgerFinish) -> Self {
+        Self::Finished(value)
+    }
+}
+impl ::std::convert::From<JoinedView> for LedgerRecord {
+    fn from(value: JoinedView) -> Self {
+        Self::Joined(value)
+    }
+}
+///records of a node
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerRecords {
+    ///whether the node has all that its disk should hold
+    pub complete: bool,
+    ///number of the last one
+    pub last: u64,
+    ///whether there are more
+    pub more: bool,
+    ///records
+    pub records: ::std::vec::Vec<LedgerRecord>,
+}
+///what a ledger node answers
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum LedgerReply {
+    #[serde(rename = "account")]
+    Account(LedgerAccount),
+    #[serde(rename = "stored")]
+    Stored(LedgerStored),
+    #[serde(rename = "stale")]
+    Stale(LedgerStale),
+    #[serde(rename = "records")]
+    Records(LedgerRecords),
+    #[serde(rename = "news")]
+    News(FleetNews),
+}
+impl ::std::convert::From<LedgerAccount> for LedgerReply {
+    fn from(value: LedgerAccount) -> Self {
+        Self::Account(value)
+    }
+}
+impl ::std::convert::From<LedgerStored> for LedgerReply {
+    fn from(value: LedgerStored) -> Self {
+        Self::Stored(value)
+    }
+}
+impl ::std::convert::From<LedgerStale> for LedgerReply {
+    fn from(value: LedgerStale) -> Self {
+        Self::Stale(value)
+    }
+}
+impl ::std::convert::From<LedgerRecords> for LedgerReply {
+    fn from(value: LedgerRecords) -> Self {
+        Self::Records(value)
+    }
+}
+impl ::std::convert::From<FleetNews> for LedgerReply {
+    fn from(value: FleetNews) -> Self {
+        Self::News(value)
+    }
+}
+///what a ledger node is asked
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum LedgerRequest {
+    #[serde(rename = "begin")]
+    Begin(LedgerBegin),
+    #[serde(rename = "spent")]
+    Spent(LedgerSpent),
+    #[serde(rename = "finish")]
+    Finish(LedgerFinish),
+    #[serde(rename = "history")]
+    History(LedgerHistory),
+    #[serde(rename = "pull")]
+    Pull(LedgerPull),
+    #[serde(rename = "push")]
+    Push(LedgerPush),
+    #[serde(rename = "report")]
+    Report(DoorReport),
+}
+impl ::std::convert::From<LedgerBegin> for LedgerRequest {
+    fn from(value: LedgerBegin) -> Self {
+        Self::Begin(value)
+    }
+}
+impl ::std::convert::From<LedgerSpent> for LedgerRequest {
+    fn from(value: LedgerSpent) -> Self {
+        Self::Spent(value)
+    }
+}
+impl ::std::convert::From<LedgerFinish> for LedgerRequest {
+    fn from(value: LedgerFinish) -> Self {
+        Self::Finish(value)
+    }
+}
+impl ::std::convert::From<LedgerHistory> for LedgerRequest {
+    fn from(value: LedgerHistory) -> Self {
+        Self::History(value)
+    }
+}
+impl ::std::convert::From<LedgerPull> for LedgerRequest {
+    fn from(value: LedgerPull) -> Self {
+        Self::Pull(value)
+    }
+}
+impl ::std::convert::From<LedgerPush> for LedgerRequest {
+    fn from(value: LedgerPush) -> Self {
+        Self::Push(value)
+    }
+}
+impl ::std::convert::From<DoorReport> for LedgerRequest {
+    fn from(value: DoorReport) -> Self {
+        Self::Report(value)
+    }
+}
+///disk of a ledger node
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerSettings {
+    ///folder of the log; nothing else writes there
+    pub data_dir: ::std::string::String,
+}
+///tokens that one turn holds of a budget
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerSpend {
+    ///id of the turn
+    pub request: ::std::string::String,
+    ///whether the turn has ended and the number is final
+    pub settled: bool,
+    ///tokens held or spent
+    pub tokens: u64,
+}
+///asks for the tokens that a program holds
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerSpent {
+    ///program
+    pub program: ::std::string::String,
+}
+///the sender or the node does not know the newest view; nothing was done
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerStale {
+    pub view: LedgerView,
+}
+///the records of a question are on the disk of the node
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerStored {
+    ///number of the last record that is on disk
+    pub through: u64,
+}
+///a turn that is kept
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerTurn {
+    ///how long it is kept after its end
+    pub keep_ms: u64,
+    ///turn that it goes on from
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub previous: ::std::option::Option<::std::string::String>,
+    ///its input, then each of its events with a line feed
+    pub said: crate::schema::Octets,
+}
+///the nodes that hold the ledger, as agreed through the platform
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerView {
+    ///number of the view; each change adds one
+    pub epoch: u64,
+    ///disks that may be lost at once
+    pub lost_disks: u32,
+    ///members in the order of their names
+    pub members: ::std::vec::Vec<LedgerMember>,
+}
 ///bounds of the doors
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LimitSettings {
@@ -1340,6 +1693,10 @@
     ProgramsPush(ProgramsPush),
     #[serde(rename = "drain")]
     Drain(DrainOrder),
+    #[serde(rename = "ledger_ask")]
+    LedgerAsk(LedgerAsk),
+    #[serde(rename = "ledger_answer")]
+    LedgerAnswer(LedgerAnswer),
 }
 impl ::std::convert::From<Forward> for MeshMessage {
     fn from(value: Forward) -> Self {
@@ -1431,6 +1788,16 @@
         Self::Drain(value)
     }
 }
+impl ::std::convert::From<LedgerAsk> for MeshMessage {
+    fn from(value: LedgerAsk) -> Self {
+        Self::LedgerAsk(value)
+    }
+}
+impl ::std::convert::From<LedgerAnswer> for MeshMessage {
+    fn from(value: LedgerAnswer) -> Self {
+        Self::LedgerAnswer(value)
+    }
+}
 ///answer to a challenge
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct MeshProof {
@@ -1456,6 +1823,91 @@
     #[serde(default)]
     pub urgent: bool,
 }
+///what the process may use
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct NodeLimits {
+    ///open descriptors
+    pub max_descriptors: u64,
+}
+///settings of a front door or a ledger node
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    ///bounds that the deployment promises its callers
+    pub bounds: BoundSettings,
+    pub cluster: ClusterSettings,
+    ///where a front door listens; absent on a ledger node
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub door: ::std::option::Option<DoorListen>,
+    pub instance: InstanceSettings,
+    ///disk of a ledger node; absent on a front door
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub ledger: ::std::option::Option<LedgerSettings>,
+    ///what the process may use
+    pub limits: NodeLimits,
+    ///log lines
+    #[serde(default = "defaults::node_settings_log")]
+    pub log: LogSettings,
+    ///IP and port for the other processes of the deployment, TCP
+    pub mesh: ::std::string::String,
+    pub platform: PlatformSettings,
+    ///losses that nothing acknowledged may suffer from
+    pub tolerance: ToleranceSettings,
+}
+///form of the object API: values under keys, or named objects of kinds
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ObjectForm {
+    #[serde(rename = "keyed")]
+    Keyed,
+    #[serde(rename = "named")]
+    Named,
+}
+impl ::std::fmt::Display for ObjectForm {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Keyed => f.write_str("keyed"),
+            Self::Named => f.write_str("named"),
+        }
+    }
+}
+impl ::std::str::FromStr for ObjectForm {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "keyed" => Ok(Self::Keyed),
+            "named" => Ok(Self::Named),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ObjectForm {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ObjectForm {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///opens a program
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OpenBody {
@@ -1658,6 +2110,9 @@
     ///most calls a second this instance makes
     #[serde(default = "defaults::default_u64::<u32, 200>")]
     pub calls_per_second: u32,
+    ///form of the object API
+    #[serde(default = "defaults::platform_settings_form")]
+    pub form: ObjectForm,
     ///how long one call may take, watches excluded
     #[serde(default = "defaults::default_u64::<u64, 2000>")]
     pub timeout_ms: u64,
@@ -1683,6 +2138,14 @@
     ///digest of the content
     pub digest: ::std::string::String,
 }
+///a replica ended under a request
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PoisonStrike {
+    ///digest of the content of the request
+    pub content: ::std::string::String,
+    ///id that makes a repeated report harmless
+    pub strike: ::std::string::String,
+}
 ///asks for a sign of life
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Probe {
@@ -2145,6 +2608,14 @@
     ///availability zone
     pub zone: ::std::string::String,
 }
+///requests under way at a replica
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReplicaUse {
+    ///id of the replica
+    pub replica: ::std::string::String,
+    ///requests under way
+    pub running: u32,
+}
 ///tokens are reserved for a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReservedRecord {
@@ -2155,6 +2626,16 @@
     ///turn
     pub turn: u32,
 }
+///a turn holds tokens
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ReservedTokens {
+    ///program
+    pub program: ::std::string::String,
+    ///id of the turn
+    pub request: ::std::string::String,
+    ///tokens held
+    pub tokens: u64,
+}
 ///a call has an outcome
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ResolvedRecord {
@@ -2497,6 +2978,12 @@
     ///text
     pub text: ::std::string::String,
 }
+///losses that nothing acknowledged may suffer from
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ToleranceSettings {
+    ///ledger nodes that may lose their disks at once
+    pub lost_disks: u32,
+}
 ///whole answer of a turn
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TurnAnswer {
@@ -2634,6 +3121,15 @@
     pub(super) fn log_settings_level() -> super::LogLevel {
         super::LogLevel::Info
     }
+    pub(super) fn node_settings_log() -> super::LogSettings {
+        super::LogSettings {
+            format: super::LogFormat::Terminal,
+            level: super::LogLevel::Info,
+        }
+    }
+    pub(super) fn platform_settings_form() -> super::ObjectForm {
+        super::ObjectForm::Keyed
+    }
     pub(super) fn settings_dispatch() -> super::DispatchSettings {
         super::DispatchSettings {
             first_token_target_ms: 1400_u64,
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -5,8 +5,10 @@
 #[rustfmt::skip]
 mod generated;
 mod line_index;
+mod octets;
 
 pub use checker::check_text;
 pub use checker::check_value;
 pub use generated::*;
 pub use line_index::line_of_pointer;
+pub use octets::Octets;
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -23,7 +23,7 @@
 pub fn start_logger(settings: &LogSettings, instance: &str) -> (Logger, LogGuard) {
     let level = level(settings.level);
     let (drain, guard) = match settings.format {
-        LogFormat::Json => queued(slog_json::Json::default(io::stderr()).fuse()),
+        LogFormat::Json => queued(slog_json::Json::default(io::stdout()).fuse()),
         LogFormat::Terminal => {
             let decorator = slog_term::PlainDecorator::new(io::stderr());
             queued(slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse())
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -20,6 +20,7 @@
 
 use flamingostand::platform::HttpPlatform;
 use flamingostand::platform::HttpPlatformOptions;
+use flamingostand::schema::ObjectForm;
 use flamingostand::platform::Platform;
 use flamingostand::platform::PlatformError;
 use flamingostand::platform::PlatformReply;
@@ -47,6 +48,7 @@
     HttpPlatform::new(HttpPlatformOptions {
         address: standin.address(),
         calls_per_second: 1_000,
+        form: ObjectForm::Keyed,
         timeout_ms: 500,
     })
 }
@@ -299,6 +301,7 @@
     let client = HttpPlatform::new(HttpPlatformOptions {
         address: standin.address(),
         calls_per_second: PER_SECOND,
+        form: ObjectForm::Keyed,
         timeout_ms: 2_000,
     });
     let started_at = Instant::now();
@@ -320,7 +323,7 @@
 #[test]
 fn budget_refusal() {
     let standin = standin();
-    let options = HttpPlatformOptions { address: standin.address(), calls_per_second: 1, timeout_ms: 1_000 };
+    let options = HttpPlatformOptions { address: standin.address(), calls_per_second: 1, form: ObjectForm::Keyed, timeout_ms: 1_000 };
     let client = HttpPlatform::new(options);
     assert_eq!(call(&client, get("a")), Err(PlatformError::NotFound));
     let refused = call(&client, get("a"));
--- a/tests/support/owner_world/platform.rs
+++ b/tests/support/owner_world/platform.rs
@@ -49,6 +49,7 @@
                 }
                 Ok(self.write(key, Some(value.clone())))
             }
+            PlatformRequest::SetStatus { .. } => Err(PlatformError::NotFound),
             PlatformRequest::Delete { key } => {
                 if !self.objects.contains_key(key) {
                     return Err(PlatformError::NotFound);
