Test doors and ledger nodes as real processes between stand-ins

Idempotent calls whose answer takes far longer than usual go to another replica within a retry budget; only a replica that has ended counts against the content that it ran. Found by the tests: a door called itself ready while ledger nodes were still copying (503 ledger_unsure); nodes now say whether they are complete.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod host;
 pub mod platform;
+pub mod replica;
 pub mod service;
 pub mod weights;
 
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod instances;
+mod named_routes;
 mod routes;
 mod standin;
 mod store;
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -23,10 +23,11 @@
 use super::Outage;
 use super::PlatformFaults;
 use super::StoreError;
+use super::named_routes;
 use super::standin::Shared;
 
 /// the longest wait of a watch.
-const MAX_WATCH_MS: u64 = 60_000;
+pub(super) const MAX_WATCH_MS: u64 = 60_000;
 /// how long a caller should wait after a refusal during an outage.
 const OUTAGE_RETRY_AFTER_MS: u64 = 200;
 
@@ -45,10 +46,12 @@
 }
 
 /// one call of the object API.
-enum Call {
+pub(super) enum Call {
     Get(String),
     Create(String),
-    Update(String, u64),
+    /// with the version that the object must have, if any.
+    Update(String, Option<u64>),
+    SetStatus(String),
     Delete(String),
     List { prefix: String, after: String, limit: usize, values: bool },
     Watch { prefix: String, after_revision: u64, wait_ms: u64 },
@@ -57,7 +60,7 @@
 
 impl Call {
     fn is_write(&self) -> bool {
-        matches!(self, Self::Create(_) | Self::Update(..) | Self::Delete(_))
+        matches!(self, Self::Create(_) | Self::Update(..) | Self::SetStatus(_) | Self::Delete(_))
     }
 }
 
@@ -66,14 +69,19 @@
     if let Some(route) = path.strip_prefix("/control/") {
         return control(shared, route, incoming).await;
     }
-    let Some(call) = parse(&incoming) else {
-        return json_problem(StatusCode::NotFound, "no_route", "no such call");
-    };
+    let is_named = path.starts_with(named_routes::OBJECTS_PATH);
     let body = match incoming.body().await {
         Ok(body) => body,
         Err(ReadError::TooLarge) => return too_large(),
         Err(error) => return json_problem(StatusCode::BadRequest, "broken_body", &error.to_string()),
     };
+    let parsed = match is_named {
+        true => named_routes::parse(&incoming, &body),
+        false => parse(&incoming).map(|call| (call, body)),
+    };
+    let Some((call, body)) = parsed else {
+        return json_problem(StatusCode::NotFound, "no_route", "no such call");
+    };
     let (outage, slow_ms) = count(shared, &call);
     match outage {
         Outage::None => {}
@@ -94,13 +102,13 @@
         return refused(StatusCode::TooManyRequests, wait.as_millis() as u64 + 1);
     }
     if call.is_write() {
-        let (response, lost) = write(shared, &call, &body);
+        let (response, lost) = write(shared, &call, &body, is_named);
         if lost {
             incoming.connection.abort();
         }
         return response;
     }
-    read(shared, call, &incoming).await
+    read(shared, call, &incoming, is_named).await
 }
 
 fn parse(incoming: &Incoming) -> Option<Call> {
@@ -117,7 +125,7 @@
             Method::Put if request.header("if-none-match").is_some() => Some(Call::Create(key)),
             Method::Put => {
                 let version = request.header("if-match")?.as_str().trim_matches('"').parse().ok()?;
-                Some(Call::Update(key, version))
+                Some(Call::Update(key, Some(version)))
             }
             _ => None,
         };
@@ -145,7 +153,7 @@
     let counter = match call {
         Call::Get(_) => &mut counts.get,
         Call::Create(_) => &mut counts.create,
-        Call::Update(..) => &mut counts.update,
+        Call::Update(..) | Call::SetStatus(_) => &mut counts.update,
         Call::Delete(_) => &mut counts.delete,
         Call::List { .. } => &mut counts.list,
         Call::Watch { .. } => &mut counts.watch,
@@ -164,12 +172,23 @@
     taken
 }
 
-fn write(shared: &Shared, call: &Call, body: &[u8]) -> (Response, bool) {
+fn write(shared: &Shared, call: &Call, body: &[u8], is_named: bool) -> (Response, bool) {
     let now = shared.now();
     let mut state = shared.lock();
     let result = match call {
         Call::Create(key) => state.store.create(key, body),
-        Call::Update(key, version) => state.store.update(key, body, *version),
+        Call::Update(key, version) => {
+            let standing = state.store.get(key).map(|object| object.version);
+            standing.and_then(|standing| state.store.update(key, body, version.unwrap_or(standing)))
+        }
+        Call::SetStatus(key) => {
+            let found = state.store.get(key);
+            let status = serde_json::from_slice(body).unwrap_or_default();
+            found.map(|object| {
+                state.statuses.insert(key.clone(), status);
+                object.version
+            })
+        }
         Call::Delete(key) => state.store.delete(key),
         _ => return (Response::new(StatusCode::InternalServerError), false),
     };
@@ -177,8 +196,16 @@
         state.written(now);
     }
     let lost = state.loses_reply();
+    let written = match call {
+        Call::Create(key) | Call::Update(key, _) | Call::SetStatus(key) if is_named => {
+            state.store.get(key).ok().map(|object| named_routes::object(&state, &object))
+        }
+        _ => None,
+    };
     drop(state);
     let response = match result {
+        Ok(_) if is_named => json(StatusCode::Ok, &written.unwrap_or_default()),
+        Err(error) if is_named => named_routes::failure(error),
         Ok(version) => {
             let mut response = Response::new(StatusCode::Ok);
             response.insert_header("etag", format!("\"{version}\""));
@@ -190,7 +217,7 @@
     (response, lost)
 }
 
-async fn read(shared: &Shared, call: Call, incoming: &Incoming) -> Response {
+async fn read(shared: &Shared, call: Call, incoming: &Incoming, is_named: bool) -> Response {
     match call {
         Call::Get(key) => {
             let state = shared.lock();
@@ -198,8 +225,11 @@
                 None => state.store.get(&key),
                 Some(revision) => state.store.get_at(&key, revision),
             };
-            drop(state);
-            found.map_or_else(failure, object)
+            match found {
+                Err(error) if is_named => named_routes::failure(error),
+                Ok(found) if is_named => json(StatusCode::Ok, &named_routes::object(&state, &found)),
+                found => found.map_or_else(failure, object),
+            }
         }
         Call::List { prefix, after, limit, values } => {
             let state = shared.lock();
@@ -207,17 +237,19 @@
                 None => state.store.list(&prefix, &after, limit, values),
                 Some(revision) => state.store.list_at(&prefix, &after, limit, values, revision),
             };
-            drop(state);
+            if is_named {
+                return named_routes::page(&state, &page);
+            }
             let rows: Vec<ObjectRow<'_>> = page.objects.iter().map(|object| listed(object, values)).collect();
             let body = value!({ "objects": rows, "more": page.more, "revision": page.revision });
             json(StatusCode::Ok, &body)
         }
         Call::Watch { prefix, after_revision, wait_ms } => {
             let wait = Duration::from_millis(wait_ms);
-            watch(shared, incoming, &prefix, after_revision, wait).await
+            watch(shared, incoming, &prefix, after_revision, wait, is_named).await
         }
         Call::Instances => json(StatusCode::Ok, &shared.lock().instances.shown(shared.now())),
-        Call::Create(_) | Call::Update(..) | Call::Delete(_) => {
+        Call::Create(_) | Call::Update(..) | Call::SetStatus(_) | Call::Delete(_) => {
             Response::new(StatusCode::InternalServerError)
         }
     }
@@ -237,6 +269,7 @@
     prefix: &str,
     after_revision: u64,
     wait: Duration,
+    is_named: bool,
 ) -> Response {
     let waiting = async {
         let ended = timeout(wait, watch_end(shared, prefix, after_revision)).await;
@@ -249,6 +282,10 @@
         WatchEnd::HungUp
     };
     match future::or(waiting, hung_up).await {
+        WatchEnd::Changes(changes, revision) if is_named => {
+            named_routes::changes(&shared.lock(), &changes, revision)
+        }
+        WatchEnd::Refused(error) if is_named => named_routes::failure(error),
         WatchEnd::Changes(changes, revision) => {
             let rows: Vec<ObjectRow<'_>> = changes.iter().map(changed).collect();
             json(StatusCode::Ok, &value!({ "changes": rows, "revision": revision }))
--- a/crates/standins/src/platform/standin.rs
+++ b/crates/standins/src/platform/standin.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::fmt;
 use std::net::Ipv4Addr;
@@ -15,6 +16,7 @@
 use flamingo_edge::TokenBucket;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 
 use super::InstanceRow;
 use super::PlatformFaults;
@@ -82,6 +84,8 @@
 
 pub(super) struct State {
     pub(super) store: Store,
+    /// status of named objects, by key.
+    pub(super) statuses: BTreeMap<String, Value>,
     pub(super) faults: PlatformFaults,
     pub(super) counts: CallCounts,
     pub(super) instances: LaggingList,
@@ -108,6 +112,7 @@
     fn new(options: &PlatformOptions) -> Self {
         let state = State {
             store: Store::new(options.log_changes),
+            statuses: BTreeMap::new(),
             faults: PlatformFaults::default(),
             counts: CallCounts::default(),
             instances: LaggingList::new(Duration::from_millis(options.instance_lag_ms)),
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,12 +13,14 @@
 use slog::info;
 
 use crate::door::FleetView;
+use crate::door::connections::Connection;
 use crate::door::connections::Connections;
 use crate::door::request::DoorRequest;
 use crate::fleet::Merge;
 use crate::ledger_client::LedgerClient;
 use crate::platform::OPERATOR_CONFIG;
 use crate::platform::REPLICAS;
+use crate::routing::Patience;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
 use crate::routing::ReplicaTable;
@@ -42,6 +45,7 @@
     pub connections: Connections,
     pub table: ArcSwapOption<RouteTable>,
     replicas: Mutex<ReplicaTable>,
+    patience: Mutex<Patience>,
     fleet: Mutex<FleetView>,
     /// what is known of the platform, by prefix.
     merges: Mutex<Vec<Merge>>,
@@ -70,6 +74,7 @@
             connections: Connections::default(),
             table: ArcSwapOption::empty(),
             replicas: Mutex::default(),
+            patience: Mutex::default(),
             fleet: Mutex::default(),
             merges: Mutex::new(vec![Merge::new(OPERATOR_CONFIG), Merge::new(REPLICAS)]),
             strikes: Mutex::default(),
@@ -87,6 +92,10 @@
         self.replicas.lock().expect("replica lock poisoned")
     }
 
+    pub fn patience(&self) -> MutexGuard<'_, Patience> {
+        self.patience.lock().expect("patience lock poisoned")
+    }
+
     pub fn fleet(&self) -> MutexGuard<'_, FleetView> {
         self.fleet.lock().expect("fleet lock poisoned")
     }
@@ -142,12 +151,20 @@
         self.table.store(Some(Arc::new(table)));
     }
 
-    /// takes note that a replica broke while it may have run a request.
-    pub fn strike(&self, request: &DoorRequest) {
+    /// takes note that a connection broke while the replica may have run a request: if the replica has ended, the
+    /// request may have ended it.
+    pub fn strike(self: &Arc<Self>, request: &DoorRequest, address: SocketAddr) {
         let content = request.content_digest();
         let strike = request.caller.id.clone().unwrap_or_default();
-        info!(self.log, "a replica broke under a request"; "request" => &strike, "content" => &content);
-        self.strikes.lock().expect("strike lock poisoned").push(PoisonStrike { content, strike });
+        let door = Arc::clone(self);
+        self.spawner.detach(async move {
+            if Connection::open(&door.spawner, address).await.is_some() {
+                return;
+            }
+            info!(door.log, "a replica ended under a request"; "request" => &strike, "content" => &content,
+                "address" => address.to_string());
+            door.strikes.lock().expect("strike lock poisoned").push(PoisonStrike { content, strike });
+        });
     }
 
     /// the strikes since the last report.
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -113,7 +113,7 @@
                     return Err(anyhow!("the time of the route is over"));
                 }
                 Next::Broken => {
-                    self.door.strike(&self.request);
+                    self.door.strike(&self.request, self.run.lease.pick.address);
                     if !self.resume().await {
                         self.note("broken_off");
                         return Err(anyhow!("the replica broke the stream off"));
@@ -172,7 +172,7 @@
             return false;
         };
         let lease = Lease::new(&self.door, pick);
-        let tried = attempt(&self.door, &self.request, lease, self.last_event.as_deref()).await;
+        let tried = attempt(&self.door, &self.request, lease, self.last_event.as_deref(), None).await;
         let Tried::Head(head) = tried else {
             return false;
         };
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -86,6 +86,7 @@
         let loads = loads.map(|(replica, running)| ReplicaUse { replica: replica.to_owned(), running });
         let poisoned = self.contents.iter().filter(|(_, content)| content.strikes.len() >= STRIKES_TO_POISON);
         FleetNews {
+            complete: false,
             mirrors: Vec::new(),
             doors,
             loads: loads.collect(),
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -219,6 +219,7 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
+        news.complete = self.node.is_complete();
         let mark = |prefix: &str| report.marks.iter().find(|mark| mark.prefix == prefix);
         news.mirrors =
             self.mirrors.values().map(|mirror| mirror.news(now_ms, mark(mirror.prefix()))).collect();
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -51,13 +51,20 @@
     Lost,
 }
 
+/// what is known of a node.
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeRow {
+    heard_ms: u64,
+    /// whether it has all that its disk should hold, so that its "unknown" counts.
+    complete: bool,
+}
+
 /// the questions of one door to the ledger nodes.
 pub struct LedgerClient {
     mesh: OnceLock<Arc<Mesh>>,
     view: ArcSwap<LedgerView>,
     asked: Mutex<HashMap<u64, Asked>>,
-    /// when each node was heard last.
-    heard_ms: Mutex<HashMap<String, u64>>,
+    nodes: Mutex<HashMap<String, NodeRow>>,
     last_id: AtomicU64,
     /// when enough nodes were last known to answer; 0 for never.
     reached_ms: AtomicU64,
@@ -82,7 +89,7 @@
             mesh: OnceLock::new(),
             view: ArcSwap::from_pointee(empty_view(lost_disks)),
             asked: Mutex::default(),
-            heard_ms: Mutex::default(),
+            nodes: Mutex::default(),
             last_id: AtomicU64::new(0),
             reached_ms: AtomicU64::new(0),
             started: Instant::now(),
@@ -130,21 +137,24 @@
     fn has_quorum_near(&self) -> bool {
         let view = self.view.load();
         let now_ms = self.now_ms();
-        let heard_ms = self.heard_ms.lock().expect("heard lock poisoned");
-        let is_near = |member: &&LedgerMember| {
-            heard_ms.get(&member.name).is_some_and(|heard_ms| now_ms < heard_ms + REACHABLE_MS)
-        };
-        let count = view.members.iter().filter(is_near).count();
-        count >= view.quorum().write() && count >= view.quorum().read()
+        let nodes = self.nodes.lock().expect("nodes lock poisoned");
+        let near = view.members.iter().filter_map(|member| nodes.get(&member.name));
+        let near = near.filter(|row| now_ms < row.heard_ms + REACHABLE_MS);
+        let (mut near_count, mut complete_count) = (0, 0);
+        for row in near {
+            near_count += 1;
+            complete_count += usize::from(row.complete);
+        }
+        near_count >= view.quorum().write() && complete_count >= view.quorum().read()
     }
 
     /// the members of a view in the order in which they are asked about a program: those that answer first, and
     /// among them always the same ones.
     pub(super) fn ranked(&self, view: &LedgerView, program: &str) -> Vec<LedgerMember> {
         let now_ms = self.now_ms();
-        let heard_ms = self.heard_ms.lock().expect("heard lock poisoned");
+        let nodes = self.nodes.lock().expect("nodes lock poisoned");
         let is_near = |member: &LedgerMember| {
-            heard_ms.get(&member.name).is_some_and(|heard_ms| now_ms < heard_ms + REACHABLE_MS)
+            nodes.get(&member.name).is_some_and(|row| row.complete && now_ms < row.heard_ms + REACHABLE_MS)
         };
         let mut ranked = rendezvous::ranked(program, view.members.iter(), |member| &member.name);
         ranked.sort_by_key(|member| !is_near(member));
@@ -220,7 +230,7 @@
             turn: asked.turn.clone(),
             event: HeardEvent::Reply(answer.reply),
         };
-        self.heard_ms.lock().expect("heard lock poisoned").insert(asked.member.clone(), now_ms);
+        self.hear(now_ms, &asked.member, &heard.event);
         // A receiver that is gone has heard enough.
         let _ = asked.sender.try_send(heard);
         if ended {
@@ -228,6 +238,17 @@
         }
     }
 
+    fn hear(&self, now_ms: u64, member: &str, event: &HeardEvent) {
+        let mut nodes = self.nodes.lock().expect("nodes lock poisoned");
+        let row = nodes.entry(member.to_owned()).or_default();
+        row.heard_ms = now_ms;
+        match event {
+            HeardEvent::Reply(LedgerReply::News(news)) => row.complete = news.complete,
+            HeardEvent::Reply(LedgerReply::Account(account)) => row.complete = account.complete,
+            HeardEvent::Reply(_) | HeardEvent::Lost => {}
+        }
+    }
+
     /// takes note that a connection is gone with the questions on it.
     pub fn on_closed(&self, connection: ConnectionId) {
         let mut all = self.asked.lock().expect("asked lock poisoned");
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -667,6 +667,8 @@
 ///what a ledger node knows of all doors
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct FleetNews {
+    ///whether the node has all that its disk should hold
+    pub complete: bool,
     ///doors
     pub doors: ::std::vec::Vec<DoorRow>,
     ///requests under way at each replica, through other doors than the one that asks
