Settle budgets at the first members of a program, without a second look

A dial to a ledger node without power hung for a second after it was back. Change: a stored answer tells what changed since the account; where all first members of a program have stored a turn and none was reserved elsewhere, that is the last word. Turns reserved elsewhere are marked, and look again at members that store them. The end of a turn that is not kept waits for nothing. Dials end after 200 ms. Turns that saw one reserved elsewhere must be marked themselves before they look again.

--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -53,8 +53,17 @@
     Update(String, Option<u64>),
     SetStatus(String),
     Delete(String),
-    List { prefix: String, after: String, limit: usize, values: bool },
-    Watch { prefix: String, after_revision: u64, wait_ms: u64 },
+    List {
+        prefix: String,
+        after: String,
+        limit: usize,
+        values: bool,
+    },
+    Watch {
+        prefix: String,
+        after_revision: u64,
+        wait_ms: u64,
+    },
     Instances,
 }
 
--- a/src/door/follow.rs
+++ b/src/door/follow.rs
@@ -6,10 +6,10 @@
 use slog::warn;
 
 use crate::door::door::Door;
+use crate::fleet::Followed;
 use crate::fleet::Following;
 use crate::fleet::Mirror;
 use crate::fleet::Step;
-use crate::fleet::Followed;
 use crate::platform::HttpPlatform;
 use crate::platform::OPERATOR_CONFIG;
 use crate::platform::Platform;
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -46,8 +46,7 @@
 fn ask_seeds(door: &Arc<Door>) {
     let (sender, heard) = async_channel::unbounded();
     for seed in &door.settings.ledger_seeds {
-        let member =
-            LedgerMember { name: seed.to_string(), disk: String::new(), mesh: seed.to_string() };
+        let member = LedgerMember { name: seed.to_string(), disk: String::new(), mesh: seed.to_string() };
         // The door's view is older than any, so that the answer is the node's view.
         let spent = LedgerRequest::Spent(LedgerSpent { program: String::new() });
         door.ledger.ask(&member, 0, spent, None, &sender);
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -65,12 +65,12 @@
 
     /// stores the whole turn; the caller learns of its end only afterwards.
     pub async fn finish(&mut self) -> anyhow::Result<()> {
-        let turn = self.kept.take().map(|kept| LedgerTurn {
-            previous: kept.previous,
-            said: kept.said.into(),
-            keep_ms: kept.keep_ms,
-        });
-        let finish = self.message(turn);
+        let Some(kept) = self.kept.take() else {
+            // Nothing is owed to the caller: until it is settled, the turn holds no less than it has spent.
+            return Ok(());
+        };
+        let turn = LedgerTurn { previous: kept.previous, said: kept.said.into(), keep_ms: kept.keep_ms };
+        let finish = self.message(Some(turn));
         self.is_settled = true;
         let stored = self.door.ledger.finish(finish, Instant::now() + FINISH_LIMIT).await;
         stored.map_err(|_| {
--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -82,7 +82,8 @@
         let mut changed = news.objects;
         changed.extend(missing);
         changed.retain(|object| self.put(now_ms, object));
-        self.known.retain(|_, known| known.gone_ms.is_none_or(|gone_ms| now_ms < gone_ms + FORGET_REMOVED_MS));
+        self.known
+            .retain(|_, known| known.gone_ms.is_none_or(|gone_ms| now_ms < gone_ms + FORGET_REMOVED_MS));
         changed
     }
 
--- a/src/ledger/book.rs
+++ b/src/ledger/book.rs
@@ -40,6 +40,8 @@
 struct SpendRow {
     tokens: u64,
     settled: bool,
+    /// whether other members than the first ones of the program were asked.
+    away: bool,
     number: u64,
 }
 
@@ -64,11 +66,20 @@
     fn reserve(&mut self, now_ms: u64, reserved: &ReservedTokens) -> bool {
         let program = self.programs.entry(reserved.program.clone()).or_default();
         program.touched_ms = now_ms;
-        if program.spends.contains_key(&reserved.request) {
+        let known = program.spends.get(&reserved.request).copied();
+        if known.is_some_and(|row| row.settled || row.away || !reserved.away) {
             return false;
         }
+        if let Some(row) = known {
+            self.order.remove(&row.number);
+        }
         self.last_number += 1;
-        let row = SpendRow { tokens: reserved.tokens, settled: false, number: self.last_number };
+        let row = SpendRow {
+            tokens: reserved.tokens,
+            settled: false,
+            away: reserved.away,
+            number: self.last_number,
+        };
         program.spends.insert(reserved.request.clone(), row);
         self.order.insert(self.last_number, (reserved.program.clone(), reserved.request.clone()));
         true
@@ -86,7 +97,8 @@
             self.order.remove(&row.number);
         }
         self.last_number += 1;
-        let row = SpendRow { tokens: finish.used_tokens, settled: true, number: self.last_number };
+        let away = known.is_some_and(|row| row.away);
+        let row = SpendRow { tokens: finish.used_tokens, settled: true, away, number: self.last_number };
         program.spends.insert(finish.request.clone(), row);
         self.order.insert(self.last_number, (finish.program.clone(), finish.request.clone()));
         if let Some(turn) = &finish.turn {
@@ -115,17 +127,19 @@
         }
     }
 
-    /// tokens held by each turn of a program.
-    pub fn spends(&self, program: &str) -> Vec<LedgerSpend> {
+    /// tokens held by each turn of a program that changed after the record `after`.
+    pub fn spends(&self, program: &str, after: u64) -> Vec<LedgerSpend> {
         let Some(program) = self.programs.get(program) else {
             return Vec::new();
         };
+        let changed = program.spends.iter().filter(|(_, row)| row.number > after);
         let spend = |(request, row): (&String, &SpendRow)| LedgerSpend {
             request: request.clone(),
             tokens: row.tokens,
             settled: row.settled,
+            away: row.away,
         };
-        program.spends.iter().map(spend).collect()
+        changed.map(spend).collect()
     }
 
     /// tells whether a turn is kept.
@@ -179,6 +193,7 @@
                 program: program.to_owned(),
                 request: request.to_owned(),
                 tokens: row.tokens,
+                away: row.away,
             }));
         }
         let turn = self.turns.get(request).map(|turn| LedgerTurn {
--- a/src/ledger/gather.rs
+++ b/src/ledger/gather.rs
@@ -5,6 +5,9 @@
 use crate::ledger::Quorum;
 use crate::schema::KeptTurn;
 use crate::schema::LedgerAccount;
+use crate::schema::LedgerMember;
+use crate::schema::LedgerSpend;
+use crate::schema::LedgerStored;
 use crate::schema::LedgerView;
 
 /// what is known of the history that a turn goes on from.
@@ -40,8 +43,8 @@
     previous: Option<String>,
     complete: BTreeSet<String>,
     stored: BTreeSet<String>,
-    /// tokens of each turn, and whether the number is final.
-    spends: BTreeMap<String, (u64, bool)>,
+    /// tokens held by each turn.
+    spends: BTreeMap<String, LedgerSpend>,
     turns: HashMap<String, KeptTurn>,
     /// complete members that lack a turn, by the turn.
     lacked_by: HashMap<String, BTreeSet<String>>,
@@ -63,18 +66,24 @@
 
     /// takes what a member knows of the program, and of `turn` if that was asked for as well.
     pub fn account(&mut self, member: &str, turn: Option<&str>, mut account: LedgerAccount) {
-        for spend in account.spends.drain(..) {
-            let known = self.spends.entry(spend.request).or_insert((spend.tokens, spend.settled));
-            if spend.settled && !known.1 {
-                *known = (spend.tokens, true);
-            }
-        }
+        self.take_spends(account.spends.drain(..));
         if account.complete {
             self.complete.insert(member.to_owned());
         }
         self.kept(member, turn, account);
     }
 
+    fn take_spends(&mut self, spends: impl Iterator<Item = LedgerSpend>) {
+        for spend in spends {
+            let known = self.spends.entry(spend.request.clone()).or_insert_with(|| spend.clone());
+            known.away |= spend.away;
+            if spend.settled && !known.settled {
+                known.tokens = spend.tokens;
+                known.settled = true;
+            }
+        }
+    }
+
     /// takes what a member knows of a turn only.
     pub fn kept(&mut self, member: &str, turn: Option<&str>, account: LedgerAccount) {
         if let Some(turn) = turn.filter(|_| account.complete && !account.knows_turn) {
@@ -85,9 +94,24 @@
         }
     }
 
-    /// takes note that the records are on the disk of a member.
-    pub fn stored(&mut self, member: &str) {
+    /// takes note that the records are on the disk of a member, and what changed there meanwhile.
+    pub fn stored(&mut self, member: &str, stored: LedgerStored) {
         self.stored.insert(member.to_owned());
+        self.take_spends(stored.spends.into_iter());
+    }
+
+    /// whether the answers suffice for the last word on a budget: all `first` members, the same ones from every
+    /// door, have the reservation and told what they knew then, and no turn was reserved elsewhere.
+    ///
+    /// Of the turns that are stored so, the last one at any of these members sees all others.
+    pub fn is_settled_by(&self, first: &[LedgerMember]) -> bool {
+        let all_stored = first.iter().all(|member| self.stored.contains(&member.name));
+        all_stored && self.is_read() && !self.spends.values().any(|spend| spend.away)
+    }
+
+    /// members that have the records on disk; only what they say then counts as a later look.
+    pub fn stored_at(&self) -> impl Iterator<Item = &str> {
+        self.stored.iter().map(String::as_str)
     }
 
     /// whether the records survive the tolerated losses.
@@ -102,7 +126,7 @@
 
     /// tokens held by all turns of the program.
     pub fn held_tokens(&self) -> u64 {
-        self.spends.values().map(|(tokens, _)| tokens).sum()
+        self.spends.values().map(|spend| spend.tokens).sum()
     }
 
     /// whether the tokens that the turns hold, the asking one among them, fit into the budget.
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -20,6 +20,15 @@
 use crate::schema::ObservedObjects;
 use crate::schema::ReservedTokens;
 
+/// a question whose records are not on disk yet.
+#[derive(Clone, Debug)]
+struct Unsynced {
+    from: ConnectionId,
+    id: u64,
+    /// the program of a beginning, and the last record of which its account told.
+    told: Option<(String, u64)>,
+}
+
 /// one copy of the ledger: answers questions, and says that a record is stored once it is on disk.
 #[derive(Debug)]
 pub struct LedgerNode {
@@ -30,7 +39,7 @@
     book: Book,
     appended: u64,
     /// questions whose records are not on disk yet, by the number of the record.
-    unsynced: BTreeMap<u64, Vec<(ConnectionId, u64)>>,
+    unsynced: BTreeMap<u64, Vec<Unsynced>>,
     synced: u64,
 }
 
@@ -136,7 +145,7 @@
         if let LedgerRequest::Push(push) = &ask.request {
             actions.extend(self.adopt(&push.view));
             actions.extend(self.copy(now_ms, &push.records));
-            actions.extend(self.stored_later(from, ask.id));
+            actions.extend(self.stored_later(Unsynced { from, id: ask.id, told: None }));
             return actions;
         }
         if ask.epoch != self.view.epoch || !self.is_member() {
@@ -162,18 +171,20 @@
             program: begin.program.clone(),
             request: begin.request.clone(),
             tokens: begin.most_tokens,
+            away: begin.away,
         });
         let mut actions = self.copy(now_ms, std::slice::from_ref(&reserved));
         let account = self.account(&begin.program, begin.previous.as_deref(), begin.wants_history);
         actions.push(self.answer(from, id, LedgerReply::Account(account)));
-        actions.extend(self.stored_later(from, id));
+        let told = Some((begin.program.clone(), self.book.last_number()));
+        actions.extend(self.stored_later(Unsynced { from, id, told }));
         actions
     }
 
     fn finish(&mut self, now_ms: u64, from: ConnectionId, id: u64, finish: &LedgerFinish) -> Vec<NodeAction> {
         let record = LedgerRecord::Finished(finish.clone());
         let mut actions = self.copy(now_ms, std::slice::from_ref(&record));
-        actions.extend(self.stored_later(from, id));
+        actions.extend(self.stored_later(Unsynced { from, id, told: None }));
         actions
     }
 
@@ -183,25 +194,29 @@
         let waiting = self.unsynced.split_off(&(number + 1));
         let done = std::mem::replace(&mut self.unsynced, waiting);
         let asks = done.into_values().flatten();
-        asks.map(|(from, id)| {
-            self.answer(from, id, LedgerReply::Stored(LedgerStored { through: self.synced }))
-        })
-        .collect()
+        asks.map(|ask| self.stored(&ask)).collect()
     }
 
     /// answers that everything appended so far is stored, now or once it is.
-    fn stored_later(&mut self, from: ConnectionId, id: u64) -> Option<NodeAction> {
+    fn stored_later(&mut self, ask: Unsynced) -> Option<NodeAction> {
         if self.appended <= self.synced {
-            return Some(self.answer(from, id, LedgerReply::Stored(LedgerStored { through: self.synced })));
+            return Some(self.stored(&ask));
         }
-        self.unsynced.entry(self.appended).or_default().push((from, id));
+        self.unsynced.entry(self.appended).or_default().push(ask);
         None
     }
 
+    /// says that a question is stored, and what changed of its program since its account.
+    fn stored(&self, ask: &Unsynced) -> NodeAction {
+        let spends = ask.told.as_ref().map(|(program, after)| self.book.spends(program, *after));
+        let stored = LedgerStored { through: self.synced, spends: spends.unwrap_or_default() };
+        self.answer(ask.from, ask.id, LedgerReply::Stored(stored))
+    }
+
     fn account(&self, program: &str, turn: Option<&str>, wants_history: bool) -> LedgerAccount {
         let knows_turn = turn.is_none_or(|turn| self.book.knows_turn(turn));
         let history = turn.filter(|_| wants_history).map(|turn| self.book.history(turn)).unwrap_or_default();
-        LedgerAccount { spends: self.book.spends(program), complete: self.complete, knows_turn, history }
+        LedgerAccount { spends: self.book.spends(program, 0), complete: self.complete, knows_turn, history }
     }
 
     fn records(&self, after: u64) -> LedgerRecords {
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -38,6 +38,8 @@
     pub member: String,
     /// turn that the question named.
     pub turn: Option<String>,
+    /// whether the question was about the program, and not only about a turn.
+    pub about_program: bool,
     /// what was heard.
     pub event: HeardEvent,
 }
@@ -75,6 +77,7 @@
 struct Asked {
     member: String,
     turn: Option<String>,
+    about_program: bool,
     connection: Option<ConnectionId>,
     sender: Sender<Heard>,
     /// answers that are still to come.
@@ -150,15 +153,20 @@
 
     /// the members of a view in the order in which they are asked about a program: those that answer first, and
     /// among them always the same ones.
-    pub(super) fn ranked(&self, view: &LedgerView, program: &str) -> Vec<LedgerMember> {
+    ///
+    /// Also tells whether the first ones of the program are among those that answer.
+    pub(super) fn ranked(&self, view: &LedgerView, program: &str) -> (Vec<LedgerMember>, bool) {
         let now_ms = self.now_ms();
         let nodes = self.nodes.lock().expect("nodes lock poisoned");
         let is_near = |member: &LedgerMember| {
             nodes.get(&member.name).is_some_and(|row| row.complete && now_ms < row.heard_ms + REACHABLE_MS)
         };
         let mut ranked = rendezvous::ranked(program, view.members.iter(), |member| &member.name);
-        ranked.sort_by_key(|member| !is_near(member));
-        ranked.into_iter().cloned().collect()
+        let first_near = ranked.iter().take(view.quorum().write()).all(|member| is_near(member));
+        if !first_near {
+            ranked.sort_by_key(|member| !is_near(member));
+        }
+        (ranked.into_iter().cloned().collect(), first_near)
     }
 
     /// asks a member; what is heard goes to `sender`. `false` if the question could not be sent.
@@ -176,7 +184,9 @@
             _ => 1,
         };
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
+        let about_program = !matches!(request, LedgerRequest::History(_));
         let asked = Asked {
+            about_program,
             member: member.name.clone(),
             turn: turn.map(str::to_owned),
             connection: None,
@@ -228,6 +238,7 @@
         let heard = Heard {
             member: asked.member.clone(),
             turn: asked.turn.clone(),
+            about_program: asked.about_program,
             event: HeardEvent::Reply(answer.reply),
         };
         self.hear(now_ms, &asked.member, &heard.event);
@@ -256,8 +267,12 @@
             if asked.connection != Some(connection) {
                 return true;
             }
-            let heard =
-                Heard { member: asked.member.clone(), turn: asked.turn.clone(), event: HeardEvent::Lost };
+            let heard = Heard {
+                member: asked.member.clone(),
+                turn: asked.turn.clone(),
+                about_program: asked.about_program,
+                event: HeardEvent::Lost,
+            };
             let _ = asked.sender.try_send(heard);
             false
         });
--- a/src/ledger_client/finish.rs
+++ b/src/ledger_client/finish.rs
@@ -38,7 +38,7 @@
 
     /// asks the members of the view in force until enough have stored the record, or it is time to ask again.
     async fn try_finish(&self, program: &str, request: &LedgerRequest, until: Instant) -> bool {
-        let mut round = Round::new(self, program, None);
+        let mut round = Round::new(self, program, None, false);
         let elsewhere_at = Instant::now() + STORE_ELSEWHERE_AFTER;
         while !round.gather.is_stored() {
             let now = Instant::now();
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -84,42 +84,50 @@
     Go(Vec<u8>),
     /// the turn does not run.
     Stop(Begun),
+    /// the round starts again, for this reason.
+    Again(Again),
+}
+
+/// why a round starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Again {
     /// another view is in force.
     NewView,
+    /// one of the first members is lost or slow.
+    Away,
 }
 
 impl LedgerClient {
     /// reserves the tokens of a turn and fetches what was said before.
     pub async fn begin(&self, start: TurnStart) -> Begun {
         let deadline = Instant::now() + BEGIN_LIMIT;
+        let mut is_away = false;
         loop {
-            let mut round = Round::new(self, &start.program, start.previous.as_deref());
+            let mut round = Round::new(self, &start.program, start.previous.as_deref(), is_away);
             if !round.has_quorum() {
                 return Begun::Unsure("the ledger has too few nodes");
             }
-            self.ask_begin(&mut round, &start, true);
             match self.first_look(&mut round, &start, deadline).await {
                 Look::Go(history) => return Begun::Go { history, reservation: Reservation { start, round } },
                 Look::Stop(begun) => return begun,
-                Look::NewView => {}
+                Look::Again(why) => is_away |= why == Again::Away,
             }
         }
     }
 
-    /// asks as many members as a write needs, or all of them.
-    fn ask_begin(&self, round: &mut Round, start: &TurnStart, few: bool) {
-        let quorum = round.view.quorum();
-        let count = if few { quorum.write().max(quorum.read()) } else { round.view.members.len() };
+    fn ask_begin(&self, round: &mut Round, start: &TurnStart) {
         let first = round.first().map(str::to_owned);
-        round.ask(self, count, start.previous.as_deref(), |member| {
-            LedgerRequest::Begin(start.message(first.as_deref() == Some(member)))
+        let is_away = round.is_away;
+        round.ask(self, round.begin_count(), start.previous.as_deref(), |member| {
+            LedgerRequest::Begin(start.message(first.as_deref() == Some(member), is_away))
         });
     }
 
     /// gathers answers until the turn may start or not.
     async fn first_look(&self, round: &mut Round, start: &TurnStart, deadline: Instant) -> Look {
-        let ask_others_at = Instant::now() + ASK_OTHERS_AFTER;
+        let patience_ends = Instant::now() + ASK_OTHERS_AFTER;
         let mut searched: BTreeSet<String> = BTreeSet::new();
+        self.ask_begin(round, start);
         loop {
             if let Some(look) = decide(round, start) {
                 return look;
@@ -128,7 +136,10 @@
             if now >= deadline {
                 return Look::Stop(Begun::Unsure("the ledger does not answer in time"));
             }
-            let is_late = now >= ask_others_at;
+            let is_late = now >= patience_ends;
+            if !round.is_away && (is_late || round.has_lost()) {
+                return Look::Again(Again::Away);
+            }
             if let History::Gap(turn) = round.gather.history() {
                 // The member asked first was asked for the whole history; the others only if it cannot help.
                 let may_still_come = start.previous.as_ref() == Some(&turn) && !round.has_heard_first();
@@ -137,16 +148,15 @@
                     round.ask_more(self, Some(&turn), &history);
                 }
             }
-            // Members that were lost are replaced at once, those that are slow after a while.
-            self.ask_begin(round, start, !is_late);
-            let wake = if is_late { deadline } else { ask_others_at.min(deadline) };
+            let wake = if is_late { deadline } else { patience_ends.min(deadline) };
             let Some(Ok(heard)) = timeout(wake.saturating_duration_since(now), round.receiver.recv()).await
             else {
                 continue;
             };
-            match round.hear(self, heard, &LedgerRequest::Begin(start.message(true))) {
+            let again = LedgerRequest::Begin(start.message(true, round.is_away));
+            match round.hear(self, heard, &again) {
                 Progress::Goes => {}
-                Progress::NewView => return Look::NewView,
+                Progress::NewView => return Look::Again(Again::NewView),
                 Progress::Hopeless => {
                     return Look::Stop(Begun::Unsure("too few ledger nodes can be reached"));
                 }
@@ -154,17 +164,30 @@
         }
     }
 
-    /// waits until the reservation is on enough disks, and then looks whether it still fits: of turns that begin
-    /// at the same time, the one stored last sees all others.
+    /// waits until the reservation is on enough disks, and for the last word on the budget.
+    ///
+    /// Turns that are stored at the first members of the program see each other there. Others look again at members
+    /// that store them: of turns that begin at the same time, the one stored last sees all others.
     pub async fn confirm(&self, reservation: Reservation) -> Result<(), NotConfirmed> {
         let Reservation { start, round } = reservation;
         let fits = async {
             let mut round = round;
-            while !self.wait_stored(&mut round, &start).await? {
-                round = Round::new(self, &start.program, None);
-                self.ask_begin(&mut round, &start, true);
+            loop {
+                let why = self.wait_stored(&mut round, &start).await?;
+                if why.is_none() && round.is_settled() {
+                    return Some(round.gather.held_tokens() <= start.budget_tokens);
+                }
+                // A turn that saw one reserved elsewhere has to be seen as such by others before it looks again.
+                if why.is_none()
+                    && round.is_away
+                    && let Some(fits) = self.look_again(&start, &round).await
+                {
+                    return Some(fits);
+                }
+                let is_away = round.is_away || why != Some(Again::NewView);
+                round = Round::new(self, &start.program, None, is_away);
+                self.ask_begin(&mut round, &start);
             }
-            self.fits(&start).await
         };
         match timeout(CONFIRM_LIMIT, fits).await.flatten() {
             Some(true) => Ok(()),
@@ -173,64 +196,61 @@
         }
     }
 
-    /// waits until enough members have the reservation on disk; `false` if another view is in force, `None` if too
-    /// few members are left.
-    async fn wait_stored(&self, round: &mut Round, start: &TurnStart) -> Option<bool> {
-        let elsewhere_at = Instant::now() + STORE_ELSEWHERE_AFTER;
-        let again = LedgerRequest::Begin(start.message(false));
+    /// waits until enough members have the reservation on disk, or says why the round starts again; the outer
+    /// `None` means that too few members are left.
+    async fn wait_stored(&self, round: &mut Round, start: &TurnStart) -> Option<Option<Again>> {
+        let patience_ends = Instant::now() + STORE_ELSEWHERE_AFTER;
         while !round.gather.is_stored() {
             let now = Instant::now();
-            self.ask_begin(round, start, now < elsewhere_at);
-            let wait = if now < elsewhere_at { elsewhere_at - now } else { CONFIRM_LIMIT };
+            if !round.is_away && (now >= patience_ends || round.has_lost()) {
+                return Some(Some(Again::Away));
+            }
+            let wait = if round.is_away { CONFIRM_LIMIT } else { patience_ends - now };
             let Some(heard) = timeout(wait, round.receiver.recv()).await else {
                 continue;
             };
+            let again = LedgerRequest::Begin(start.message(false, round.is_away));
             match round.hear(self, heard.ok()?, &again) {
                 Progress::Goes => {}
-                Progress::NewView => return Some(false),
+                Progress::NewView => return Some(Some(Again::NewView)),
                 Progress::Hopeless => return None,
             }
         }
-        Some(true)
+        Some(None)
     }
 
-    /// whether the tokens held by all turns fit into the budget; `None` if too few members are left.
-    async fn fits(&self, start: &TurnStart) -> Option<bool> {
+    /// whether the tokens held by all turns fit into the budget, by members that store this one; `None` if those
+    /// are lost or slow.
+    async fn look_again(&self, start: &TurnStart, stored: &Round) -> Option<bool> {
         let spent = LedgerRequest::Spent(LedgerSpent { program: start.program.clone() });
-        let ask_others_at = Instant::now() + ASK_OTHERS_AFTER;
-        let mut round = Round::new(self, &start.program, None);
+        let patience_ends = Instant::now() + STORE_ELSEWHERE_AFTER;
+        let mut round = Round::new(self, &start.program, None, true);
+        round.keep_only(|name| stored.gather.stored_at().any(|stored_at| stored_at == name));
+        round.ask(self, round.view.members.len(), None, |_| spent.clone());
         loop {
             match round.gather.decision(start.budget_tokens) {
                 Decision::Within => return Some(true),
                 Decision::Spent => return Some(false),
                 Decision::Open => {}
             }
-            let now = Instant::now();
-            let few = now < ask_others_at;
-            let count = if few { round.view.quorum().read() } else { round.view.members.len() };
-            round.ask(self, count, None, |_| spent.clone());
-            let wait = if few { ask_others_at - now } else { CONFIRM_LIMIT };
-            let Some(heard) = timeout(wait, round.receiver.recv()).await else {
-                continue;
-            };
-            match round.hear(self, heard.ok()?, &spent) {
-                Progress::Goes => {}
-                // The members of the new view have the reservation, or have copied it.
-                Progress::NewView => round = Round::new(self, &start.program, None),
-                Progress::Hopeless => return None,
+            let wait = patience_ends.saturating_duration_since(Instant::now());
+            let heard = timeout(wait, round.receiver.recv()).await?.ok()?;
+            if round.hear(self, heard, &spent) != Progress::Goes {
+                return None;
             }
         }
     }
 }
 
 impl TurnStart {
-    fn message(&self, wants_history: bool) -> LedgerBegin {
+    fn message(&self, wants_history: bool, away: bool) -> LedgerBegin {
         LedgerBegin {
             program: self.program.clone(),
             request: self.request.clone(),
             most_tokens: self.most_tokens,
             previous: self.previous.clone(),
             wants_history,
+            away,
         }
     }
 }
--- a/src/ledger_client/round.rs
+++ b/src/ledger_client/round.rs
@@ -24,6 +24,8 @@
     pub receiver: Receiver<Heard>,
     /// members in the order in which they are asked.
     ranked: Vec<LedgerMember>,
+    /// whether other members than the first ones of the program are asked.
+    pub is_away: bool,
     asked: BTreeSet<String>,
     /// members whose connection is gone, or that could not be asked.
     lost: BTreeSet<String>,
@@ -43,13 +45,16 @@
 }
 
 impl Round {
-    /// starts a round; `previous` is the turn whose history is asked for.
-    pub fn new(client: &LedgerClient, program: &str, previous: Option<&str>) -> Self {
+    /// starts a round; `previous` is the turn whose history is asked for. `is_away` asks other members than the
+    /// first ones of the program, as is done in any case while one of those does not answer.
+    pub fn new(client: &LedgerClient, program: &str, previous: Option<&str>, is_away: bool) -> Self {
         let view = client.view();
+        let (ranked, first_near) = client.ranked(&view, program);
         let (sender, receiver) = async_channel::unbounded();
         Self {
             gather: Gather::new(&view, previous),
-            ranked: client.ranked(&view, program),
+            ranked,
+            is_away: is_away || !first_near,
             view,
             sender,
             receiver,
@@ -69,6 +74,28 @@
         self.ranked.first().map(|member| member.name.as_str())
     }
 
+    /// members that a beginning is sent to: as many as a write needs, or all once one of those failed.
+    pub fn begin_count(&self) -> usize {
+        let quorum = self.view.quorum();
+        if self.is_away { self.view.members.len() } else { quorum.write().max(quorum.read()) }
+    }
+
+    /// whether a member that was asked is lost.
+    pub fn has_lost(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
+    /// whether the answers suffice for the last word on the budget.
+    pub fn is_settled(&self) -> bool {
+        let first = self.view.quorum().write().min(self.ranked.len());
+        !self.is_away && self.gather.is_settled_by(&self.ranked[..first])
+    }
+
+    /// asks only some members.
+    pub fn keep_only(&mut self, keeps: impl Fn(&str) -> bool) {
+        self.ranked.retain(|member| keeps(&member.name));
+    }
+
     /// whether nothing more will be heard of the member that was asked first.
     pub fn has_heard_first(&self) -> bool {
         self.first().is_none_or(|name| self.answered.contains(name) || self.lost.contains(name))
@@ -116,14 +143,14 @@
         let turn = heard.turn.as_deref();
         match heard.event {
             HeardEvent::Reply(LedgerReply::Account(account)) => {
-                // Answers of a member come in the order of the questions: the first one is about the program.
-                if self.answered.insert(heard.member.clone()) {
+                if heard.about_program {
                     self.gather.account(&heard.member, turn, account);
+                    self.answered.insert(heard.member);
                 } else {
                     self.gather.kept(&heard.member, turn, account);
                 }
             }
-            HeardEvent::Reply(LedgerReply::Stored(_)) => self.gather.stored(&heard.member),
+            HeardEvent::Reply(LedgerReply::Stored(stored)) => self.gather.stored(&heard.member, stored),
             HeardEvent::Reply(LedgerReply::Stale(stale)) if stale.view.epoch > self.view.epoch => {
                 client.adopt(&stale.view);
                 return Progress::NewView;
--- a/src/mesh/dial.rs
+++ b/src/mesh/dial.rs
@@ -42,7 +42,9 @@
 
 async fn connect(shared: &Shared, link: &Link) -> Result<Session, Refusal> {
     let address: SocketAddr = link.address;
-    let stream = Async::<TcpStream>::connect(address).await.map_err(|_| Refusal::Broken)?;
+    let limit = Duration::from_millis(shared.settings.limits.connect_timeout_ms);
+    let connected = timeout(limit, Async::<TcpStream>::connect(address)).await;
+    let stream = connected.ok_or(Refusal::TooSlow)?.map_err(|_| Refusal::Broken)?;
     let _ = stream.get_ref().set_nodelay(true);
     let session = handshake::connect(stream, &shared.settings, shared.own_mesh, address, link.id).await?;
     if link.identify(session.peer.clone()) { Ok(session) } else { Err(Refusal::OtherIncarnation) }
--- a/src/mesh/settings.rs
+++ b/src/mesh/settings.rs
@@ -27,6 +27,8 @@
     pub max_frame_bytes: usize,
     /// bytes that may wait for one peer.
     pub max_queued_bytes: usize,
+    /// how long opening a connection may take; one to an instance without power hangs until then.
+    pub connect_timeout_ms: u64,
     /// how long connecting and authenticating may take.
     pub handshake_timeout_ms: u64,
     /// how long one frame may take to write.
@@ -50,6 +52,7 @@
     /// that a caller waits for a new one.
     pub fn of_fleet() -> Self {
         Self {
+            connect_timeout_ms: 200,
             handshake_timeout_ms: 1_000,
             write_timeout_ms: 1_000,
             ping_ms: 400,
@@ -65,6 +68,7 @@
         Self {
             max_frame_bytes: 8 << 20,
             max_queued_bytes: 16 << 20,
+            connect_timeout_ms: 3_000,
             handshake_timeout_ms: 3_000,
             write_timeout_ms: 10_000,
             ping_ms: 60_000,
--- a/src/routing/patience.rs
+++ b/src/routing/patience.rs
@@ -45,7 +45,8 @@
 
     /// how long to wait for an answer before another replica is tried; `None` to wait for as long as there is time.
     pub fn limit_ms(&self, route: &str) -> Option<u64> {
-        let row = self.routes.get(route).filter(|row| row.answers >= MIN_ANSWERS && row.budget.has_retry())?;
+        let row =
+            self.routes.get(route).filter(|row| row.answers >= MIN_ANSWERS && row.budget.has_retry())?;
         let limit_ms = row.mean_ms + DEVIATIONS * row.deviation_ms;
         Some(limit_ms.max(MIN_PATIENCE_MS) as u64)
     }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1082,6 +1082,8 @@
 ///a turn asks for tokens of its program and for what was said before
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerBegin {
+    ///whether other members than the first ones of the program were asked, because one of those is out of reach
+    pub away: bool,
     ///the most that the turn may generate
     pub most_tokens: u64,
     ///turn that this one goes on from
@@ -1282,6 +1284,8 @@
 ///tokens that one turn holds of a budget
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerSpend {
+    ///whether other members than the first ones of the program were asked, because one of those is out of reach
+    pub away: bool,
     ///id of the turn
     pub request: ::std::string::String,
     ///whether the turn has ended and the number is final
@@ -1303,6 +1307,8 @@
 ///the records of a question are on the disk of the node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerStored {
+    ///after a beginning: tokens held by turns of the program that changed since the account
+    pub spends: ::std::vec::Vec<LedgerSpend>,
     ///number of the last record that is on disk
     pub through: u64,
 }
@@ -2697,6 +2703,8 @@
 ///a turn holds tokens
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReservedTokens {
+    ///whether other members than the first ones of the program were asked, because one of those is out of reach
+    pub away: bool,
     ///program
     pub program: ::std::string::String,
     ///id of the turn
--- a/tests/fleet/client.rs
+++ b/tests/fleet/client.rs
@@ -56,7 +56,10 @@
     }
 
     fn head(&self) -> String {
-        let mut head = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {}\r\n", self.method, self.path, self.id);
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {}\r\n",
+            self.method, self.path, self.id
+        );
         for (name, value) in &self.headers {
             head += &format!("{name}: {value}\r\n");
         }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -50,7 +50,8 @@
     /// starts three ledger nodes and some doors, with two replicas of a model and two of a tool service.
     pub fn start(name: &str, doors: usize) -> Self {
         let spawner = Spawner::start(2);
-        let platform = PlatformStandin::start(&spawner, PlatformOptions::default()).expect("the platform starts");
+        let platform =
+            PlatformStandin::start(&spawner, PlatformOptions::default()).expect("the platform starts");
         let folder = option_env!("CARGO_TARGET_TMPDIR")
             .map_or_else(std::env::temp_dir, PathBuf::from)
             .join(format!("fleet-{name}-{}", std::process::id()));
@@ -73,7 +74,9 @@
             fleet.add_ledger(number);
         }
         for node in &fleet.ledgers {
-            fleet.wait("the ledger node is complete", || !node.lines_with("the records are complete").is_empty());
+            fleet.wait("the ledger node is complete", || {
+                !node.lines_with("the records are complete").is_empty()
+            });
         }
         for number in 1..=doors {
             fleet.add_door(number);
@@ -104,11 +107,13 @@
 
     fn put_object(&self, key: &str, spec: &Value) {
         let value = spec.to_string();
-        self.platform.control().with_store(|store| match store.get(key) {
-            Ok(object) => store.update(key, value.as_bytes(), object.version),
-            Err(_) => store.create(key, value.as_bytes()),
-        })
-        .expect("the platform takes the object");
+        self.platform
+            .control()
+            .with_store(|store| match store.get(key) {
+                Ok(object) => store.update(key, value.as_bytes(), object.version),
+                Err(_) => store.create(key, value.as_bytes()),
+            })
+            .expect("the platform takes the object");
     }
 
     /// accepts a configuration with these routes, as the operators do.
--- a/tests/fleet/node.rs
+++ b/tests/fleet/node.rs
@@ -16,6 +16,13 @@
 use super::client::Ask;
 use super::ports::free_address;
 
+/// the program under test; an example is told of it.
+fn program() -> PathBuf {
+    let told = std::env::var_os("FLAMINGOSTAND").map(PathBuf::from);
+    told.or(option_env!("CARGO_BIN_EXE_flamingostand").map(PathBuf::from))
+        .expect("FLAMINGOSTAND names the program")
+}
+
 /// one process of a fleet.
 pub struct Node {
     pub name: String,
@@ -72,7 +79,7 @@
     /// starts the process, again after it was killed.
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_flamingostand"));
+        let mut command = Command::new(program());
         command.arg("node").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(Stdio::inherit());
         self.child = Some(command.spawn().expect("the program starts"));
     }
@@ -92,6 +99,11 @@
         assert!(status.success(), "signal {name} to {pid}");
     }
 
+    /// number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("the process runs").id()
+    }
+
     /// whether the process has ended by itself, and with which code.
     pub fn exit_code(&mut self) -> Option<i32> {
         let status = self.child.as_mut()?.try_wait().expect("wait works")?;
--- a/tests/fleet_answers.rs
+++ b/tests/fleet_answers.rs
@@ -110,7 +110,8 @@
 #[test]
 fn mute_replica_meets_the_timeout() {
     let mut fleet = Fleet::start("mute", 1);
-    let slow = fleet::route("send", "/send/", "non_idempotent", "tools", serde_json::json!({ "timeout_ms": 300 }));
+    let slow =
+        fleet::route("send", "/send/", "non_idempotent", "tools", serde_json::json!({ "timeout_ms": 300 }));
     fleet.put_config(&serde_json::json!([slow]));
     fleet.wait("the timeout is in force", || {
         fleet.doors[0].lines_with("a configuration is in force").len() > 1
--- a/tests/ledger_world/door.rs
+++ b/tests/ledger_world/door.rs
@@ -6,6 +6,7 @@
 use flamingostand::schema::LedgerBegin;
 use flamingostand::schema::LedgerFinish;
 use flamingostand::schema::LedgerHistory;
+use flamingostand::schema::LedgerMember;
 use flamingostand::schema::LedgerRequest;
 use flamingostand::schema::LedgerSpent;
 use flamingostand::schema::LedgerTurn;
@@ -15,6 +16,8 @@
 
 /// how long a door waits in each stage of a turn.
 pub const STAGE_LIMIT_MS: u64 = 1_500;
+/// how long a door waits for the first members of a program before it asks all.
+pub const PATIENCE_MS: u64 = 60;
 /// how long a test keeps turns: longer than a run.
 const KEEP_MS: u64 = 10_000_000;
 
@@ -45,7 +48,10 @@
     pub view: LedgerView,
     pub gather: Gather,
     searched: BTreeSet<String>,
-    pub heard: BTreeSet<String>,
+    /// whether other members than the first ones of the program are asked.
+    pub is_away: bool,
+    /// members that had the reservation on disk when the turn looked again.
+    stored_at: BTreeSet<String>,
 }
 
 impl Turn {
@@ -68,7 +74,8 @@
             stage_ends_ms: 0,
             view,
             searched: BTreeSet::new(),
-            heard: BTreeSet::new(),
+            is_away: false,
+            stored_at: BTreeSet::new(),
         }
     }
 
@@ -78,10 +85,36 @@
         self.gather = Gather::new(view, previous);
         self.view = view.clone();
         self.searched.clear();
-        self.heard.clear();
         self.question()
     }
 
+    /// members in the order in which this program asks them, the same from every door.
+    pub fn ranked(&self) -> Vec<LedgerMember> {
+        let mut members = self.view.members.clone();
+        let count = members.len().max(1);
+        members.rotate_left(self.program as usize % count);
+        members
+    }
+
+    /// members that the question of the stage goes to.
+    pub fn asked(&self) -> Vec<LedgerMember> {
+        let mut members = self.ranked();
+        if self.stage == Stage::Look {
+            members.retain(|member| self.stored_at.contains(&member.name));
+        }
+        let takes_few = matches!(self.stage, Stage::Begin | Stage::Store) && !self.is_away;
+        if takes_few {
+            let quorum = self.view.quorum();
+            members.truncate(quorum.write().max(quorum.read()));
+        }
+        members
+    }
+
+    fn is_settled(&self) -> bool {
+        let first = self.view.quorum().write().min(self.view.members.len());
+        !self.is_away && self.gather.is_settled_by(&self.ranked()[..first])
+    }
+
     /// the question of the stage.
     pub fn question(&self) -> LedgerRequest {
         let program = format!("p{}", self.program);
@@ -92,6 +125,7 @@
                 most_tokens: self.tokens,
                 previous: self.previous.clone(),
                 wants_history: true,
+                away: self.is_away,
             }),
             Stage::Look => LedgerRequest::Spent(LedgerSpent { program }),
             Stage::Finish | Stage::Done => LedgerRequest::Finish(LedgerFinish {
@@ -115,19 +149,26 @@
     pub fn advance(&mut self, reference: &mut Reference) -> Option<LedgerRequest> {
         match self.stage {
             Stage::Begin => self.decide(reference),
+            Stage::Store if self.gather.is_stored() && self.is_settled() => {
+                match self.gather.held_tokens() <= self.budget_tokens {
+                    true => self.admit(reference),
+                    false => self.give_up(reference),
+                }
+            }
+            Stage::Store if self.gather.is_stored() && !self.is_away => {
+                self.is_away = true;
+                self.stage = Stage::Begin;
+                Some(self.restart(&self.view.clone()))
+            }
             Stage::Store if self.gather.is_stored() => {
+                self.stored_at = self.gather.stored_at().map(str::to_owned).collect();
                 self.stage = Stage::Look;
                 Some(self.restart(&self.view.clone()))
             }
             Stage::Look => match self.gather.decision(self.budget_tokens) {
                 Decision::Open => None,
                 Decision::Spent => self.give_up(reference),
-                Decision::Within => {
-                    reference.admit(self.program, self.tokens, self.budget_tokens);
-                    reference.said.insert(self.request.clone(), (self.previous.clone(), self.said()));
-                    self.stage = Stage::Finish;
-                    Some(self.restart(&self.view.clone()))
-                }
+                Decision::Within => self.admit(reference),
             },
             Stage::Finish if self.gather.is_stored() => {
                 reference.kept.insert(self.request.clone(), (self.previous.clone(), self.said()));
@@ -175,6 +216,13 @@
         }
     }
 
+    fn admit(&mut self, reference: &mut Reference) -> Option<LedgerRequest> {
+        reference.admit(self.program, self.tokens, self.budget_tokens);
+        reference.said.insert(self.request.clone(), (self.previous.clone(), self.said()));
+        self.stage = Stage::Finish;
+        Some(self.restart(&self.view.clone()))
+    }
+
     fn give_up(&mut self, reference: &mut Reference) -> Option<LedgerRequest> {
         self.stage = Stage::Done;
         reference.refused_count += 1;
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -16,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::door::PATIENCE_MS;
 use super::door::STAGE_LIMIT_MS;
 use super::door::Stage;
 use super::door::Turn;
@@ -49,7 +50,7 @@
 #[derive(Clone)]
 enum Asker {
     Node { name: String, start: u64 },
-    Turn { index: usize, member: String, turn: Option<String>, round: u64 },
+    Turn { index: usize, member: String, turn: Option<String>, about_program: bool, round: u64 },
 }
 
 pub struct World {
@@ -355,9 +356,9 @@
                 }
                 self.input(&name, start, CoreInput::Answer(Box::new(answer)));
             }
-            Some(Asker::Turn { index, member, turn, round }) => {
+            Some(Asker::Turn { index, member, turn, about_program, round }) => {
                 if self.turns[index].2 == round {
-                    self.turn_heard(index, &member, turn.as_deref(), answer.reply);
+                    self.turn_heard(index, &member, turn.as_deref(), about_program, answer.reply);
                 }
             }
         }
@@ -390,8 +391,13 @@
         turn.stage_ends_ms = self.now_ms + STAGE_LIMIT_MS;
         let question = turn.restart(&view);
         let round = *round;
-        self.ask_all(index, &question);
-        self.schedule(STAGE_LIMIT_MS, Event::TurnLate(index, round));
+        let may_go_away = matches!(turn.stage, Stage::Begin | Stage::Store) && !turn.is_away;
+        let asked = turn.asked();
+        for member in asked {
+            self.ask_one(index, &member.name, question.clone());
+        }
+        let limit_ms = if may_go_away { PATIENCE_MS } else { STAGE_LIMIT_MS };
+        self.schedule(limit_ms, Event::TurnLate(index, round));
     }
 
     fn ask_all(&mut self, index: usize, request: &LedgerRequest) {
@@ -410,22 +416,31 @@
         };
         let from = format!("door-{door}");
         let epoch = turn.view.epoch;
-        let asker = Asker::Turn { index, member: member.to_owned(), turn: named, round: *round };
+        let about_program = !matches!(request, LedgerRequest::History(_));
+        let asker =
+            Asker::Turn { index, member: member.to_owned(), turn: named, about_program, round: *round };
         self.send(&from, member, asker, LedgerAsk { id: 1, epoch, request });
     }
 
-    fn turn_heard(&mut self, index: usize, member: &str, named: Option<&str>, reply: LedgerReply) {
+    fn turn_heard(
+        &mut self,
+        index: usize,
+        member: &str,
+        named: Option<&str>,
+        about_program: bool,
+        reply: LedgerReply,
+    ) {
         let (door, turn, _) = &mut self.turns[index];
         match reply {
             LedgerReply::Account(account) => {
-                if turn.heard.insert(member.to_owned()) {
+                if about_program {
                     turn.gather.account(member, named, account);
                 } else {
                     turn.gather.kept(member, named, account);
                 }
             }
-            LedgerReply::Stored(_) => {
-                turn.gather.stored(member);
+            LedgerReply::Stored(stored) => {
+                turn.gather.stored(member, stored);
                 let what = format!(
                     "{} {:?} stored at {member}, epoch {}",
                     turn.request, turn.stage, turn.view.epoch
@@ -452,6 +467,16 @@
         let before = turn.stage;
         let question = turn.advance(&mut self.reference);
         let after = turn.stage;
+        let what = format!(
+            "p{} {} {before:?} -> {after:?} away {} after {member}, held {}",
+            turn.program,
+            turn.request,
+            turn.is_away,
+            turn.gather.held_tokens()
+        );
+        if before != after {
+            self.note(&what);
+        }
         if after != before && after != Stage::Done && after != Stage::Store {
             self.restart_turn(index);
         } else if let Some(question) = question {
@@ -465,7 +490,9 @@
         if *current != round || turn.stage == Stage::Done {
             return;
         }
-        if turn.stage == Stage::Finish {
+        let may_go_away = matches!(turn.stage, Stage::Begin | Stage::Store) && !turn.is_away;
+        if turn.stage == Stage::Finish || may_go_away {
+            turn.is_away |= may_go_away;
             self.restart_turn(index);
             return;
         }
