--- a/src/door/daemon.rs
+++ b/src/door/daemon.rs
@@ -38,6 +38,7 @@
 use crate::platform::REPLICAS;
 use crate::settings::DoorAddresses;
 use crate::settings::NodeSettings;
+use crate::telemetry::serve_metrics;
 use crate::telemetry::start_logger;
 use crate::timeline::Timeline;
 
@@ -64,6 +65,9 @@
     log: Logger,
 ) -> anyhow::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context("watch for signals")?;
+    if let Some(address) = settings.metrics {
+        serve_metrics(&spawner, address)?;
+    }
     let incarnation = Incarnation::start_now();
     let platform = Arc::new(HttpPlatform::new(HttpPlatformOptions::try_from(&settings.platform)?));
     let started = incarnation.to_string();
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -60,6 +60,10 @@
             }
         }
     };
+    let elapsed_ms = received.elapsed().as_secs_f64() * 1_000.0;
+    metrics::histogram!("door_first_byte_ms").record(elapsed_ms);
+    metrics::counter!("door_requests_total", "answered" => if outcome.is_ok() { "yes" } else { "no" })
+        .increment(1);
     let mut response = outcome.unwrap_or_else(|refusal| {
         let reason: &'static str = refusal.into();
         metrics::counter!("door_refusals_total", "reason" => reason).increment(1);
--- a/src/door/event_cutter.rs
+++ b/src/door/event_cutter.rs
@@ -26,8 +26,8 @@
         self.pending.len() <= MAX_EVENT_BYTES
     }
 
-    /// the next whole event.
-    pub fn next(&mut self) -> Option<CutEvent> {
+    /// takes the next whole event.
+    pub fn cut(&mut self) -> Option<CutEvent> {
         let start = self.searched.saturating_sub(3);
         let window = &self.pending[start..];
         let found = find(window, b"\n\n").map(|at| at + 2);
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -125,7 +125,7 @@
 
     async fn next(&mut self) -> Next {
         loop {
-            if let Some(event) = self.cutter.next() {
+            if let Some(event) = self.cutter.cut() {
                 if let Some(id) = event.id() {
                     self.last_event = Some(id.to_owned());
                 }
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -154,7 +154,7 @@
     };
     let confirming = {
         let door = Arc::clone(door);
-        door.spawner.clone().spawn(async move { door.ledger.confirm(reservation).await })
+        door.spawner.clone().spawn(async move { door.ledger.confirm(*reservation).await })
     };
     let mut whole = request.clone();
     if !history.is_empty() {
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -48,7 +48,7 @@
         /// everything that was said before.
         history: Vec<u8>,
         /// its tokens.
-        reservation: Reservation,
+        reservation: Box<Reservation>,
     },
     /// the budget does not hold it.
     OverBudget {
@@ -108,7 +108,10 @@
                 return Begun::Unsure("the ledger has too few nodes");
             }
             match self.first_look(&mut round, &start, deadline).await {
-                Look::Go(history) => return Begun::Go { history, reservation: Reservation { start, round } },
+                Look::Go(history) => {
+                    let reservation = Box::new(Reservation { start, round });
+                    return Begun::Go { history, reservation };
+                }
                 Look::Stop(begun) => return begun,
                 Look::Again(why) => is_away |= why == Again::Away,
             }
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -40,6 +40,7 @@
 use crate::schema::LedgerRecord;
 use crate::settings::LedgerDisk;
 use crate::settings::NodeSettings;
+use crate::telemetry::serve_metrics;
 use crate::telemetry::start_logger;
 use crate::timeline::Timeline;
 
@@ -64,6 +65,9 @@
     log: Logger,
 ) -> anyhow::Result<()> {
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context("watch for signals")?;
+    if let Some(address) = settings.metrics {
+        serve_metrics(&spawner, address)?;
+    }
     let mut records: Vec<LedgerRecord> = Vec::new();
     let opened = LedgerLog::open(&disk.data_dir, |record| records.push(record)).context("open the log")?;
     info!(log, "start"; "role" => "ledger", "disk" => &opened.disk, "empty" => opened.is_empty,
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -48,7 +48,10 @@
     pub fn take(&mut self, event: Event) -> anyhow::Result<bool> {
         let input = match event {
             Event::Input(input) => input,
-            Event::Log(LogEvent::Synced(number)) => CoreInput::Synced(number),
+            Event::Log(LogEvent::Synced(number)) => {
+                metrics::counter!("ledger_syncs_total").increment(1);
+                CoreInput::Synced(number)
+            }
             Event::Log(LogEvent::Full) => CoreInput::LogFull,
             Event::Log(LogEvent::Failed(cause)) => {
                 error!(self.log, "the disk failed"; "error" => cause.to_string());
@@ -65,7 +68,10 @@
 
     fn perform(&self, action: CoreAction) {
         match action {
-            CoreAction::Append { number, record } => self.disk.append(number, record),
+            CoreAction::Append { number, record } => {
+                metrics::counter!("ledger_appends_total").increment(1);
+                self.disk.append(number, record);
+            }
             CoreAction::RestartLog(records) => {
                 info!(self.log, "start a new segment"; "records" => records.len());
                 self.disk.restart(records);
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1913,6 +1913,9 @@
     pub log: LogSettings,
     ///IP and port for the other processes of the deployment, TCP
     pub mesh: ::std::string::String,
+    ///IP and port at which counters and histograms are served as text; absent for none
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub metrics: ::std::option::Option<::std::string::String>,
     pub platform: PlatformSettings,
     ///losses that nothing acknowledged may suffer from
     pub tolerance: ToleranceSettings,
--- a/src/settings/node_settings.rs
+++ b/src/settings/node_settings.rs
@@ -29,6 +29,8 @@
     pub tolerance: schema::ToleranceSettings,
     /// bounds that the deployment promises its callers.
     pub bounds: schema::BoundSettings,
+    /// address at which counters and histograms are served.
+    pub metrics: Option<SocketAddr>,
     /// what the process may use.
     pub limits: schema::NodeLimits,
     /// log lines.
@@ -110,6 +112,7 @@
         for (index, seed) in settings.ledger_seeds.iter().enumerate() {
             ledger_seeds.push(address(&mut findings, &format!("/ledger_seeds/{index}"), seed));
         }
+        let metrics = settings.metrics.as_ref().map(|text| address(&mut findings, "/metrics", text));
         let mesh_key = match settings.cluster.mesh_key.parse::<MeshKey>() {
             Ok(key) => Some(key),
             Err(error) => {
@@ -126,6 +129,7 @@
             instance: settings.instance,
             mesh,
             ledger_seeds,
+            metrics,
             platform: settings.platform,
             tolerance: settings.tolerance,
             bounds: settings.bounds,
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,7 +2,9 @@
 
 mod logger;
 mod recorder;
+mod scrape;
 
 pub use logger::LogGuard;
 pub use logger::start_logger;
 pub use recorder::Recorder;
+pub use scrape::serve_metrics;
--- a/tests/ledger_world/machine.rs
+++ b/tests/ledger_world/machine.rs
@@ -64,7 +64,6 @@
             LedgerRecord::Reserved(_) | LedgerRecord::Finished(_) | LedgerRecord::Observed(_) => None,
         });
         let own = self.member();
-        joined
-            .is_some_and(|joined| joined.complete && joined.view.members.iter().any(|member| *member == own))
+        joined.is_some_and(|joined| joined.complete && joined.view.members.contains(&own))
     }
 }
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -356,10 +356,10 @@
                 }
                 self.input(&name, start, CoreInput::Answer(Box::new(answer)));
             }
-            Some(Asker::Turn { index, member, turn, about_program, round }) => {
-                if self.turns[index].2 == round {
-                    self.turn_heard(index, &member, turn.as_deref(), about_program, answer.reply);
-                }
+            // What was meant for an earlier round is dropped.
+            Some(Asker::Turn { round, index, .. }) if self.turns[index].2 != round => {}
+            Some(Asker::Turn { index, member, turn, about_program, .. }) => {
+                self.turn_heard(index, &member, turn.as_deref(), about_program, answer.reply);
             }
         }
     }
