Bridge lapsed entries only after an outage of the platform, and test the parts without a network

Ruled out: late news (all doors knew 170 ms after the entry went). Change: a removal may be a lapse only if no ledger node had word of the platform before. Test: tests/platform_mirror.rs cut_of_one_node_is_no_outage failed before.

--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -6,6 +6,8 @@
 
 /// age of a mirror's last word of the platform up to which a door relies on it: a watch and a retry.
 const FRESH_MS: u64 = 2_500;
+/// how long after an outage of the platform removals may be lapses: entries that lapsed are back within two seconds.
+const LAPSES_AFTER_MS: u64 = 2_500;
 /// name under which the door's own look at the platform is merged; no instance has an empty name.
 const OWN_LOOK: &str = "";
 /// how long a gone object is remembered, so that a mirror that lags behind does not bring it back.
@@ -20,6 +22,8 @@
     marks: BTreeMap<String, MirrorMark>,
     /// when some node last had word of the platform, by the own clock.
     contact_ms: Option<u64>,
+    /// when there was word again after there had been none.
+    regained_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +35,7 @@
 impl Merge {
     /// knows nothing below a prefix.
     pub fn new(prefix: &str) -> Self {
-        Self { prefix: prefix.to_owned(), known: BTreeMap::new(), marks: BTreeMap::new(), contact_ms: None }
+        Self { prefix: prefix.to_owned(), known: BTreeMap::new(), marks: BTreeMap::new(), contact_ms: None, regained_ms: None }
     }
 
     /// prefix of the objects.
@@ -72,6 +76,9 @@
     fn merge(&mut self, now_ms: u64, node: &str, news: MirrorNews, counts: bool) -> Vec<MirroredObject> {
         if let Some(age_ms) = news.age_ms.filter(|_| counts) {
             let contact_ms = now_ms.saturating_sub(age_ms);
+            if !self.is_fresh(now_ms) {
+                self.regained_ms = Some(now_ms);
+            }
             self.contact_ms = self.contact_ms.max(Some(contact_ms));
         }
         let mark = MirrorMark { prefix: news.prefix.clone(), start: news.start.clone(), number: news.number };
@@ -80,6 +87,12 @@
         let names_all = news.is_whole && news.age_ms.is_some();
         let missing = if names_all { self.missing(&news) } else { Vec::new() };
         let mut changed = news.objects;
+        // A node that was cut off alone cannot tell its cut from an outage of the platform.
+        let was_outage = !self.is_fresh(now_ms)
+            || self.regained_ms.is_some_and(|regained_ms| now_ms < regained_ms + LAPSES_AFTER_MS);
+        for object in &mut changed {
+            object.may_have_lapsed &= was_outage;
+        }
         changed.extend(missing);
         changed.retain(|object| self.put(now_ms, object));
         self.known
--- /dev/null
+++ b/tests/caller_headers.rs
@@ -0,0 +1,96 @@
+//! headers of callers' requests and of replicas' answers.
+
+use std::time::Duration;
+
+use flamingostand::platform::AnswerHead;
+use flamingostand::platform::CallerRequest;
+use flamingostand::platform::ReplicaOrder;
+use flamingostand::platform::caller_headers;
+use flamingostand::platform::judge;
+use flamingostand::platform::keeps_connection;
+use flamingostand::platform::replica_headers;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use test_case::test_case;
+
+fn headers(rows: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in rows {
+        let name: HeaderName = name.parse().expect("a name");
+        headers.append(name, HeaderValue::from_str(value).expect("a value"));
+    }
+    headers
+}
+
+#[test]
+fn turn_headers() {
+    let read = CallerRequest::read(&headers(&[
+        ("X-Request-Id", "a1"),
+        ("X-Deadline-Ms", "3000"),
+        ("X-Program-Id", "p"),
+        ("X-Token-Budget", "2304"),
+        ("X-Token-Count", "1840,288"),
+        ("X-Previous-Turn", "a0"),
+    ]));
+    assert_eq!(read.id.as_deref(), Some("a1"));
+    assert_eq!((read.wait_ms, read.budget_tokens), (Some(3_000), Some(2_304)));
+    assert_eq!((read.prompt_tokens, read.most_tokens), (Some(1_840), Some(288)));
+    assert_eq!(read.previous_turn.as_deref(), Some("a0"));
+    let odd = CallerRequest::read(&headers(&[("X-Deadline-Ms", "soon"), ("X-Token-Count", ",")]));
+    assert_eq!(odd, CallerRequest::default(), "what makes no sense counts as absent");
+}
+
+#[test]
+fn what_replicas_get() {
+    let caller = headers(&[
+        ("Host", "a.example"),
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("X-Hold", "smuggled"),
+        ("Kv-From", "10.0.0.1:1/2"),
+        ("X-Pin-Ms", "1000"),
+        ("X-Expect-Instance", "i-other"),
+        ("X-Deadline-Ms", "3000"),
+        ("X-Affinity-Key", "17"),
+    ]);
+    let order =
+        ReplicaOrder { replica: "i-1", left: Duration::from_millis(1_234), last_event: Some("5") };
+    let sent = replica_headers(&caller, &order);
+    let mut names: Vec<&str> = sent.keys().map(HeaderName::as_str).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["host", "last-event-id", "x-affinity-key", "x-deadline-ms", "x-expect-instance"]);
+    assert_eq!(sent["x-deadline-ms"], "1234");
+    assert_eq!(sent["x-expect-instance"], "i-1");
+}
+
+#[test_case(200, &[("X-Request-Id", "a"), ("X-Response-Signature", "s")], AnswerHead::Usable; "signed")]
+#[test_case(200, &[("X-Request-Id", "a")], AnswerHead::Foreign; "unsigned success")]
+#[test_case(200, &[("X-Response-Signature", "s")], AnswerHead::Foreign; "success without id")]
+#[test_case(200, &[("X-Request-Id", "b"), ("X-Response-Signature", "s")], AnswerHead::Foreign; "another id")]
+#[test_case(503, &[("X-Not-Executed", "1")], AnswerHead::NotRun; "shed")]
+#[test_case(503, &[("X-Request-Id", "a")], AnswerHead::Usable; "failed after it ran")]
+#[test_case(500, &[], AnswerHead::Usable; "failure without headers")]
+#[test_case(421, &[("X-Instance-Id", "i-2")], AnswerHead::OtherReplica; "another replica")]
+#[test_case(200, &[("X-Request-Id", "a"), ("X-Response-Signature", "s"), ("Content-Encoding", "gzip")], AnswerHead::Foreign; "encoded")]
+fn judged(status: u16, rows: &[(&str, &str)], expected: AnswerHead) {
+    let status = StatusCode::from_u16(status).expect("a status");
+    assert_eq!(judge(status, &headers(rows), Some("a")), expected);
+}
+
+#[test_case(&[], None; "says nothing")]
+#[test_case(&[("Keep-Alive", "timeout=5, max=9")], Some(5); "five seconds")]
+#[test_case(&[("Connection", "Close")], Some(0); "closes")]
+fn kept_for(rows: &[(&str, &str)], seconds: Option<u64>) {
+    assert_eq!(keeps_connection(&headers(rows)), seconds.map(Duration::from_secs));
+}
+
+#[test]
+fn what_callers_get() {
+    let answer =
+        headers(&[("X-Response-Signature", "s"), ("Connection", "close"), ("Content-Length", "3"), ("Retry-After", "9")]);
+    let kept = caller_headers(&answer);
+    assert_eq!(kept.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-response-signature"]);
+}
--- /dev/null
+++ b/tests/fleet_news.rs
@@ -0,0 +1,71 @@
+//! what doors tell each other through ledger nodes: loads, who is there, and contents that end replicas.
+
+use flamingostand::door::FleetView;
+use flamingostand::fleet::Board;
+use flamingostand::routing::Patience;
+use flamingostand::schema::DoorReport;
+use flamingostand::schema::PoisonStrike;
+use flamingostand::schema::ReplicaUse;
+
+fn report(door: &str, running: u32, strikes: &[(&str, &str)]) -> DoorReport {
+    let strike = |(content, strike): &(&str, &str)| PoisonStrike {
+        content: (*content).to_owned(),
+        strike: (*strike).to_owned(),
+    };
+    DoorReport {
+        name: door.to_owned(),
+        zone: "zone-a".to_owned(),
+        callers: format!("{door}:80"),
+        ready: true,
+        started: "s".to_owned(),
+        loads: vec![ReplicaUse { replica: "r1".to_owned(), running }],
+        strikes: strikes.iter().map(strike).collect(),
+        marks: Vec::new(),
+    }
+}
+
+#[test]
+fn loads_of_the_others() {
+    let mut board = Board::default();
+    board.report(0, &report("a", 3, &[]));
+    board.report(0, &report("b", 4, &[]));
+    let news = board.report(10, &report("a", 5, &[]));
+    assert_eq!(news.loads, [ReplicaUse { replica: "r1".to_owned(), running: 4 }], "its own do not count");
+    let late = board.report(5_000, &report("a", 0, &[]));
+    assert!(late.loads.is_empty(), "a door that is gone runs nothing");
+}
+
+#[test]
+fn content_is_refused_after_two_victims() {
+    let mut board = Board::default();
+    assert!(board.report(0, &report("a", 0, &[("x", "1")])).poisoned.is_empty());
+    assert!(board.report(1, &report("b", 0, &[("x", "1")])).poisoned.is_empty(), "the same victim told twice");
+    assert_eq!(board.report(2, &report("b", 0, &[("x", "2")])).poisoned, ["x"]);
+}
+
+#[test]
+fn dead_door_is_not_named() {
+    let mut board = Board::default();
+    board.report(0, &report("a", 0, &[]));
+    let mut view = FleetView::default();
+    view.update(0, &board.report(0, &report("b", 0, &[])));
+    assert_eq!(view.addresses(100, "b:80", true, Some("zone-a")), ["a:80"]);
+    assert!(view.addresses(1_500, "b:80", true, None).is_empty());
+    assert_eq!(view.addresses(1_500, "b:80", false, None), ["a:80"], "a door that is cut off names the others");
+}
+
+#[test]
+fn patience_follows_what_is_usual() {
+    let mut patience = Patience::default();
+    assert_eq!(patience.limit_ms("look"), None, "nothing is known yet");
+    for _ in 0..100 {
+        patience.answered("look", 60.0);
+        patience.answered("look", 40.0);
+    }
+    let limit_ms = patience.limit_ms("look").expect("a limit");
+    assert!((50..=200).contains(&limit_ms), "{limit_ms}");
+    for _ in 0..10 {
+        patience.gave_up("look");
+    }
+    assert_eq!(patience.limit_ms("look"), None, "a service that is slow altogether is not asked twice");
+}
--- /dev/null
+++ b/tests/operator_config.rs
@@ -0,0 +1,55 @@
+//! the operators' configuration as the platform holds it.
+
+use flamingostand::platform::read_config;
+use flamingostand::routing::RequestKind;
+use serde_json::json;
+use test_case::test_case;
+
+fn config() -> Vec<u8> {
+    json!({
+        "version": 7,
+        "routes": [
+            { "name": "all", "host": "a.example", "path_prefix": "/", "kind": "idempotent", "service": "tools" },
+            {
+                "name": "deep", "host": "A.example", "path_prefix": "/x/y/", "kind": "streaming", "timeout_ms": 3000,
+                "retained": true, "retention_s": 60.0, "resumable": false,
+                "backends": [{ "service": "models", "weight": 90 }, { "service": "tools", "weight": 10 }],
+            },
+            { "name": "x", "host": "a.example", "path_prefix": "/x/", "kind": "non_idempotent", "service": "tools" },
+        ],
+        "services": [{ "name": "models", "max_conns": 9, "engine": { "slots": 6, "chunk_tokens": 12 } }],
+        "unknown": true,
+    })
+    .to_string()
+    .into_bytes()
+}
+
+#[test_case("a.example", "/x/y/z", Some("deep"); "longest prefix")]
+#[test_case("A.EXAMPLE:80", "/x/z", Some("x"); "host without case and port")]
+#[test_case("a.example", "/other", Some("all"); "root")]
+#[test_case("b.example", "/x/y/z", None; "another host")]
+fn route_of(host: &str, path: &str, expected: Option<&str>) {
+    let table = read_config(&config()).expect("a configuration");
+    assert_eq!(table.route(host, path).map(|route| route.name.as_str()), expected);
+}
+
+#[test]
+fn fields() {
+    let table = read_config(&config()).expect("a configuration");
+    assert_eq!((table.version, table.route_count()), (7, 3));
+    let route = table.route("a.example", "/x/y/").expect("a route");
+    assert_eq!(route.kind, RequestKind::Streaming);
+    assert_eq!(route.retention_ms, Some(60_000));
+    assert!(!route.may_repeat());
+    let models = (0..1_000).filter(|draw| route.backend(draw * 100) == Some("models")).count();
+    assert_eq!(models, 900, "backends share by weight");
+    let engine = table.service("models").and_then(|service| service.engine.as_ref()).expect("an engine");
+    assert_eq!(engine.tokens_per_event, 12);
+}
+
+#[test_case("{}"; "no version")]
+#[test_case("not json"; "no json")]
+#[test_case(r#"{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"other"}]}"#; "unknown kind")]
+fn unreadable(text: &str) {
+    assert!(read_config(text.as_bytes()).is_err());
+}
--- /dev/null
+++ b/tests/platform_mirror.rs
@@ -0,0 +1,135 @@
+//! what doors learn of the platform through ledger nodes that may lag behind or have just started.
+
+use flamingostand::fleet::Followed;
+use flamingostand::fleet::Follower;
+use flamingostand::fleet::Merge;
+use flamingostand::fleet::Mirror;
+use flamingostand::platform::Change;
+use flamingostand::platform::Object;
+use flamingostand::platform::PlatformError;
+use flamingostand::platform::PlatformReply;
+use flamingostand::platform::PlatformRequest;
+
+const PREFIX: &str = "config/";
+
+fn object(name: &str, version: u64) -> Object {
+    Object { key: format!("{PREFIX}{name}"), version, value: version.to_string().into_bytes() }
+}
+
+fn page(objects: Vec<Object>, more: bool, revision: u64) -> PlatformReply {
+    PlatformReply::Page { objects, more, revision }
+}
+
+#[test]
+fn list_in_pages_then_watch() {
+    let mut follower = Follower::new(PREFIX, 1_000, 1);
+    assert_eq!(follower.take(0, Ok(page(vec![object("a", 1)], true, 5))), Followed::Nothing);
+    assert!(matches!(follower.request(), PlatformRequest::List { after, .. } if after == "config/a"));
+    let all = follower.take(0, Ok(page(vec![object("b", 2)], false, 6)));
+    assert_eq!(all, Followed::Snapshot(vec![object("a", 1), object("b", 2)]));
+    assert!(matches!(follower.request(), PlatformRequest::Watch { after_revision: 6, .. }));
+    let news = PlatformReply::Changes { changes: Vec::new(), revision: 9 };
+    assert_eq!(follower.take(0, Ok(news)), Followed::Nothing);
+    assert_eq!(follower.revision(), Some(9));
+    follower.take(0, Err(PlatformError::Gap));
+    assert!(matches!(follower.request(), PlatformRequest::List { after, .. } if after.is_empty()));
+    assert_eq!(follower.next_call_ms(), 0, "a gap is mended at once");
+    follower.take(100, Err(PlatformError::Unavailable));
+    assert!((130..=600).contains(&follower.next_call_ms()), "{}", follower.next_call_ms());
+}
+
+#[test]
+fn lagging_mirror_brings_nothing_back() {
+    let (mut fast, mut slow) = (Mirror::new(PREFIX, "s1"), Mirror::new(PREFIX, "s2"));
+    let mut merge = Merge::new(PREFIX);
+    for mirror in [&mut fast, &mut slow] {
+        mirror.take_all(0, &[object("main", 3), object("old", 2)], false);
+        mirror.contact(0, Some(4));
+    }
+    assert_eq!(merge.take(0, "fast", fast.news(0, None)).len(), 2);
+    assert!(merge.take(0, "slow", slow.news(0, None)).is_empty(), "the same again");
+    let gone = Change { key: "config/old".to_owned(), version: 7, value: None };
+    let newer = Change { key: "config/main".to_owned(), version: 8, value: Some(b"8".to_vec()) };
+    fast.take_changes(10, &[gone, newer], false);
+    fast.contact(10, Some(8));
+    let changed = merge.take(10, "fast", fast.news(10, merge.mark("fast")));
+    assert_eq!(changed.len(), 2, "only what changed");
+    assert!(merge.take(20, "slow", slow.news(20, None)).is_empty(), "an old mirror is ignored");
+}
+
+#[test]
+fn restarted_mirror_is_no_proof_of_absence() {
+    let mut mirror = Mirror::new(PREFIX, "s1");
+    mirror.take_all(0, &[object("main", 3)], false);
+    mirror.contact(0, Some(3));
+    let mut merge = Merge::new(PREFIX);
+    merge.take(0, "node", mirror.news(0, None));
+    let empty = Mirror::new(PREFIX, "s2");
+    assert!(merge.take(10, "node", empty.news(10, None)).is_empty());
+    // One that has listed since knows what is gone.
+    let mut listed = Mirror::new(PREFIX, "s3");
+    listed.take_all(20, &[], false);
+    listed.contact(20, Some(9));
+    let changed = merge.take(20, "node", listed.news(20, None));
+    assert_eq!(changed.iter().filter(|object| object.value.is_none()).count(), 1);
+}
+
+/// a node that comes back and finds an object gone.
+fn gone_after_cut() -> Mirror {
+    let mut mirror = Mirror::new(PREFIX, "s2");
+    mirror.take_all(0, &[object("main", 3)], false);
+    mirror.take_all(9_000, &[], true);
+    mirror.contact(9_000, Some(5));
+    mirror
+}
+
+#[test]
+fn cut_of_one_node_is_no_outage() {
+    let mut merge = Merge::new(PREFIX);
+    let mut sound = Mirror::new(PREFIX, "s1");
+    sound.take_all(0, &[object("main", 3)], false);
+    for now_ms in (0..9_000).step_by(1_000) {
+        sound.contact(now_ms, Some(4));
+        let news = sound.news(now_ms, merge.mark("sound"));
+        merge.take(now_ms, "sound", news);
+    }
+    let changed = merge.take(9_000, "cut", gone_after_cut().news(9_000, None));
+    assert_eq!(changed.len(), 1);
+    assert!(!changed[0].may_have_lapsed, "the platform was there all the while");
+}
+
+#[test]
+fn lapse_in_an_outage_is_one() {
+    let mut merge = Merge::new(PREFIX);
+    let mut other = Mirror::new(PREFIX, "s1");
+    other.take_all(0, &[object("main", 3)], false);
+    other.contact(0, Some(3));
+    merge.take(0, "other", other.news(0, None));
+    // The other node has word again first, and has seen nothing of the lapse yet.
+    other.contact(8_900, Some(4));
+    merge.take(8_900, "other", other.news(8_900, merge.mark("other")));
+    let changed = merge.take(9_000, "back", gone_after_cut().news(9_000, None));
+    assert!(changed[0].may_have_lapsed);
+}
+
+#[test]
+fn freshness_is_the_platforms() {
+    let mut mirror = Mirror::new(PREFIX, "s1");
+    let mut merge = Merge::new(PREFIX);
+    merge.take(0, "node", mirror.news(0, None));
+    assert!(!merge.is_fresh(0), "a node that never reached the platform says nothing");
+    mirror.contact(1_000, Some(1));
+    merge.take(2_000, "node", mirror.news(2_000, None));
+    assert!(merge.is_fresh(3_000));
+    assert!(!merge.is_fresh(3_600), "its last word is 2.6 s old");
+}
+
+#[test]
+fn log_brings_back_what_was_seen() {
+    let mut mirror = Mirror::new(PREFIX, "s1");
+    mirror.take_all(0, &[object("main", 3)], false);
+    let mut replayed = Mirror::new(PREFIX, "s2");
+    replayed.replay(&mirror.observed());
+    let mut merge = Merge::new(PREFIX);
+    assert_eq!(merge.take(0, "node", replayed.news(0, None)).len(), 1);
+}
--- /dev/null
+++ b/tests/replica_table.rs
@@ -0,0 +1,97 @@
+//! choice of a replica by what a door believes. Pattern of load: bursts through doors that see only their own part.
+
+use flamingostand::routing::Outcome;
+use flamingostand::routing::ReplicaEntry;
+use flamingostand::routing::ReplicaTable;
+use flamingostand::routing::Wanted;
+use flamingostand::schema::ReplicaUse;
+
+fn entry(number: u16) -> ReplicaEntry {
+    ReplicaEntry {
+        id: format!("r{number}"),
+        service: "models".to_owned(),
+        address: ([10, 0, 0, 1], number).into(),
+        zone: format!("zone-{}", number % 2),
+        slots: 6,
+        leaving: false,
+        started_unix_ms: 1,
+    }
+}
+
+fn table(count: u16) -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    for number in 1..=count {
+        table.put(entry(number));
+    }
+    table
+}
+
+fn wanted(affinity: Option<&str>) -> Wanted<'_> {
+    Wanted { service: "models", zone: "zone-1", affinity }
+}
+
+#[test]
+fn spreads_evenly() {
+    let mut table = table(8);
+    for _ in 0..48 {
+        table.pick(0, &wanted(None), &[]).expect("a replica");
+    }
+    assert!(table.own_loads().iter().all(|load| load.running == 6), "{:?}", table.own_loads());
+}
+
+#[test]
+fn burst_through_other_doors_is_seen() {
+    let mut table = table(4);
+    table.set_others(&[
+        ReplicaUse { replica: "r1".to_owned(), running: 6 },
+        ReplicaUse { replica: "r3".to_owned(), running: 5 },
+    ]);
+    for _ in 0..8 {
+        let pick = table.pick(0, &wanted(None), &[]).expect("a replica");
+        assert!(["r2", "r4"].contains(&pick.id.as_str()), "{pick:?}");
+    }
+}
+
+#[test]
+fn program_stays_unless_it_would_wait() {
+    let mut table = table(4);
+    let first = table.pick(0, &wanted(Some("program")), &[]).expect("a replica");
+    table.release(first.key);
+    let again = table.pick(0, &wanted(Some("program")), &[]).expect("a replica");
+    assert_eq!(first.id, again.id);
+    table.set_others(&[ReplicaUse { replica: first.id.clone(), running: 6 }]);
+    let elsewhere = table.pick(0, &wanted(Some("program")), &[]).expect("a replica");
+    assert_ne!(first.id, elsewhere.id, "a cached prefix is not worth a queue");
+}
+
+#[test]
+fn leaving_and_gone() {
+    let mut table = table(2);
+    table.put(ReplicaEntry { leaving: true, ..entry(1) });
+    assert_eq!(table.pick(0, &wanted(None), &[]).map(|pick| pick.id), Some("r2".to_owned()));
+    table.remove(0, "r2", false);
+    assert_eq!(table.pick(0, &wanted(None), &[]), None);
+}
+
+#[test]
+fn lapse_of_an_outage_is_bridged() {
+    let mut table = table(1);
+    table.remove(1_000, "r1", true);
+    assert!(table.pick(2_900, &wanted(None), &[]).is_some(), "it may be back within two seconds");
+    table.expire(3_100);
+    assert_eq!(table.pick(3_100, &wanted(None), &[]), None);
+}
+
+#[test]
+fn broken_replica_rests() {
+    let mut table = table(2);
+    let pick = table.pick(0, &wanted(None), &[]).expect("a replica");
+    table.learn(0, pick.key, Outcome::Broken);
+    for _ in 0..4 {
+        assert_ne!(table.pick(10, &wanted(None), &[]).expect("a replica").id, pick.id);
+    }
+    let other = table.pick(10, &wanted(None), &[]).expect("a replica");
+    table.learn(10, other.key, Outcome::Broken);
+    assert!(table.pick(20, &wanted(None), &[]).is_some(), "a broken replica is better than none");
+    assert_eq!(table.pick(20, &wanted(None), &[pick.key, other.key]), None, "tried ones are left out");
+}
