Have one ledger node tell each door of the fleet

Change: a door asks one node, by rendezvous over its name, for doors and loads; rows lose what the directory does not use; a door's age is judged at the time of the news, so a silent informant does not empty the directory.

--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -29,7 +29,6 @@
 use crate::platform::MAX_ADDRESSES;
 use crate::platform::READINESS_PATH;
 use crate::platform::RESOLVE_PATH;
-use crate::platform::caller_zone;
 use crate::platform::resolve_body;
 use crate::routing::RequestKind;
 use crate::routing::Route;
@@ -129,9 +128,8 @@
     }
     let own = door.addresses.callers.to_string();
     let is_ready = door.is_ready();
-    let now_ms = door.now_ms();
     let fleet = door.fleet();
-    let mut addresses = fleet.addresses(now_ms, &own, is_ready, caller_zone(request.uri().query()));
+    let mut addresses = fleet.addresses(&own, is_ready);
     if is_ready || addresses.is_empty() {
         addresses.insert(0, &own);
     }
--- a/src/door/fleet_view.rs
+++ b/src/door/fleet_view.rs
@@ -4,13 +4,16 @@
 use crate::schema::DoorRow;
 use crate::schema::FleetNews;
 
-/// age at which a door is no longer named to callers: three reports that were missed.
+/// age at which a door is no longer named to callers, at the time of the last news: three reports that were missed.
 const FRESH_MS: u64 = 900;
 
 /// what a front door knows of the others, by the news of ledger nodes.
 #[derive(Debug, Default)]
 pub struct FleetView {
+    /// doors by their address for callers.
     doors: BTreeMap<String, Known>,
+    /// when doors were told of last.
+    heard_ms: u64,
     poisoned: BTreeSet<String>,
 }
 
@@ -24,32 +27,30 @@
 impl FleetView {
     /// takes the news of one ledger node.
     pub fn update(&mut self, now_ms: u64, news: &FleetNews) {
+        if news.tells_fleet {
+            self.heard_ms = now_ms;
+        }
         for row in &news.doors {
             let reported_ms = now_ms.saturating_sub(row.age_ms);
-            let known = self.doors.get(&row.name);
+            let known = self.doors.get(&row.callers);
             if known.is_some_and(|known| known.reported_ms > reported_ms) {
                 continue;
             }
-            self.doors.insert(row.name.clone(), Known { row: row.clone(), reported_ms });
+            self.doors.insert(row.callers.clone(), Known { row: row.clone(), reported_ms });
         }
         self.poisoned.extend(news.poisoned.iter().cloned());
     }
 
-    /// addresses of doors that take requests, those of the caller's availability zone first.
+    /// addresses of doors that take requests.
     ///
     /// `own` is the address of the asking door; it names itself if it is ready.
-    pub fn addresses(&self, now_ms: u64, own: &str, is_ready: bool, zone: Option<&str>) -> Vec<&str> {
+    pub fn addresses(&self, own: &str, is_ready: bool) -> Vec<&str> {
         let others = self.doors.values().filter(|known| known.row.ready && known.row.callers != own);
         let fresh: Vec<&Known> =
-            others.clone().filter(|known| now_ms < known.reported_ms + FRESH_MS).collect();
+            others.clone().filter(|known| self.heard_ms < known.reported_ms + FRESH_MS).collect();
         // A door that hears nothing any more is more likely cut off than alone.
         let named: Vec<&Known> = if fresh.is_empty() && !is_ready { others.collect() } else { fresh };
-        let mut addresses: Vec<(bool, &str)> = named
-            .iter()
-            .map(|known| (Some(known.row.zone.as_str()) != zone, known.row.callers.as_str()))
-            .collect();
-        addresses.sort_unstable();
-        addresses.into_iter().map(|(_, address)| address).collect()
+        named.into_iter().map(|known| known.row.callers.as_str()).collect()
     }
 
     /// whether a content ended several replicas.
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -61,6 +61,7 @@
     loop {
         let mut report = DoorReport {
             marks: Vec::new(),
+            wants_fleet: false,
             name: door.settings.instance.name.clone(),
             zone: door.settings.instance.zone.clone(),
             callers: door.addresses.callers.to_string(),
@@ -70,8 +71,11 @@
             strikes: door.take_strikes(),
         };
         let view = door.ledger.view();
+        // Each door is told of the others by one node, and different doors by different ones.
+        let informant = door.ledger.first_near(&view, &report.name);
         for member in &view.members {
             report.marks = door.marks(&member.name);
+            report.wants_fleet = informant.as_deref() == Some(&member.name);
             // A node that cannot be reached shows in its silence.
             door.ledger.ask(member, view.epoch, LedgerRequest::Report(report.clone()), None, &sender);
         }
@@ -89,7 +93,9 @@
         match heard.event {
             HeardEvent::Reply(LedgerReply::News(news)) => {
                 door.fleet().update(door.now_ms(), &news);
-                door.replicas().set_others(&news.loads);
+                if news.tells_fleet {
+                    door.replicas().set_others(&news.loads);
+                }
                 for mirror in news.mirrors {
                     follow::take_news(&door, &heard.member, mirror);
                 }
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -46,7 +46,11 @@
         }
         let row = Row { report: report.clone(), heard_ms: now_ms };
         self.doors.insert(report.name.clone(), row);
-        self.news(now_ms, &report.name)
+        let mut news = FleetNews { poisoned: self.poisoned(), ..FleetNews::empty() };
+        if report.wants_fleet {
+            self.tell_fleet(now_ms, &report.name, &mut news);
+        }
+        news
     }
 
     /// forgets doors that are gone and contents whose time is over.
@@ -62,15 +66,18 @@
         content.last_ms = now_ms;
     }
 
-    fn news(&self, now_ms: u64, asker: &str) -> FleetNews {
-        let heard = self.doors.values().filter(|row| now_ms < row.heard_ms + DOOR_KEEP_MS);
-        let mut doors = Vec::new();
+    /// contents that ended several replicas.
+    fn poisoned(&self) -> Vec<String> {
+        let poisoned = self.contents.iter().filter(|(_, content)| content.strikes.len() >= STRIKES_TO_POISON);
+        poisoned.map(|(digest, _)| digest.clone()).collect()
+    }
+
+    /// what is known of all doors, and of the loads through others than the one that asks.
+    fn tell_fleet(&self, now_ms: u64, asker: &str, news: &mut FleetNews) {
         let mut running: BTreeMap<&str, u32> = BTreeMap::new();
-        for row in heard {
+        for row in self.doors.values().filter(|row| now_ms < row.heard_ms + DOOR_KEEP_MS) {
             let report = &row.report;
-            doors.push(DoorRow {
-                name: report.name.clone(),
-                zone: report.zone.clone(),
+            news.doors.push(DoorRow {
                 callers: report.callers.clone(),
                 ready: report.ready,
                 age_ms: now_ms - row.heard_ms,
@@ -83,14 +90,22 @@
             }
         }
         let loads = running.into_iter();
-        let loads = loads.map(|(replica, running)| ReplicaUse { replica: replica.to_owned(), running });
-        let poisoned = self.contents.iter().filter(|(_, content)| content.strikes.len() >= STRIKES_TO_POISON);
-        FleetNews {
+        news.loads =
+            loads.map(|(replica, running)| ReplicaUse { replica: replica.to_owned(), running }).collect();
+        news.tells_fleet = true;
+    }
+}
+
+impl FleetNews {
+    /// news of nothing.
+    fn empty() -> Self {
+        Self {
             complete: false,
+            tells_fleet: false,
+            doors: Vec::new(),
+            loads: Vec::new(),
+            poisoned: Vec::new(),
             mirrors: Vec::new(),
-            doors,
-            loads: loads.collect(),
-            poisoned: poisoned.map(|(digest, _)| digest.clone()).collect(),
         }
     }
 }
--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -35,7 +35,13 @@
 impl Merge {
     /// knows nothing below a prefix.
     pub fn new(prefix: &str) -> Self {
-        Self { prefix: prefix.to_owned(), known: BTreeMap::new(), marks: BTreeMap::new(), contact_ms: None, regained_ms: None }
+        Self {
+            prefix: prefix.to_owned(),
+            known: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            contact_ms: None,
+            regained_ms: None,
+        }
     }
 
     /// prefix of the objects.
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -151,6 +151,12 @@
         near_count >= view.quorum().write() && complete_count >= view.quorum().read()
     }
 
+    /// a member that answers, the same one for a name as long as it does.
+    pub fn first_near(&self, view: &LedgerView, name: &str) -> Option<String> {
+        let (ranked, _) = self.ranked(view, name);
+        ranked.into_iter().next().map(|member| member.name)
+    }
+
     /// the members of a view in the order in which they are asked about a program: those that answer first, and
     /// among them always the same ones.
     ///
--- a/src/platform/entry_calls.rs
+++ b/src/platform/entry_calls.rs
@@ -9,11 +9,6 @@
 /// most doors in one answer.
 pub const MAX_ADDRESSES: usize = 64;
 
-/// the availability zone of a caller that asks for doors.
-pub fn caller_zone(query: Option<&str>) -> Option<&str> {
-    query?.split('&').find_map(|pair| pair.strip_prefix("zone="))
-}
-
 /// the answer to a question for doors.
 pub fn resolve_body(addresses: &[&str], keep_s: f64) -> String {
     json!({ "addresses": addresses, "ttl_s": keep_s }).to_string()
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -471,6 +471,8 @@
     pub started: ::std::string::String,
     ///replicas that ended under a request since the last report
     pub strikes: ::std::vec::Vec<PoisonStrike>,
+    ///whether the answer should tell of the other doors; one ledger node is asked for that
+    pub wants_fleet: bool,
     ///availability zone
     pub zone: ::std::string::String,
 }
@@ -481,12 +483,8 @@
     pub age_ms: u64,
     ///address that callers send requests to
     pub callers: ::std::string::String,
-    ///name of the instance
-    pub name: ::std::string::String,
     ///whether it takes requests
     pub ready: bool,
-    ///availability zone
-    pub zone: ::std::string::String,
 }
 ///tells an instance to leave
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -677,6 +675,8 @@
     pub mirrors: ::std::vec::Vec<MirrorNews>,
     ///contents that ended several replicas
     pub poisoned: ::std::vec::Vec<::std::string::String>,
+    ///whether doors and loads are told
+    pub tells_fleet: bool,
 }
 ///a program's state is dropped
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
