Keep only settings that are used, and start the mesh in one place

Cause: read as a newcomer: bounds and limits that nothing read, the start of the mesh twice, a grace time in milliseconds that a template could not write for fractions of a second. Change: these are gone, merged or in seconds.

--- a/src/door/daemon.rs
+++ b/src/door/daemon.rs
@@ -28,10 +28,8 @@
 use crate::door::reporter::report;
 use crate::door::serve::Served;
 use crate::door::serve::serve;
+use crate::fleet::start_mesh;
 use crate::ids::Incarnation;
-use crate::mesh::Mesh;
-use crate::mesh::MeshLimits;
-use crate::mesh::MeshSettings;
 use crate::platform::HttpPlatform;
 use crate::platform::HttpPlatformOptions;
 use crate::platform::OPERATOR_CONFIG;
@@ -40,7 +38,6 @@
 use crate::settings::NodeSettings;
 use crate::telemetry::serve_metrics;
 use crate::telemetry::start_logger;
-use crate::timeline::Timeline;
 
 /// how often callers may use an answer of the directory beyond the time that it names.
 const STALE_DIRECTORY_FACTOR: u64 = 3;
@@ -48,6 +45,8 @@
 const CLOSE_SHARE: f64 = 0.5;
 /// time before the end of the grace time at which the process ends in any case.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// longest grace time that makes sense; a larger setting is a mistake.
+const MAX_GRACE_S: f64 = 3_600.0;
 /// how often a leaving door looks whether its connections have ended.
 const LEAVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -73,7 +72,8 @@
     let started = incarnation.to_string();
     let door = Arc::new(Door::new(settings, addresses, started, spawner.clone(), log.clone()));
     info!(log, "start"; "role" => "door", "incarnation" => incarnation.as_str());
-    door.ledger.set_mesh(start_mesh(&door, incarnation)?);
+    let inbox = Arc::new(MeshInbox::new(&door));
+    door.ledger.set_mesh(start_mesh(&door.settings, &spawner, incarnation, inbox)?);
     let (close, closing) = async_channel::bounded::<()>(1);
     let open = Arc::new(AtomicUsize::new(0));
     let served = Served { spawner: spawner.clone(), open: Arc::clone(&open), closing };
@@ -103,7 +103,7 @@
     let told = Instant::now();
     info!(door.log, "told to stop by a signal"; "open_connections" => open.load(Ordering::Relaxed));
     door.leave();
-    let grace = Duration::from_millis(bounds.grace_ms);
+    let grace = Duration::from_secs_f64(bounds.grace_s.clamp(0.0, MAX_GRACE_S));
     let stale = Duration::from_millis(bounds.directory_ttl_ms * STALE_DIRECTORY_FACTOR);
     Timer::after(stale.min(grace.mul_f64(CLOSE_SHARE))).await;
     close.close();
@@ -112,21 +112,6 @@
     }
 }
 
-fn start_mesh(door: &Arc<Door>, incarnation: Incarnation) -> anyhow::Result<Arc<Mesh>> {
-    let settings = &door.settings;
-    let mesh = MeshSettings {
-        listen: settings.mesh,
-        cluster: settings.cluster.clone(),
-        key: settings.mesh_key.clone(),
-        incarnation,
-        name: settings.instance.name.clone(),
-        limits: MeshLimits::of_fleet(),
-    };
-    let timeline = Arc::new(Timeline::new(&settings.instance.name));
-    Mesh::start(door.spawner.clone(), mesh, timeline, Arc::new(MeshInbox::new(door)))
-        .context("listen on the mesh")
-}
-
 fn listen(door: &Arc<Door>, served: &Served) -> anyhow::Result<()> {
     let DoorAddresses { callers, readiness, directory } = door.addresses;
     // The checks of the platform and the directory serve no requests that would have to end.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,10 +1,11 @@
-//! what the processes of a fleet know of each other and of the platform's objects. Decisions only.
+//! what the processes of a fleet know of each other and of the platform's objects.
 
 mod board;
 mod follower;
 mod following;
 mod merge;
 mod mirror;
+mod start_mesh;
 
 pub use board::Board;
 pub use follower::Followed;
@@ -13,3 +14,4 @@
 pub use following::Step;
 pub use merge::Merge;
 pub use mirror::Mirror;
+pub use start_mesh::start_mesh;
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Followed;
 use crate::fleet::Following;
 use crate::fleet::Step;
+use crate::fleet::start_mesh;
 use crate::ids::Incarnation;
 use crate::ledger::CoreInput;
 use crate::ledger::NodeCore;
@@ -26,9 +27,6 @@
 use crate::ledger_node::event::Event;
 use crate::ledger_node::inbox::Inbox;
 use crate::ledger_node::runner::Runner;
-use crate::mesh::Mesh;
-use crate::mesh::MeshLimits;
-use crate::mesh::MeshSettings;
 use crate::platform::HttpPlatform;
 use crate::platform::HttpPlatformOptions;
 use crate::platform::OPERATOR_CONFIG;
@@ -42,7 +40,6 @@
 use crate::settings::NodeSettings;
 use crate::telemetry::serve_metrics;
 use crate::telemetry::start_logger;
-use crate::timeline::Timeline;
 
 /// what doors learn of the platform through the ledger nodes.
 const MIRRORED: [&str; 2] = [OPERATOR_CONFIG, REPLICAS];
@@ -86,7 +83,8 @@
     }
     let (events, incoming) = async_channel::unbounded();
     let platform = Arc::new(HttpPlatform::new(HttpPlatformOptions::try_from(&settings.platform)?));
-    let mesh = start_mesh(settings, &spawner, incarnation, events.clone())?;
+    let inbox = Arc::new(Inbox { events: events.clone() });
+    let mesh = start_mesh(settings, &spawner, incarnation, inbox)?;
     spawner.detach(forward_log_events(opened.events, events.clone()));
     let wait_ms = settings.platform.watch_ms;
     for prefix in MIRRORED {
@@ -118,24 +116,6 @@
     Ok(())
 }
 
-fn start_mesh(
-    settings: &NodeSettings,
-    spawner: &Spawner,
-    incarnation: Incarnation,
-    events: Sender<Event>,
-) -> anyhow::Result<Arc<Mesh>> {
-    let mesh = MeshSettings {
-        listen: settings.mesh,
-        cluster: settings.cluster.clone(),
-        key: settings.mesh_key.clone(),
-        incarnation,
-        name: settings.instance.name.clone(),
-        limits: MeshLimits::of_fleet(),
-    };
-    let timeline = Arc::new(Timeline::new(&settings.instance.name));
-    Mesh::start(spawner.clone(), mesh, timeline, Arc::new(Inbox { events })).context("listen on the mesh")
-}
-
 async fn forward_log_events(log_events: Receiver<LogEvent>, events: Sender<Event>) {
     while let Ok(event) = log_events.recv().await {
         let _ = events.try_send(Event::Log(event));
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -66,16 +66,10 @@
 ///bounds that the deployment promises its callers
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct BoundSettings {
-    ///time after which an accepted configuration is in force
-    pub config_ms: u64,
-    ///time after which a healed connection counts as sound
-    pub contact_ms: u64,
     ///longest time that callers may keep an answer of the directory
     pub directory_ttl_ms: u64,
-    ///time after which a leaving replica gets no more work
-    pub drain_ms: u64,
     ///time from SIGTERM to SIGKILL
-    pub grace_ms: u64,
+    pub grace_s: f64,
 }
 ///outcome of a call
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1884,12 +1878,6 @@
     #[serde(default)]
     pub urgent: bool,
 }
-///what the process may use
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct NodeLimits {
-    ///open descriptors
-    pub max_descriptors: u64,
-}
 ///settings of a front door or a ledger node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct NodeSettings {
@@ -1906,8 +1894,6 @@
     ///mesh addresses at which a front door first looks for ledger nodes; some may be gone
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub ledger_seeds: ::std::vec::Vec<::std::string::String>,
-    ///what the process may use
-    pub limits: NodeLimits,
     ///log lines
     #[serde(default = "defaults::node_settings_log")]
     pub log: LogSettings,
--- a/src/settings/node_settings.rs
+++ b/src/settings/node_settings.rs
@@ -31,8 +31,6 @@
     pub bounds: schema::BoundSettings,
     /// address at which counters and histograms are served.
     pub metrics: Option<SocketAddr>,
-    /// what the process may use.
-    pub limits: schema::NodeLimits,
     /// log lines.
     pub log: schema::LogSettings,
     /// what the process does.
@@ -133,7 +131,6 @@
             platform: settings.platform,
             tolerance: settings.tolerance,
             bounds: settings.bounds,
-            limits: settings.limits,
             log: settings.log,
             role,
         })
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -165,10 +165,7 @@
                 "timeout_ms": 500, "watch_ms": 1000,
             },
             "tolerance": { "lost_disks": 1 },
-            "bounds": {
-                "drain_ms": 2000, "config_ms": 2000, "grace_ms": 4000, "contact_ms": 3000, "directory_ttl_ms": 500,
-            },
-            "limits": { "max_descriptors": 1000 },
+            "bounds": { "grace_s": 4.0, "directory_ttl_ms": 500 },
             "log": { "format": "json", "level": "info" },
         })
     }
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -14,8 +14,7 @@
         "platform": { "address": "10.0.0.2:80", "form": "named" },
         "ledger": { "data_dir": "/data" },
         "tolerance": { "lost_disks": 1 },
-        "bounds": { "drain_ms": 1, "config_ms": 1, "grace_ms": 1, "contact_ms": 1, "directory_ttl_ms": 1 },
-        "limits": { "max_descriptors": 100 },
+        "bounds": { "grace_s": 0.5, "directory_ttl_ms": 1 },
     });
     change(&mut value);
     format!("{value:#}")
