--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -49,8 +49,6 @@
     Broken,
     /// the answer belongs to another request, or has no signature.
     Foreign,
-    /// the answer takes far longer than usual; there is time for another replica.
-    Slow,
     /// the time is over.
     TimedOut,
 }
@@ -64,18 +62,15 @@
     pub keeps: Option<Duration>,
 }
 
-/// sends a request to the replica of a lease; with `patience`, an answer that takes longer is given up.
+/// sends a request to the replica of a lease.
 pub(super) async fn attempt(
     door: &Arc<Door>,
     request: &DoorRequest,
     lease: Lease,
     last_event: Option<&str>,
-    patience: Option<Duration>,
 ) -> Tried {
     let left = request.left();
-    let limit = patience.map_or(left, |patience| patience.min(left));
-    match timeout(limit, send(door, request, &lease, last_event)).await {
-        None if limit < left => Tried::Unclear(Unclear::Slow),
+    match timeout(left, send(door, request, &lease, last_event)).await {
         None => Tried::Unclear(Unclear::TimedOut),
         Some(Err(tried)) => {
             learn(door, &lease, &tried);
@@ -139,7 +134,7 @@
 
 fn learn(door: &Door, lease: &Lease, tried: &Tried) {
     let outcome = match tried {
-        Tried::Head(_) | Tried::Unclear(Unclear::TimedOut | Unclear::Slow | Unclear::Foreign) => return,
+        Tried::Head(_) | Tried::Unclear(Unclear::TimedOut | Unclear::Foreign) => return,
         Tried::NotRun(NotRun::Shed) => Outcome::Full,
         Tried::NotRun(NotRun::OtherReplica | NotRun::Unreachable) | Tried::Unclear(Unclear::Broken) => {
             door.connections.forget(lease.pick.address);
