Choose replicas by the door's own load first

Cause: doors compared replicas by own requests plus those that other doors had reported. Reports are 250 to 500 ms old, a turn takes some 220 ms: with 52 doors all sent to the same few replicas until the next report.

Change: least own load; among equals the program's preferred replica, or for calls a drawn one of the own zone; replicas that others have two requests a slot at are left out. Replaces the share by which a preferred replica might be busier.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -71,7 +71,7 @@
             ledger,
             connections: Connections::default(),
             table: ArcSwapOption::empty(),
-            replicas: Mutex::default(),
+            replicas: Mutex::new(ReplicaTable::new(rand::random())),
             fleet: Mutex::default(),
             merges: Mutex::new(vec![Merge::new(OPERATOR_CONFIG), Merge::new(REPLICAS)]),
             strikes: Mutex::default(),
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -1,12 +1,10 @@
 use crate::rendezvous;
 use crate::routing::replica_table::Replica;
 
-/// share of a replica's slots by which the preferred replica may be busier than the least busy one.
+/// share of the slots that other doors have under way from which on a replica is left out: as many wait as run.
 ///
-/// A cached prefix saves less work than a whole turn in the queue costs.
-const AFFINITY_SLACK: f64 = 0.25;
-/// share of a slot that a replica in another zone counts as busier: only ties are decided by the distance.
-const ZONE_PENALTY: f64 = 0.02;
+/// Reports are too old to compare replicas by, but a queue of that length outlasts them.
+const OVERLOADED_SHARE: f64 = 2.0;
 
 /// what a request wants of a replica.
 #[derive(Clone, Copy, Debug)]
@@ -19,21 +17,22 @@
     pub affinity: Option<&'a str>,
 }
 
-/// the best replica among those that may be used.
-pub(super) fn best<'a>(wanted: &Wanted<'_>, candidates: &[&'a Replica]) -> Option<&'a Replica> {
-    let least = candidates.iter().copied().min_by(|left, right| {
-        let order = cost(wanted, left).total_cmp(&cost(wanted, right));
-        order.then_with(|| left.last_picked.cmp(&right.last_picked))
-    })?;
+/// the best replica among those that may be used; `draw` decides between equal ones where nothing else does.
+///
+/// The requests of this door come first, as only they are known at once. What other doors have under way is as old as
+/// a request is long: if all doors compared replicas by it, all would send to the same few until the next report.
+pub(super) fn best<'a>(wanted: &Wanted<'_>, draw: u64, candidates: &[&'a Replica]) -> Option<&'a Replica> {
+    let bearable = candidates.iter().copied().filter(|replica| replica.others_share() < OVERLOADED_SHARE);
+    let bearable: Vec<&Replica> = bearable.collect();
+    let candidates = if bearable.is_empty() { candidates } else { &bearable };
+    let least = candidates.iter().map(|replica| replica.own_share()).min_by(f64::total_cmp)?;
+    let equal = candidates.iter().copied().filter(|replica| replica.own_share() <= least);
     let Some(key) = wanted.affinity else {
-        return Some(least);
+        let is_near = |replica: &&Replica| replica.entry.zone == wanted.zone;
+        let near: Vec<&Replica> = equal.clone().filter(is_near).collect();
+        let equal = if near.is_empty() { equal.collect() } else { near };
+        return equal.get(draw as usize % equal.len().max(1)).copied();
     };
-    let preferred = rendezvous::first(key, candidates.iter(), |replica| &replica.entry.id)?;
-    let affordable = preferred.busy_share() <= least.busy_share() + AFFINITY_SLACK;
-    Some(if affordable { preferred } else { least })
-}
-
-fn cost(wanted: &Wanted<'_>, replica: &Replica) -> f64 {
-    let distance = if replica.entry.zone == wanted.zone { 0.0 } else { ZONE_PENALTY };
-    replica.busy_share() + distance
+    let equal: Vec<&Replica> = equal.collect();
+    rendezvous::first(key, equal.iter(), |replica| &replica.entry.id).copied()
 }
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::routing::Wanted;
 use crate::routing::pick;
@@ -77,12 +78,17 @@
     broken_count: u32,
     /// when the entry stops to be used, after it vanished around an outage.
     drop_at_ms: Option<u64>,
-    pub last_picked: u64,
 }
 
 impl Replica {
-    pub fn busy_share(&self) -> f64 {
-        f64::from(self.own_running + self.others_running) / f64::from(self.entry.slots.max(1))
+    /// requests of this door under way, as a share of the slots.
+    pub fn own_share(&self) -> f64 {
+        f64::from(self.own_running) / f64::from(self.entry.slots.max(1))
+    }
+
+    /// requests of other doors under way when they reported last, as a share of the slots.
+    pub fn others_share(&self) -> f64 {
+        f64::from(self.others_running) / f64::from(self.entry.slots.max(1))
     }
 
     fn is_usable(&self, now_ms: u64) -> bool {
@@ -95,10 +101,16 @@
 pub struct ReplicaTable {
     replicas: SlotMap<ReplicaId, Replica>,
     by_id: HashMap<String, ReplicaId>,
-    pick_count: u64,
+    /// changes with each choice, to decide between equal replicas.
+    draw: u64,
 }
 
 impl ReplicaTable {
+    /// an empty table; doors with different seeds decide differently between equal replicas.
+    pub fn new(seed: u64) -> Self {
+        Self { draw: seed, ..Self::default() }
+    }
+
     /// takes all entries; after an outage, those that are missing are dropped a little later.
     pub fn replace(&mut self, now_ms: u64, entries: Vec<ReplicaEntry>, after_outage: bool) {
         let mut gone: Vec<String> = self.by_id.keys().cloned().collect();
@@ -130,7 +142,6 @@
             rest_until_ms: 0,
             broken_count: 0,
             drop_at_ms: None,
-            last_picked: 0,
         };
         let key = self.replicas.insert(replica);
         self.by_id.insert(id, key);
@@ -173,11 +184,10 @@
             usable.iter().copied().filter(|replica| now_ms >= replica.rest_until_ms).collect();
         // A replica that broke is better than none: it may be the only one, and back already.
         let candidates = if rested.is_empty() { &usable } else { &rested };
-        let id = pick::best(wanted, candidates)?.entry.id.clone();
+        self.draw = mixed(self.draw);
+        let id = pick::best(wanted, self.draw, candidates)?.entry.id.clone();
         let key = *self.by_id.get(&id)?;
         let replica = self.replicas.get_mut(key)?;
-        self.pick_count += 1;
-        replica.last_picked = self.pick_count;
         replica.own_running += 1;
         let running = replica.own_running + replica.others_running;
         Some(ReplicaPick { key, id, address: replica.entry.address, running })
@@ -236,3 +246,8 @@
         counts
     }
 }
+
+/// the next of a row of numbers without a pattern.
+fn mixed(draw: u64) -> u64 {
+    xxh3_64(&draw.to_le_bytes())
+}
--- a/tests/processes/script.rs
+++ b/tests/processes/script.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use datadriven::TestCase;
 use serde_json::Value;
@@ -187,7 +188,8 @@
             return "started".to_owned();
         }
         let again = has(case, "until-served");
-        let answer = self.ask_until(again, || self.caller.post(peer, &path, &body));
+        let caller = self.caller.clone();
+        let answer = self.ask_until(again, || caller.post(peer, &path, &body));
         self.note_turn(&name, &answer)
     }
 
@@ -222,7 +224,8 @@
             self.background.insert(handle, std::thread::spawn(move || caller.post(peer, &path, &body)));
             return "started".to_owned();
         }
-        let answer = self.ask_until(has(case, "until-served"), || self.caller.post(peer, &path, &body));
+        let caller = self.caller.clone();
+        let answer = self.ask_until(has(case, "until-served"), || caller.post(peer, &path, &body));
         if answer.status == 0 {
             self.explain();
         }
@@ -467,15 +470,25 @@
         }
     }
 
-    fn ask_until(&self, again: bool, ask: impl Fn() -> Answer) -> Answer {
+    fn ask_until(&mut self, again: bool, ask: impl Fn() -> Answer) -> Answer {
         if !again {
             return ask();
         }
-        until("the request is served", WISH_TRIES, || {
+        let mut last = None;
+        for _ in 0..WISH_TRIES {
             let answer = ask();
             let served = answer.status != 0 && answer.status != 503 && answer.body["state"] != "not_run";
-            served.then_some(answer)
-        })
+            if served {
+                return answer;
+            }
+            if last.as_ref() != Some(&answer) {
+                println!("not served yet: {answer:?}");
+            }
+            last = Some(answer);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        self.explain();
+        panic!("gave up waiting: the request is served");
     }
 }
 
@@ -495,7 +508,7 @@
 
 fn pause(case: &TestCase) -> String {
     let pause_ms = word(case, "ms").expect("ms=N").parse().expect("a number");
-    std::thread::sleep(std::time::Duration::from_millis(pause_ms));
+    std::thread::sleep(Duration::from_millis(pause_ms));
     "ok".to_owned()
 }
 
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -40,18 +40,27 @@
 }
 
 #[test]
-fn burst_through_other_doors_is_seen() {
+fn queue_of_other_doors_is_seen() {
     let mut table = table(4);
     table.set_others(&[
-        ReplicaUse { replica: "r1".to_owned(), running: 6 },
-        ReplicaUse { replica: "r3".to_owned(), running: 5 },
+        ReplicaUse { replica: "r1".to_owned(), running: 12 },
+        ReplicaUse { replica: "r3".to_owned(), running: 13 },
     ]);
-    for _ in 0..8 {
-        let pick = table.pick(0, &wanted(None), &[]).expect("a replica");
-        assert!(["r2", "r4"].contains(&pick.id.as_str()), "{pick:?}");
+    for key in [None, Some("program")] {
+        for _ in 0..8 {
+            let pick = table.pick(0, &wanted(key), &[]).expect("a replica");
+            assert!(["r2", "r4"].contains(&pick.id.as_str()), "{pick:?}");
+        }
     }
 }
 
+#[test]
+fn overloaded_replica_is_better_than_none() {
+    let mut table = table(1);
+    table.set_others(&[ReplicaUse { replica: "r1".to_owned(), running: 24 }]);
+    assert!(table.pick(0, &wanted(None), &[]).is_some());
+}
+
 #[test]
 fn program_stays_unless_it_would_wait() {
     let mut table = table(4);
