Give up calls that may be repeated once their aim has passed

Change: patience is the usual time (mean and four deviations), but never less than the time within which the answer is wanted; a tenth of the calls at most. Each try without an answer is a line of the log and a counter.

--- a/src/dispatch/retry_budget.rs
+++ b/src/dispatch/retry_budget.rs
@@ -40,9 +40,14 @@
         self.saved_units = (self.saved_units + self.share_percent).min(MAX_SAVED_RETRIES * RETRY_UNITS);
     }
 
+    /// whether there is a retry in the budget.
+    pub fn has_retry(&self) -> bool {
+        self.saved_units >= RETRY_UNITS
+    }
+
     /// takes one retry out of the budget, when there is one.
     pub fn try_retry(&mut self) -> bool {
-        if self.saved_units < RETRY_UNITS {
+        if !self.has_retry() {
             return false;
         }
         self.saved_units -= RETRY_UNITS;
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -49,6 +49,8 @@
     Broken,
     /// the answer belongs to another request, or has no signature.
     Foreign,
+    /// the answer takes far longer than usual; there is time for another replica.
+    Slow,
     /// the time is over.
     TimedOut,
 }
@@ -62,15 +64,18 @@
     pub keeps: Option<Duration>,
 }
 
-/// sends a request to the replica of a lease.
+/// sends a request to the replica of a lease; with `patience`, an answer that takes longer is given up.
 pub(super) async fn attempt(
     door: &Arc<Door>,
     request: &DoorRequest,
     lease: Lease,
     last_event: Option<&str>,
+    patience: Option<Duration>,
 ) -> Tried {
     let left = request.left();
-    match timeout(left, send(door, request, &lease, last_event)).await {
+    let limit = patience.map_or(left, |patience| patience.min(left));
+    match timeout(limit, send(door, request, &lease, last_event)).await {
+        None if limit < left => Tried::Unclear(Unclear::Slow),
         None => Tried::Unclear(Unclear::TimedOut),
         Some(Err(tried)) => {
             learn(door, &lease, &tried);
@@ -134,7 +139,7 @@
 
 fn learn(door: &Door, lease: &Lease, tried: &Tried) {
     let outcome = match tried {
-        Tried::Head(_) | Tried::Unclear(Unclear::TimedOut | Unclear::Foreign) => return,
+        Tried::Head(_) | Tried::Unclear(Unclear::TimedOut | Unclear::Slow | Unclear::Foreign) => return,
         Tried::NotRun(NotRun::Shed) => Outcome::Full,
         Tried::NotRun(NotRun::OtherReplica | NotRun::Unreachable) | Tried::Unclear(Unclear::Broken) => {
             door.connections.forget(lease.pick.address);
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -1,9 +1,12 @@
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use flamingo_edge::timeout;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Response;
+use slog::info;
 
 use crate::door::answer::DoorBody;
 use crate::door::answer::whole;
@@ -18,6 +21,7 @@
 use crate::door::request::DoorRequest;
 use crate::platform::caller_headers;
 use crate::routing::ReplicaId;
+use crate::routing::RequestKind;
 use crate::routing::Route;
 
 /// replicas that may say in turn that they have not run a request before it is refused.
@@ -65,9 +69,17 @@
             };
             self.tried.push(pick.key);
             let address = pick.address;
-            match attempt(self.door, self.request, Lease::new(self.door, pick), None).await {
-                Tried::Head(head) => return Ok(head),
+            let replica = pick.id.clone();
+            let patience = self.patience();
+            let started = Instant::now();
+            match attempt(self.door, self.request, Lease::new(self.door, pick), None, patience).await {
+                Tried::Head(head) => {
+                    let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
+                    self.door.patience().answered(&self.route.name, latency_ms);
+                    return Ok(head);
+                }
                 Tried::NotRun(why) => {
+                    self.note(&replica, why.into(), started);
                     self.not_run += 1;
                     self.last_not_run = Some(why);
                     if self.not_run >= MAX_NOT_RUN {
@@ -75,6 +87,10 @@
                     }
                 }
                 Tried::Unclear(why) => {
+                    self.note(&replica, why.into(), started);
+                    if why == Unclear::Slow {
+                        self.door.patience().gave_up(&self.route.name);
+                    }
                     if why == Unclear::Broken {
                         self.door.strike(self.request, address);
                     }
@@ -94,6 +110,27 @@
         if again { Ok(()) } else { Err(Refusal::AnswerLost) }
     }
 
+    /// writes down a try that brought no answer.
+    fn note(&self, replica: &str, why: &'static str, started: Instant) {
+        metrics::counter!("door_tries_failed_total", "why" => why).increment(1);
+        info!(self.door.log, "a try brought no answer"; "request" => self.request.caller.id.as_deref(),
+            "why" => why, "replica" => replica, "route" => &self.route.name,
+            "waited_ms" => started.elapsed().as_millis() as u64, "tries" => self.tried.len(),
+            "left_ms" => self.request.left().as_millis() as u64);
+    }
+
+    /// how long the next attempt may take, if there may be another one after it.
+    fn patience(&self) -> Option<Duration> {
+        let is_last = self.unclear + 1 >= self.route.max_attempts;
+        if is_last || self.route.kind != RequestKind::Idempotent {
+            return None;
+        }
+        let limit_ms = self.door.patience().limit_ms(&self.route.name, self.route.target_latency_ms)?;
+        // Nothing is gained if the next attempt would have no time either.
+        let leaves_time = Duration::from_millis(2 * limit_ms) <= self.request.left();
+        leaves_time.then(|| Duration::from_millis(limit_ms))
+    }
+
     fn out_of_replicas(&self) -> Refusal {
         match self.last_not_run {
             _ if self.unclear > 0 => Refusal::AnswerLost,
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -20,6 +20,7 @@
 use crate::ledger_client::LedgerClient;
 use crate::platform::OPERATOR_CONFIG;
 use crate::platform::REPLICAS;
+use crate::routing::Patience;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
 use crate::routing::ReplicaTable;
@@ -44,6 +45,7 @@
     pub connections: Connections,
     pub table: ArcSwapOption<RouteTable>,
     replicas: Mutex<ReplicaTable>,
+    patience: Mutex<Patience>,
     fleet: Mutex<FleetView>,
     /// what is known of the platform, by prefix.
     merges: Mutex<Vec<Merge>>,
@@ -72,6 +74,7 @@
             connections: Connections::default(),
             table: ArcSwapOption::empty(),
             replicas: Mutex::new(ReplicaTable::new(rand::random())),
+            patience: Mutex::default(),
             fleet: Mutex::default(),
             merges: Mutex::new(vec![Merge::new(OPERATOR_CONFIG), Merge::new(REPLICAS)]),
             strikes: Mutex::default(),
@@ -89,6 +92,10 @@
         self.replicas.lock().expect("replica lock poisoned")
     }
 
+    pub fn patience(&self) -> MutexGuard<'_, Patience> {
+        self.patience.lock().expect("patience lock poisoned")
+    }
+
     pub fn fleet(&self) -> MutexGuard<'_, FleetView> {
         self.fleet.lock().expect("fleet lock poisoned")
     }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -172,7 +172,7 @@
             return false;
         };
         let lease = Lease::new(&self.door, pick);
-        let tried = attempt(&self.door, &self.request, lease, self.last_event.as_deref()).await;
+        let tried = attempt(&self.door, &self.request, lease, self.last_event.as_deref(), None).await;
         let Tried::Head(head) = tried else {
             return false;
         };
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! Owns what a front door believes of replicas. Decisions only; time comes in as an argument.
 
+mod patience;
 mod pick;
 mod replica_table;
 mod route;
 mod route_table;
 mod service;
 
+pub use patience::Patience;
 pub use pick::Wanted;
 pub use replica_table::Outcome;
 pub use replica_table::ReplicaEntry;
