Follow the platform only from ledger nodes with a seat, and gather changes

All eight ledger nodes followed the configuration and the replicas, though doors ask only the five with a seat; each change of a release cost each of them a call of its own. Change: spare nodes follow only orders to empty nodes; a follower waits 150 ms after changes, far below the bounds of two seconds and more. tests/platform_mirror.rs: changes_in_a_row_share_a_call failed before.

Fleets of tests now print their logs when they fail.

--- a/src/fleet/follower.rs
+++ b/src/fleet/follower.rs
@@ -12,6 +12,9 @@
 const FIRST_RETRY_MS: u64 = 60;
 /// longest wait after a failed call: an outage that ends is noticed well within the bounds of a second and more.
 const LONGEST_RETRY_MS: u64 = 500;
+/// wait after changes before the next call, as changes come in rows and each call is charged: far below the bounds of
+/// two seconds and more within which changes have to be in force.
+const GATHER_CHANGES_MS: u64 = 150;
 
 /// follows the objects below a prefix: lists them, then watches, and lists again where the watch has a gap.
 #[derive(Debug)]
@@ -127,7 +130,11 @@
             }
             (PlatformReply::Changes { changes, revision: next }, State::Watching { revision }) => {
                 *revision = next.max(*revision);
-                if changes.is_empty() { Followed::Nothing } else { Followed::Changes(changes) }
+                if changes.is_empty() {
+                    return Followed::Nothing;
+                }
+                self.next_call_ms += GATHER_CHANGES_MS;
+                Followed::Changes(changes)
             }
             (_, _) => {
                 self.list_again();
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -45,6 +47,8 @@
 const MIRRORED: [&str; 2] = [OPERATOR_CONFIG, REPLICAS];
 /// how much longer an order to empty a node may take to be seen than a configuration.
 const RETIREMENT_WAIT_FACTOR: u64 = 3;
+/// how often a spare node looks whether it has a seat.
+const SEAT_LOOK: Duration = Duration::from_millis(250);
 /// time between two looks at the other members.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -87,12 +91,16 @@
     let mesh = start_mesh(settings, &spawner, incarnation, inbox)?;
     spawner.detach(forward_log_events(opened.events, events.clone()));
     let wait_ms = settings.platform.watch_ms;
+    // Until it has read a view, a node counts as seated: doors may know it as a member.
+    let seated = Arc::new(AtomicBool::new(true));
     for prefix in MIRRORED {
-        let follow = follow(Arc::clone(&platform), prefix, wait_ms, events.clone(), log.clone());
-        spawner.detach(follow);
+        let source =
+            Source { platform: Arc::clone(&platform), prefix, wait_ms, seated: Some(Arc::clone(&seated)) };
+        spawner.detach(follow(source, events.clone(), log.clone()));
     }
     let wait_ms = RETIREMENT_WAIT_FACTOR * wait_ms;
-    spawner.detach(follow(Arc::clone(&platform), RETIREMENTS, wait_ms, events.clone(), log.clone()));
+    let source = Source { platform: Arc::clone(&platform), prefix: RETIREMENTS, wait_ms, seated: None };
+    spawner.detach(follow(source, events.clone(), log.clone()));
     spawner.detach(tick(events.clone()));
     spawner.detach(watch_signals(signals, events.clone(), log.clone()));
     let mut runner = Runner {
@@ -106,6 +114,7 @@
         spawner: spawner.clone(),
         events,
         started: Instant::now(),
+        seated,
     };
     while let Ok(event) = incoming.recv().await {
         if !runner.take(event)? {
@@ -144,19 +153,35 @@
     }
 }
 
-/// lists and watches a prefix until the process ends.
-async fn follow(
+/// what a node follows at the platform.
+struct Source {
     platform: Arc<HttpPlatform>,
     prefix: &'static str,
+    /// how long a watch may wait for changes.
     wait_ms: u64,
-    events: Sender<Event>,
-    log: Logger,
-) {
+    /// if set, the prefix is followed only while this holds: doors ask no other nodes for it, and calls are charged.
+    seated: Option<Arc<AtomicBool>>,
+}
+
+impl Source {
+    fn is_wanted(&self) -> bool {
+        self.seated.as_ref().is_none_or(|seated| seated.load(Ordering::Relaxed))
+    }
+}
+
+/// lists and watches a prefix until the process ends.
+async fn follow(source: Source, events: Sender<Event>, log: Logger) {
+    let Source { platform, prefix, wait_ms, .. } = &source;
+    let (prefix, wait_ms) = (*prefix, *wait_ms);
     let started = Instant::now();
     let now_ms = || started.elapsed().as_millis() as u64;
     let mut following = Following::new(prefix, wait_ms);
     let mut retiring: BTreeSet<String> = BTreeSet::new();
     loop {
+        if !source.is_wanted() {
+            Timer::after(SEAT_LOOK).await;
+            continue;
+        }
         let pause_ms = following.pause_ms(now_ms());
         if pause_ms > 0 {
             Timer::after(Duration::from_millis(pause_ms)).await;
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use anyhow::bail;
@@ -41,6 +43,8 @@
     pub spawner: Spawner,
     pub events: Sender<Event>,
     pub started: Instant,
+    /// whether the node has a seat in the view, as far as it knows.
+    pub seated: Arc<AtomicBool>,
 }
 
 impl Runner {
@@ -159,6 +163,7 @@
     }
 
     fn note_view(&self, view: &LedgerView) {
+        self.seated.store(self.core.node().is_member(), Ordering::Relaxed);
         let members: BTreeMap<&str, &str> =
             view.members.iter().map(|member| (member.name.as_str(), member.mesh.as_str())).collect();
         info!(self.log, "a view is in force"; "epoch" => view.epoch, "members" => format!("{members:?}"),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -228,6 +228,11 @@
         for node in self.doors.iter_mut().chain(&mut self.ledgers) {
             node.kill();
         }
+        if std::thread::panicking() {
+            for node in self.doors.iter().chain(&self.ledgers) {
+                println!("{}", node.log_text());
+            }
+        }
         // A folder that stays is the system's to clean.
         if std::env::var_os("KEEP_FLEET").is_none() {
             let _ = std::fs::remove_dir_all(&self.folder);
--- a/tests/fleet/node.rs
+++ b/tests/fleet/node.rs
@@ -110,10 +110,14 @@
         Some(status.code().unwrap_or(-1))
     }
 
+    /// all that the process wrote.
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// lines of the process that hold a text.
     pub fn lines_with(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+        self.log_text().lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
     }
 
     pub fn get_readiness(&self) -> u16 {
--- /dev/null
+++ b/tests/fleet_slow.rs
@@ -0,0 +1,44 @@
+//! ledger nodes that answer late, all at once. Pattern of load: machines so busy that each message waits longer than a
+//! door is patient with a node, while none is gone.
+
+mod fleet;
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fleet::Ask;
+use fleet::Fleet;
+
+/// how long a node does nothing in a row: longer than a door waits before it asks the other members as well.
+const STALL: Duration = Duration::from_millis(120);
+/// how long it works in between.
+const WORK: Duration = Duration::from_millis(2);
+
+#[test]
+fn slow_ledger_is_waited_for() {
+    let fleet = Fleet::start("slow-ledger", 1);
+    let ends = AtomicBool::new(false);
+    let answers = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !ends.load(Ordering::Relaxed) {
+                for (signal, pause) in [("STOP", STALL), ("CONT", WORK)] {
+                    for node in &fleet.ledgers {
+                        node.signal(signal);
+                    }
+                    std::thread::sleep(pause);
+                }
+            }
+        });
+        let ask = |number: u32| {
+            let id = format!("turn-{number}");
+            fleet.doors[0].send(&Ask::turn("/kept/t", &id, "x", "program-1", 10_000, 100))
+        };
+        let answers: Vec<_> = (0..5).map(ask).collect();
+        ends.store(true, Ordering::Relaxed);
+        answers
+    });
+    for answer in answers {
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    }
+}
--- a/tests/platform_mirror.rs
+++ b/tests/platform_mirror.rs
@@ -38,6 +38,18 @@
     assert!((130..=600).contains(&follower.next_call_ms()), "{}", follower.next_call_ms());
 }
 
+#[test]
+fn changes_in_a_row_share_a_call() {
+    let mut follower = Follower::new(PREFIX, 1_000, 1);
+    follower.take(0, Ok(page(vec![object("a", 1)], false, 5)));
+    assert_eq!(follower.next_call_ms(), 0, "the first watch follows the list at once");
+    let change = Change { key: "config/a".to_owned(), version: 6, value: None };
+    follower.take(1_000, Ok(PlatformReply::Changes { changes: vec![change], revision: 6 }));
+    assert!((1_050..=1_250).contains(&follower.next_call_ms()), "{}", follower.next_call_ms());
+    follower.take(2_000, Ok(PlatformReply::Changes { changes: Vec::new(), revision: 6 }));
+    assert_eq!(follower.next_call_ms(), 2_000, "a watch without changes is followed by the next at once");
+}
+
 #[test]
 fn lagging_mirror_brings_nothing_back() {
     let (mut fast, mut slow) = (Mirror::new(PREFIX, "s1"), Mirror::new(PREFIX, "s2"));
