Add flamingoctl explain, and say when the ledger is lost or back

Cause: from the id of a failed request to its cause took a grep over many files, and a door did not say when it lost the ledger. Change: flamingoctl explain REQUEST_ID FILE... prints the lines that name the request and the changes of belief around it, from the logs of any number of processes.

--- a/src/cli/ctl_args.rs
+++ b/src/cli/ctl_args.rs
@@ -51,6 +51,7 @@
         .subcommand(drain())
         .subcommand(timeline())
         .subcommand(poison())
+        .subcommand(explain())
         .subcommand(
             Command::new("hash-key")
                 .about("Reads a key from the standard input and prints its hash for settings and releases"),
@@ -137,6 +138,20 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells the way of one request by the log files of several processes; asks no server")
+        .arg(Arg::new("request").value_name("REQUEST_ID").required(true).help("Id of the caller's attempt"))
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .num_args(1..)
+                .help("Log files, as the processes wrote them to standard output"),
+        )
+}
+
 fn limit(default: &'static str) -> Arg {
     Arg::new("limit")
         .long("limit")
--- a/src/cli/ctl_command.rs
+++ b/src/cli/ctl_command.rs
@@ -98,6 +98,13 @@
         /// its digest.
         digest: String,
     },
+    /// tell the way of a request by the logs of several processes.
+    Explain {
+        /// id of the caller's attempt.
+        request: String,
+        /// log files.
+        files: Vec<PathBuf>,
+    },
     /// hash a key.
     HashKey,
     /// print shell completions.
@@ -129,6 +136,10 @@
                 limit: limit(own),
             },
             "poison" => poison(own),
+            "explain" => Self::Explain {
+                request: required(own, "request"),
+                files: own.get_many::<PathBuf>("file").into_iter().flatten().cloned().collect(),
+            },
             "completions" => Self::Completions { shell: shell(own) },
             _ => Self::HashKey,
         };
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -2,6 +2,7 @@
 
 mod api_client;
 mod api_error;
+mod explain;
 mod key;
 mod note;
 mod render;
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::io::Write;
 use std::path::Path;
+use std::path::PathBuf;
 
 use clap_complete::generate;
 use serde_json::Value;
@@ -14,6 +15,7 @@
 use crate::ctl::ApiClient;
 use crate::ctl::ApiError;
 use crate::ctl::api_client::read;
+use crate::ctl::explain::Explanation;
 use crate::ctl::hash_key;
 use crate::ctl::note::NoteFile;
 use crate::ctl::read_key;
@@ -75,6 +77,7 @@
 ) -> Result<ExitStatus, Stop> {
     match command {
         CtlCommand::HashKey => return print_hash(out),
+        CtlCommand::Explain { request, files } => return explain(request, files, out),
         CtlCommand::Completions { shell } => {
             generate(*shell, &mut flamingoctl_command(), "flamingoctl", &mut &mut *out);
             return Ok(ExitStatus::Done);
@@ -130,7 +133,10 @@
             let value = client.post(&path("poison/lift"), &json!({ "digest": digest })).await?;
             (value, |_| Ok("the content may run again\n".to_owned()))
         }
-        CtlCommand::Release(_) | CtlCommand::HashKey | CtlCommand::Completions { .. } => {
+        CtlCommand::Release(_)
+        | CtlCommand::HashKey
+        | CtlCommand::Explain { .. }
+        | CtlCommand::Completions { .. } => {
             (client.get(&path("release/status"), &[]).await?, render::release_status)
         }
     };
@@ -182,6 +188,13 @@
     Ok(ExitStatus::Done)
 }
 
+fn explain(request: &str, files: &[PathBuf], out: &mut dyn Write) -> Result<ExitStatus, Stop> {
+    let explanation =
+        Explanation::read(request, files).map_err(|error| ApiError::Local(error.to_string()))?;
+    write!(out, "{explanation}")?;
+    Ok(if explanation.is_found() { ExitStatus::Done } else { ExitStatus::Failed })
+}
+
 fn print(options: &CtlOptions, out: &mut dyn Write, value: &Value, render: Render) -> Result<(), Stop> {
     if options.json {
         writeln!(out, "{value:#}")?;
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -3,6 +3,7 @@
 
 use async_channel::Receiver;
 use async_io::Timer;
+use slog::info;
 use slog::warn;
 
 use crate::door::door::Door;
@@ -58,6 +59,7 @@
 pub(super) async fn report(door: Arc<Door>) {
     let (sender, heard) = async_channel::unbounded();
     door.spawner.detach(take_news(Arc::clone(&door), heard));
+    let mut was_away = true;
     loop {
         let mut report = DoorReport {
             marks: Vec::new(),
@@ -84,10 +86,24 @@
         door.connections.expire();
         // A door that waits for the ledger to come back notices it soon.
         let is_away = !door.ledger.is_reachable();
+        if is_away != was_away {
+            note_ledger(&door, is_away);
+            was_away = is_away;
+        }
         Timer::after(if is_away { REPORT_EVERY_WHEN_AWAY } else { REPORT_EVERY }).await;
     }
 }
 
+fn note_ledger(door: &Door, is_away: bool) {
+    let heard = format!("{:?}", door.ledger.silences_ms());
+    let epoch = door.ledger.view().epoch;
+    if is_away {
+        warn!(door.log, "a dependency is lost"; "dependency" => "ledger", "epoch" => epoch, "silent_ms" => heard);
+    } else {
+        info!(door.log, "a dependency is back"; "dependency" => "ledger", "epoch" => epoch, "silent_ms" => heard);
+    }
+}
+
 async fn take_news(door: Arc<Door>, heard: Receiver<Heard>) {
     while let Ok(heard) = heard.recv().await {
         match heard.event {
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -137,6 +138,15 @@
         }
     }
 
+    /// how long ago each member of the view was heard; `None` for one that was never heard.
+    pub fn silences_ms(&self) -> BTreeMap<String, Option<u64>> {
+        let view = self.view.load();
+        let now_ms = self.now_ms();
+        let nodes = self.nodes.lock().expect("nodes lock poisoned");
+        let silence = |name: &str| nodes.get(name).map(|row| now_ms.saturating_sub(row.heard_ms));
+        view.members.iter().map(|member| (member.name.clone(), silence(&member.name))).collect()
+    }
+
     fn has_quorum_near(&self) -> bool {
         let view = self.view.load();
         let now_ms = self.now_ms();
--- a/tests/fleet/node.rs
+++ b/tests/fleet/node.rs
@@ -110,6 +110,11 @@
         Some(status.code().unwrap_or(-1))
     }
 
+    /// the file of what the process wrote.
+    pub fn log_path(&self) -> &Path {
+        &self.log
+    }
+
     /// all that the process wrote.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
