Ask again where a reservation's ledger nodes are lost for a moment

Cause: after a replica had begun, a door gave a turn up at once with 502 when too few ledger nodes were left in a round, although a node that only starts again, or a connection that breaks, is back within the time for which a reservation is waited for anyway. The end of a turn did ask again.

--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_io::Timer;
 use flamingo_edge::timeout;
 
 use crate::ledger::Decision;
@@ -25,6 +26,9 @@
 /// the longest wait for a reservation to be on enough disks; no event reaches the caller before.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// pause before too few members are asked again: a connection that broke is open again after a few round trips.
+const LOST_PAUSE: Duration = Duration::from_millis(50);
+
 /// what a turn asks of the ledger.
 #[derive(Clone, Debug)]
 pub struct TurnStart {
@@ -176,7 +180,13 @@
         let fits = async {
             let mut round = round;
             loop {
-                let why = self.wait_stored(&mut round, &start).await?;
+                let Some(why) = self.wait_stored(&mut round, &start).await else {
+                    // The replica has begun: a node that only starts again is worth waiting for.
+                    Timer::after(LOST_PAUSE).await;
+                    round = Round::new(self, &start.program, None, true);
+                    self.ask_begin(&mut round, &start);
+                    continue;
+                };
                 if why.is_none() && round.is_settled() {
                     return Some(round.gather.held_tokens() <= start.budget_tokens);
                 }
@@ -200,7 +210,7 @@
     }
 
     /// waits until enough members have the reservation on disk, or says why the round starts again; the outer
-    /// `None` means that too few members are left.
+    /// `None` means that too few members are left to ask in this round.
     async fn wait_stored(&self, round: &mut Round, start: &TurnStart) -> Option<Option<Again>> {
         let patience_ends = Instant::now() + STORE_ELSEWHERE_AFTER;
         while !round.gather.is_stored() {
