--- a/examples/system_figures.rs
+++ b/examples/system_figures.rs
@@ -12,10 +12,10 @@
 mod processes;
 
 use processes::caller::Caller;
-use processes::caller::until;
 use processes::cluster::Cluster;
 use processes::cluster::Process;
 use processes::cluster::program;
+use processes::wait::until;
 
 /// key of the caller.
 const CALLER_KEY: &str = "desk-key";
--- a/tests/processes/caller.rs
+++ b/tests/processes/caller.rs
@@ -140,14 +140,3 @@
         })
     }
 }
-
-/// runs `attempt` until it gives a value; panics after `limit` tries.
-pub fn until<T>(what: &str, tries: u32, mut attempt: impl FnMut() -> Option<T>) -> T {
-    for _ in 0..tries {
-        if let Some(value) = attempt() {
-            return value;
-        }
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    panic!("gave up waiting: {what}");
-}
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -10,8 +10,8 @@
 use serde_json::json;
 
 use super::caller::Caller;
-use super::caller::until;
 use super::ports::free_address;
+use super::wait::until;
 
 /// key of the operator in every test.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-tests";
--- a/tests/processes/mod.rs
+++ b/tests/processes/mod.rs
@@ -6,3 +6,4 @@
 pub mod cluster;
 pub mod ports;
 pub mod script;
+pub mod wait;
--- a/tests/processes/script.rs
+++ b/tests/processes/script.rs
@@ -8,9 +8,10 @@
 
 use super::caller::Answer;
 use super::caller::Caller;
-use super::caller::until;
 use super::cluster::Cluster;
 use super::cluster::Process;
+use super::wait::until;
+use super::wait::until_served;
 
 /// tries of 50 ms for a wish that the scenario waits for.
 const WISH_TRIES: u32 = 600;
@@ -474,18 +475,8 @@
         if !again {
             return ask();
         }
-        let mut last = None;
-        for _ in 0..WISH_TRIES {
-            let answer = ask();
-            let served = answer.status != 0 && answer.status != 503 && answer.body["state"] != "not_run";
-            if served {
-                return answer;
-            }
-            if last.as_ref() != Some(&answer) {
-                println!("not served yet: {answer:?}");
-            }
-            last = Some(answer);
-            std::thread::sleep(Duration::from_millis(50));
+        if let Some(answer) = until_served(WISH_TRIES, ask) {
+            return answer;
         }
         self.explain();
         panic!("gave up waiting: the request is served");
