--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -138,8 +138,8 @@
             let count = self.instances.len();
             return writeln!(
                 out,
-                "no line names the request, in the logs of {count} processes: it was answered by \
-                 the first replica that it was sent to, or never arrived"
+                "no line names the request, in the logs of {count} processes: the first replica that it was sent to \
+                 answered it, it never arrived, or a process ended or dropped lines before it could tell"
             );
         }
         writeln!(out, "the request:")?;
