Leave a replica alone for a turn after it says that it is full

Cause: the choice by the door's own load reads reports only beyond two requests a slot, but "full" was still remembered as one reported request a slot. The memory had no effect any more: the next request went to the full replica again. Ruled out: remembering it as a longer reported queue, as reports stop while the ledger is away and nothing would ever take it back. Change: a full replica rests for 250 ms, by the same rest that broken ones have. tests/replica_table.rs: full_replica_rests_for_a_turn fails before, passes now.

--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -18,6 +18,9 @@
 const FIRST_REST_MS: u64 = 250;
 /// longest time that a replica is left alone; an entry of a crashed replica lapses after a few seconds.
 const LONGEST_REST_MS: u64 = 4_000;
+/// time that a replica is left alone after it said that it is full: about as long as a turn takes, after which its queue
+/// is shorter by as many requests as it has slots.
+const FULL_REST_MS: u64 = 250;
 
 new_key_type! {
     /// names a replica in the table of this process.
@@ -207,8 +210,7 @@
         };
         match outcome {
             Outcome::Answered => replica.broken_count = 0,
-            // Its queue is full for the moment; what other doors have there is known only later.
-            Outcome::Full => replica.others_running = replica.others_running.max(replica.entry.slots),
+            Outcome::Full => replica.rest_until_ms = replica.rest_until_ms.max(now_ms + FULL_REST_MS),
             Outcome::Broken => {
                 let rest_ms = FIRST_REST_MS << replica.broken_count.min(8);
                 replica.rest_until_ms = now_ms + rest_ms.min(LONGEST_REST_MS);
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -54,6 +54,21 @@
     }
 }
 
+#[test]
+fn full_replica_rests_for_a_turn() {
+    let mut table = table(2);
+    let pick = table.pick(0, &wanted(Some("program")), &[]).expect("a replica");
+    table.learn(0, pick.key, Outcome::Full);
+    table.release(pick.key);
+    for now_ms in [1, 100, 200] {
+        let other = table.pick(now_ms, &wanted(Some("program")), &[]).expect("a replica");
+        table.release(other.key);
+        assert_ne!(other.id, pick.id, "{now_ms} ms after it said that it is full");
+    }
+    let again = table.pick(1_000, &wanted(Some("program")), &[]).expect("a replica");
+    assert_eq!(again.id, pick.id, "its queue has moved on");
+}
+
 #[test]
 fn overloaded_replica_is_better_than_none() {
     let mut table = table(1);
