Log what becomes of a request that ends its replicas

What was missing: doors logged a victim's address but not its id, and not the content of runs that broke while their replica lived; ledger nodes did not log strikes at all; a refusal did not name its content. No decision changes. Ruled out while reading: a report with an old view's epoch does count its strikes (NodeCore::on_ask reads the board first).

--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -92,7 +92,7 @@
                         self.door.patience().gave_up(&self.route.name);
                     }
                     if why == Unclear::Broken {
-                        self.door.strike(self.request, address);
+                        self.door.strike(self.request, &replica, address);
                     }
                     self.unclear(why)?;
                 }
@@ -115,6 +115,7 @@
         metrics::counter!("door_tries_failed_total", "why" => why).increment(1);
         info!(self.door.log, "a try brought no answer"; "request" => self.request.caller.id.as_deref(),
             "why" => why, "replica" => replica, "route" => &self.route.name,
+            "content" => self.request.content_digest(),
             "waited_ms" => started.elapsed().as_millis() as u64, "tries" => self.tried.len(),
             "left_ms" => self.request.left().as_millis() as u64);
     }
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -153,16 +153,20 @@
 
     /// takes note that a connection broke while the replica may have run a request: if the replica has ended, the
     /// request may have ended it.
-    pub fn strike(self: &Arc<Self>, request: &DoorRequest, address: SocketAddr) {
+    pub fn strike(self: &Arc<Self>, request: &DoorRequest, replica: &str, address: SocketAddr) {
         let content = request.content_digest();
         let strike = request.caller.id.clone().unwrap_or_default();
+        let replica = replica.to_owned();
         let door = Arc::clone(self);
         self.spawner.detach(async move {
             if Connection::open(&door.spawner, address).await.is_some() {
+                info!(door.log, "a replica lives after it broke a run off"; "request" => &strike,
+                    "content" => &content, "replica" => &replica);
                 return;
             }
+            metrics::counter!("door_strikes_total").increment(1);
             info!(door.log, "a replica ended under a request"; "request" => &strike, "content" => &content,
-                "address" => address.to_string());
+                "replica" => &replica, "address" => address.to_string());
             door.strikes.lock().expect("strike lock poisoned").push(PoisonStrike { content, strike });
         });
     }
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -99,12 +99,13 @@
     request: &DoorRequest,
     route: &Arc<Route>,
 ) -> Result<Response<DoorBody>, Refusal> {
-    let is_poisoned = {
-        let fleet = door.fleet();
-        fleet.has_poison() && fleet.is_poisoned(&request.content_digest())
-    };
-    if is_poisoned {
-        return Err(Refusal::Poisoned);
+    if door.fleet().has_poison() {
+        let content = request.content_digest();
+        if door.fleet().is_poisoned(&content) {
+            info!(door.log, "a content is held back"; "request" => request.caller.id.as_deref(),
+                "content" => content, "route" => &route.name);
+            return Err(Refusal::Poisoned);
+        }
     }
     match route.kind {
         RequestKind::Streaming => turn(door, request, route).await,
--- a/src/door/fleet_view.rs
+++ b/src/door/fleet_view.rs
@@ -25,8 +25,8 @@
 }
 
 impl FleetView {
-    /// takes the news of one ledger node.
-    pub fn update(&mut self, now_ms: u64, news: &FleetNews) {
+    /// takes the news of one ledger node, and returns the contents that are refused from now on.
+    pub fn update(&mut self, now_ms: u64, news: &FleetNews) -> Vec<String> {
         if news.tells_fleet {
             self.heard_ms = now_ms;
         }
@@ -38,7 +38,10 @@
             }
             self.doors.insert(row.callers.clone(), Known { row: row.clone(), reported_ms });
         }
-        self.poisoned.extend(news.poisoned.iter().cloned());
+        let fresh = news.poisoned.iter().filter(|content| !self.poisoned.contains(*content));
+        let fresh: Vec<String> = fresh.cloned().collect();
+        self.poisoned.extend(fresh.iter().cloned());
+        fresh
     }
 
     /// addresses of doors that take requests.
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -108,7 +108,10 @@
     while let Ok(heard) = heard.recv().await {
         match heard.event {
             HeardEvent::Reply(LedgerReply::News(news)) => {
-                door.fleet().update(door.now_ms(), &news);
+                for content in door.fleet().update(door.now_ms(), &news) {
+                    info!(door.log, "a content is refused from now on"; "content" => content,
+                        "source" => &heard.member);
+                }
                 if news.tells_fleet {
                     door.replicas().set_others(&news.loads);
                 }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -113,7 +113,8 @@
                     return Err(anyhow!("the time of the route is over"));
                 }
                 Next::Broken => {
-                    self.door.strike(&self.request, self.run.lease.pick.address);
+                    let pick = &self.run.lease.pick;
+                    self.door.strike(&self.request, &pick.id, pick.address);
                     if !self.resume().await {
                         self.note("broken_off");
                         return Err(anyhow!("the replica broke the stream off"));
@@ -197,7 +198,7 @@
         metrics::counter!("door_streams_disturbed_total", "what" => what).increment(1);
         info!(self.door.log, "a stream was disturbed"; "request" => self.request.caller.id.as_deref(),
             "what" => what, "replica" => &self.run.lease.pick.id, "last_event" => self.last_event.as_deref(),
-            "route" => &self.route.name);
+            "route" => &self.route.name, "content" => self.request.content_digest());
     }
 }
 
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -59,6 +59,11 @@
         self.contents.retain(|_, content| now_ms < content.last_ms + POISON_KEEP_MS);
     }
 
+    /// replicas that ended under a content, as far as this node was told.
+    pub fn victims(&self, content: &str) -> usize {
+        self.contents.get(content).map_or(0, |content| content.strikes.len())
+    }
+
     fn strike(&mut self, now_ms: u64, strike: &PoisonStrike) {
         let empty = || Content { strikes: BTreeSet::new(), last_ms: now_ms };
         let content = self.contents.entry(strike.content.clone()).or_insert_with(empty);
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -27,6 +27,7 @@
 use crate::schema::LedgerStale;
 use crate::schema::LedgerView;
 use crate::schema::ObservedObjects;
+use crate::schema::PoisonStrike;
 
 /// time between two looks at what has expired.
 const EXPIRE_EVERY_MS: u64 = 5_000;
@@ -109,6 +110,13 @@
     ViewInForce(LedgerView),
     /// the node has all that its disk should hold.
     CaughtUp,
+    /// a door told of a replica that ended under a content.
+    Struck {
+        /// what the door told.
+        strike: PoisonStrike,
+        /// replicas that ended under the content, this one included.
+        victims: usize,
+    },
 }
 
 /// the whole decisions of a ledger node: its copy, its seat in the view, and what the doors tell each other
@@ -219,6 +227,10 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
+        for strike in &report.strikes {
+            let victims = self.board.victims(&strike.content);
+            out.push(CoreAction::Struck { strike: strike.clone(), victims });
+        }
         news.complete = self.node.is_complete();
         let mark = |prefix: &str| report.marks.iter().find(|mark| mark.prefix == prefix);
         news.mirrors =
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -94,6 +94,11 @@
             }
             CoreAction::ReportRetirement(phase) => self.report_retirement(phase),
             CoreAction::ViewInForce(view) => self.note_view(&view),
+            CoreAction::Struck { strike, victims } => {
+                metrics::counter!("ledger_strikes_total").increment(1);
+                info!(self.log, "a content ended a replica"; "content" => strike.content,
+                    "strike" => strike.strike, "victims" => victims);
+            }
             CoreAction::CaughtUp => {
                 let book = self.core.node().book();
                 info!(self.log, "the records are complete"; "epoch" => self.core.node().view().epoch,
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -311,6 +311,7 @@
                 self.schedule(in_ms, Event::Input(name.to_owned(), start, input));
             }
             CoreAction::CaughtUp => self.note(&format!("{name} is complete")),
+            CoreAction::Struck { .. } => {}
             CoreAction::RestartLog(_) | CoreAction::ViewInForce(_) => {}
         }
     }
