--- a/crates/standins/src/replica/mod.rs
+++ b/crates/standins/src/replica/mod.rs
@@ -1,8 +1,11 @@
 //! stand-in for a replica behind front doors: runs opaque requests, whole or as a stream of events, with faults.
 
+mod answer;
 mod faults;
 mod standin;
 
+pub use faults::DEADLY;
+pub use faults::EndStage;
 pub use faults::ReplicaFault;
 pub use standin::ReplicaOptions;
 pub use standin::ReplicaStandin;
--- a/tests/fleet/client.rs
+++ b/tests/fleet/client.rs
@@ -33,7 +33,9 @@
         Self { method, path: path.to_owned(), id: id.to_owned(), body: body.to_owned(), headers }
     }
 
+    /// the request with a header, in place of one of the same name.
     pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| known != name);
         self.headers.push((name.to_owned(), value.to_owned()));
         self
     }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -16,6 +16,7 @@
 use flamingo_standins::platform::PlatformFaults;
 use flamingo_standins::platform::PlatformOptions;
 use flamingo_standins::platform::PlatformStandin;
+use flamingo_standins::replica::ReplicaFault;
 use flamingo_standins::replica::ReplicaOptions;
 use flamingo_standins::replica::ReplicaStandin;
 use serde_json::Value;
@@ -100,6 +101,31 @@
         if events > 0 { self.models.push(replica) } else { self.tools.push(replica) }
     }
 
+    /// starts the replicas again that a request has ended, and has them list themselves.
+    pub fn restart_replicas(&self) {
+        for replica in self.replicas() {
+            if replica.restart(&self.spawner).expect("the replica starts again") {
+                self.list_replica(replica, "ready");
+            }
+        }
+    }
+
+    fn replicas(&self) -> impl Iterator<Item = &ReplicaStandin> {
+        self.models.iter().chain(&self.tools)
+    }
+
+    /// treats requests in this way at all replicas.
+    pub fn set_faults(&self, fault: ReplicaFault) {
+        for replica in self.replicas() {
+            replica.set_fault(fault);
+        }
+    }
+
+    /// times that requests have ended replicas.
+    pub fn ends(&self) -> usize {
+        self.replicas().map(ReplicaStandin::ends).sum()
+    }
+
     /// writes a replica's entry, as the replica itself does.
     pub fn list_replica(&self, replica: &ReplicaStandin, state: &str) {
         self.put_object(&format!("servers/{}", replica.id()), &replica.entry(state));
@@ -176,6 +202,19 @@
         self.platform.control().set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
     }
 
+    /// kills all doors and ledger nodes at once and starts them again.
+    pub fn restart_all(&mut self) {
+        for node in self.doors.iter_mut().chain(&mut self.ledgers) {
+            node.kill();
+        }
+        for node in self.ledgers.iter_mut().chain(&mut self.doors) {
+            node.start();
+        }
+        for door in &self.doors {
+            self.wait(&format!("{} is ready again", door.name), || door.get_readiness() == 200);
+        }
+    }
+
     /// takes everything from the disk of a ledger node that does not run.
     pub fn empty_disk(&self, ledger: usize) {
         let disk = self.folder.join(format!("disk-{}", ledger + 1));
@@ -218,8 +257,7 @@
 
     /// times that a request ran at any replica.
     pub fn run_count(&self, request: &str) -> usize {
-        let replicas = self.models.iter().chain(&self.tools);
-        replicas.flat_map(|replica| replica.runs()).filter(|run| run.request == request).count()
+        self.replicas().flat_map(|replica| replica.runs()).filter(|run| run.request == request).count()
     }
 }
 
