Recognise a request by what goes to the replica

Cause: strikes were counted under the digest of the whole conversation that a replica gets, and looked up under that of the caller's new input, so a kept turn was never found; and the digest held the program, so that the same content of another one was a new one. Change: a type for the content (method, host, target, body, and the caller only where there is no body); it is looked up before each try, where its body is what will be sent. poison_path_alone_is_no_content holds the other side: without a body the path alone is not enough to refuse others. Why this works: what is counted and what is looked for is now one value of one function.

--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -63,6 +63,9 @@
             if self.request.left().is_zero() {
                 return Err(if self.unclear > 0 { Refusal::TimedOut } else { Refusal::TooLate });
             }
+            if self.is_held() {
+                return Err(if self.unclear > 0 { Refusal::AnswerLost } else { Refusal::Poisoned });
+            }
             let Some(pick) = self.door.pick(&self.service, self.request.affinity(self.route), &self.tried)
             else {
                 return Err(self.out_of_replicas());
@@ -110,12 +113,26 @@
         if again { Ok(()) } else { Err(Refusal::AnswerLost) }
     }
 
+    /// whether the content has ended too many replicas to be sent to another one.
+    fn is_held(&self) -> bool {
+        if !self.door.fleet().has_poison() {
+            return false;
+        }
+        let content = self.request.content().digest();
+        let is_held = self.door.fleet().is_poisoned(&content);
+        if is_held {
+            info!(self.door.log, "a content is held back"; "request" => self.request.caller.id.as_deref(),
+                "content" => content, "route" => &self.route.name);
+        }
+        is_held
+    }
+
     /// writes down a try that brought no answer.
     fn note(&self, replica: &str, why: &'static str, started: Instant) {
         metrics::counter!("door_tries_failed_total", "why" => why).increment(1);
         info!(self.door.log, "a try brought no answer"; "request" => self.request.caller.id.as_deref(),
             "why" => why, "replica" => replica, "route" => &self.route.name,
-            "content" => self.request.content_digest(),
+            "content" => self.request.content().digest(),
             "waited_ms" => started.elapsed().as_millis() as u64, "tries" => self.tried.len(),
             "left_ms" => self.request.left().as_millis() as u64);
     }
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -154,7 +154,7 @@
     /// takes note that a connection broke while the replica may have run a request: if the replica has ended, the
     /// request may have ended it.
     pub fn strike(self: &Arc<Self>, request: &DoorRequest, replica: &str, address: SocketAddr) {
-        let content = request.content_digest();
+        let content = request.content().digest();
         let strike = request.caller.id.clone().unwrap_or_default();
         let replica = replica.to_owned();
         let door = Arc::clone(self);
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -99,14 +99,6 @@
     request: &DoorRequest,
     route: &Arc<Route>,
 ) -> Result<Response<DoorBody>, Refusal> {
-    if door.fleet().has_poison() {
-        let content = request.content_digest();
-        if door.fleet().is_poisoned(&content) {
-            info!(door.log, "a content is held back"; "request" => request.caller.id.as_deref(),
-                "content" => content, "route" => &route.name);
-            return Err(Refusal::Poisoned);
-        }
-    }
     match route.kind {
         RequestKind::Streaming => turn(door, request, route).await,
         RequestKind::Idempotent | RequestKind::NonIdempotent => call(door, request, route).await,
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod call;
 mod connections;
+mod content;
 mod daemon;
 #[expect(clippy::module_inception, reason = "the main type of the folder has the folder's name")]
 mod door;
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -5,7 +5,9 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Uri;
+use hyper::header::HOST;
 
+use crate::door::content::Content;
 use crate::platform::CallerRequest;
 use crate::routing::Route;
 
@@ -34,16 +36,11 @@
         route.sticky.then_some(key.as_str())
     }
 
-    /// digest of what a request is, whatever its id: the same one comes again with it.
-    pub fn content_digest(&self) -> String {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(self.method.as_str().as_bytes());
-        hasher.update(self.target.to_string().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(self.caller.program.as_deref().unwrap_or_default().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(&self.body);
-        hasher.finalize().to_hex().as_str()[..32].to_owned()
+    /// what goes to a replica.
+    pub fn content(&self) -> Content {
+        let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let caller = self.caller.program.as_deref().or(self.caller.affinity_key.as_deref());
+        Content::new(&self.method, host, &self.target, &self.body, caller)
     }
 }
 
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -198,7 +198,7 @@
         metrics::counter!("door_streams_disturbed_total", "what" => what).increment(1);
         info!(self.door.log, "a stream was disturbed"; "request" => self.request.caller.id.as_deref(),
             "what" => what, "replica" => &self.run.lease.pick.id, "last_event" => self.last_event.as_deref(),
-            "route" => &self.route.name, "content" => self.request.content_digest());
+            "route" => &self.route.name, "content" => self.request.content().digest());
     }
 }
 
--- a/tests/fleet_poison.rs
+++ b/tests/fleet_poison.rs
@@ -159,3 +159,16 @@
     assert_eq!(fleet.ends(), VICTIMS, "{statuses:?}");
     assert_eq!(statuses[2..], [503; 2]);
 }
+
+/// Guards against a look-up without a body that is refused because of what another program's look-up did.
+#[test]
+fn poison_path_alone_is_no_content() {
+    let fleet = start("poison-path", EndStage::BeforeHead);
+    let ask = |program: &str| look().with("X-Program-Id", program);
+    for number in 1..=VICTIMS as u32 {
+        send(&fleet, 0, &ask("author").attempt(number));
+    }
+    fleet.set_faults(ReplicaFault::None);
+    assert_eq!(send(&fleet, 0, &ask("author").attempt(3)), 503);
+    assert_eq!(send(&fleet, 0, &ask("reader")), 200);
+}
