Count each replica that ends under a content, however it ends

Cause: a strike was named by the request's id, so one attempt counted once however many replicas it ended; only a break before the head, or of a stream, was looked into, so replicas that ended in the middle of a whole answer, under a resumed stream or without closing their connections never counted. Ruled out: that a cut of the door must count as an end. Change: the lease of a run watches it until somebody says how it went; a strike names replica, start and request; src/poison decides what counts. The probe after a break is made once, and a stream uses its outcome to go on. Why this works: no way of ending a run is left that neither settles nor suspects it, as dropping the lease does the latter.

--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -73,12 +73,19 @@
     patience: Option<Duration>,
 ) -> Tried {
     let left = request.left();
+    let mut lease = lease;
     let limit = patience.map_or(left, |patience| patience.min(left));
     match timeout(limit, send(door, request, &lease, last_event)).await {
         None if limit < left => Tried::Unclear(Unclear::Slow),
         None => Tried::Unclear(Unclear::TimedOut),
         Some(Err(tried)) => {
             learn(door, &lease, &tried);
+            match tried {
+                Tried::Unclear(Unclear::Broken) => {
+                    lease.broke().await;
+                }
+                _ => lease.settle(),
+            }
             tried
         }
         Some(Ok((connection, response))) => {
@@ -92,6 +99,7 @@
             let keeps = keeps_connection(response.headers());
             if let Some(tried) = tried {
                 learn(door, &lease, &tried);
+                lease.settle();
                 return tried;
             }
             door.replicas().learn(door.now_ms(), lease.pick.key, Outcome::Answered);
@@ -115,8 +123,8 @@
         let mut connection = match next.take() {
             Some(connection) => connection,
             None => match Connection::open(&door.spawner, address).await {
-                Some(connection) => connection,
-                None => return Err(Tried::NotRun(NotRun::Unreachable)),
+                Ok(connection) => connection,
+                Err(_) => return Err(Tried::NotRun(NotRun::Unreachable)),
             },
         };
         match connection.send(message(request, lease, last_event)).await {
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -71,11 +71,12 @@
                 return Err(self.out_of_replicas());
             };
             self.tried.push(pick.key);
-            let address = pick.address;
             let replica = pick.id.clone();
             let patience = self.patience();
             let started = Instant::now();
-            match attempt(self.door, self.request, Lease::new(self.door, pick), None, patience).await {
+            match attempt(self.door, self.request, Lease::new(self.door, pick, self.request), None, patience)
+                .await
+            {
                 Tried::Head(head) => {
                     let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
                     self.door.patience().answered(&self.route.name, latency_ms);
@@ -94,9 +95,6 @@
                     if why == Unclear::Slow {
                         self.door.patience().gave_up(&self.route.name);
                     }
-                    if why == Unclear::Broken {
-                        self.door.strike(self.request, &replica, address);
-                    }
                     self.unclear(why)?;
                 }
             }
@@ -181,14 +179,18 @@
     request: &DoorRequest,
     head: Head,
 ) -> Result<Response<DoorBody>, Unclear> {
-    let Head { response, connection, lease, keeps } = head;
+    let Head { response, connection, mut lease, keeps } = head;
     let (parts, body) = response.into_parts();
     let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
     let body = match timeout(request.left(), read).await {
         None => return Err(Unclear::TimedOut),
-        Some(Err(_)) => return Err(Unclear::Broken),
+        Some(Err(_)) => {
+            lease.broke().await;
+            return Err(Unclear::Broken);
+        }
         Some(Ok(body)) => body.to_bytes(),
     };
+    lease.settle();
     drop(lease);
     door.connections.put(connection, keeps);
     let mut response = Response::new(whole(body));
--- a/src/door/connections.rs
+++ b/src/door/connections.rs
@@ -1,4 +1,6 @@
 use std::collections::HashMap;
+use std::io;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Mutex;
@@ -32,6 +34,24 @@
     _driver: Task<()>,
 }
 
+/// why a connection could not be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OpenFailure {
+    /// nobody listens at the address.
+    Refused,
+    /// there was no answer in time, or none that says whether somebody listens.
+    Silent,
+}
+
+impl From<io::Error> for OpenFailure {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Self::Refused,
+            _ => Self::Silent,
+        }
+    }
+}
+
 /// how sending failed.
 pub(super) enum SendFailure {
     /// no byte of the request went out.
@@ -95,17 +115,18 @@
 
 impl Connection {
     /// opens a connection.
-    pub async fn open(spawner: &Spawner, address: SocketAddr) -> Option<Self> {
-        let stream = timeout(CONNECT_LIMIT, Async::<TcpStream>::connect(address)).await?.ok()?;
+    pub async fn open(spawner: &Spawner, address: SocketAddr) -> Result<Self, OpenFailure> {
+        let stream = timeout(CONNECT_LIMIT, Async::<TcpStream>::connect(address)).await;
+        let stream = stream.ok_or(OpenFailure::Silent)??;
         // Small requests must not wait for an acknowledgement; a socket that refuses is only slower.
         let _ = stream.get_ref().set_nodelay(true);
         let handshake = http1::Builder::new().preserve_header_case(true).handshake(HyperIo::new(stream));
-        let (sender, connection) = handshake.await.ok()?;
+        let (sender, connection) = handshake.await.map_err(|_| OpenFailure::Silent)?;
         let driver = spawner.spawn(async move {
             // How a connection ends shows in the request that is on it.
             let _ = connection.await;
         });
-        Some(Self { address, sender, _driver: driver })
+        Ok(Self { address, sender, _driver: driver })
     }
 
     /// sends a request and waits for the head of its answer.
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,11 +14,14 @@
 use crate::door::FleetView;
 use crate::door::connections::Connection;
 use crate::door::connections::Connections;
-use crate::door::request::DoorRequest;
+use crate::door::connections::OpenFailure;
 use crate::fleet::Merge;
 use crate::ledger_client::LedgerClient;
 use crate::platform::OPERATOR_CONFIG;
 use crate::platform::REPLICAS;
+use crate::poison::Evidence;
+use crate::poison::ReplicaRun;
+use crate::poison::Suspicions;
 use crate::routing::Patience;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
@@ -49,6 +51,7 @@
     fleet: Mutex<FleetView>,
     /// what is known of the platform, by prefix.
     merges: Mutex<Vec<Merge>>,
+    suspicions: Mutex<Suspicions>,
     strikes: Mutex<Vec<PoisonStrike>>,
     is_leaving: AtomicBool,
     draws: AtomicU64,
@@ -77,6 +80,7 @@
             patience: Mutex::default(),
             fleet: Mutex::default(),
             merges: Mutex::new(vec![Merge::new(OPERATOR_CONFIG), Merge::new(REPLICAS)]),
+            suspicions: Mutex::default(),
             strikes: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             draws: AtomicU64::new(rand::random()),
@@ -151,24 +155,57 @@
         self.table.store(Some(Arc::new(table)));
     }
 
-    /// takes note that a connection broke while the replica may have run a request: if the replica has ended, the
-    /// request may have ended it.
-    pub fn strike(self: &Arc<Self>, request: &DoorRequest, replica: &str, address: SocketAddr) {
-        let content = request.content().digest();
-        let strike = request.caller.id.clone().unwrap_or_default();
-        let replica = replica.to_owned();
-        let door = Arc::clone(self);
-        self.spawner.detach(async move {
-            if Connection::open(&door.spawner, address).await.is_some() {
-                info!(door.log, "a replica lives after it broke a run off"; "request" => &strike,
-                    "content" => &content, "replica" => &replica);
-                return;
+    /// looks whether somebody still listens at the address of a replica that broke an answer off.
+    pub async fn probe(&self, pick: &ReplicaPick) -> Result<(), OpenFailure> {
+        Connection::open(&self.spawner, pick.address).await.map(drop)
+    }
+
+    /// takes a run that was broken off; `true` if its replica has ended, as far as the probe tells.
+    pub fn take_broken(&self, run: ReplicaRun, probe: Result<(), OpenFailure>) -> bool {
+        match probe {
+            Ok(()) => {
+                info!(self.log, "a replica lives after it broke a run off"; "request" => &run.request,
+                    "content" => &run.content, "replica" => &run.replica);
+                return false;
             }
-            metrics::counter!("door_strikes_total").increment(1);
-            info!(door.log, "a replica ended under a request"; "request" => &strike, "content" => &content,
-                "replica" => &replica, "address" => address.to_string());
-            door.strikes.lock().expect("strike lock poisoned").push(PoisonStrike { content, strike });
-        });
+            Err(OpenFailure::Refused) => self.strike(run, Evidence::Refused),
+            Err(OpenFailure::Silent) => self.suspicions().add(self.now_ms(), run, true),
+        }
+        true
+    }
+
+    /// watches whether the replica of a run lives on that ended without an answer.
+    pub fn suspect(&self, run: ReplicaRun) {
+        self.suspicions().add(self.now_ms(), run, false);
+    }
+
+    /// a replica has started, perhaps again.
+    pub fn replica_started(&self, replica: &str, started_unix_ms: u64) {
+        let ended = self.suspicions().started(replica, started_unix_ms);
+        for (run, evidence) in ended {
+            self.strike(run, evidence);
+        }
+    }
+
+    /// a replica's entry is gone.
+    pub fn replica_gone(&self, replica: &str) {
+        let ended = self.suspicions().gone(replica);
+        for (run, evidence) in ended {
+            self.strike(run, evidence);
+        }
+    }
+
+    /// counts a replica that ended against the content that it ran.
+    fn strike(&self, run: ReplicaRun, evidence: Evidence) {
+        let evidence: &'static str = evidence.into();
+        metrics::counter!("door_strikes_total", "evidence" => evidence).increment(1);
+        info!(self.log, "a replica ended under a request"; "request" => &run.request,
+            "content" => &run.content, "replica" => &run.replica, "evidence" => evidence);
+        self.strikes.lock().expect("strike lock poisoned").push(run.strike());
+    }
+
+    pub fn suspicions(&self) -> MutexGuard<'_, Suspicions> {
+        self.suspicions.lock().expect("suspicion lock poisoned")
     }
 
     /// the strikes since the last report.
--- a/src/door/follow.rs
+++ b/src/door/follow.rs
@@ -72,6 +72,9 @@
     let Some(value) = &object.value else {
         info!(door.log, "a replica is gone"; "replica" => id, "may_have_lapsed" => object.may_have_lapsed);
         door.replicas().remove(now_ms, id, object.may_have_lapsed);
+        if !object.may_have_lapsed {
+            door.replica_gone(id);
+        }
         return;
     };
     match read_replica(&object.key, value.as_slice()) {
@@ -79,7 +82,9 @@
             if entry.leaving {
                 info!(door.log, "a replica is leaving"; "replica" => id);
             }
+            let started_unix_ms = entry.started_unix_ms;
             door.replicas().put(entry);
+            door.replica_started(id, started_unix_ms);
         }
         Err(error) => {
             metrics::counter!("door_unreadable_entries_total").increment(1);
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -83,6 +83,7 @@
         }
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
+        door.suspicions().expire(door.now_ms());
         door.connections.expire();
         // A door that waits for the ledger to come back notices it soon.
         let is_away = !door.ledger.is_reachable();
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -113,9 +113,8 @@
                     return Err(anyhow!("the time of the route is over"));
                 }
                 Next::Broken => {
-                    let pick = &self.run.lease.pick;
-                    self.door.strike(&self.request, &pick.id, pick.address);
-                    if !self.resume().await {
+                    let has_ended = self.run.lease.broke().await;
+                    if !self.resume(has_ended).await {
                         self.note("broken_off");
                         return Err(anyhow!("the replica broke the stream off"));
                     }
@@ -151,13 +150,11 @@
     }
 
     /// goes on at another replica after the last event that has reached the caller.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self, has_ended: bool) -> bool {
         if !self.route.resumable {
             return false;
         }
-        let address = self.run.lease.pick.address;
         // A replica that has ended does not count as an attempt.
-        let has_ended = Connection::open(&self.door.spawner, address).await.is_none();
         if !has_ended {
             self.run_count += 1;
         }
@@ -172,7 +169,7 @@
         let Some(pick) = self.door.pick(&service, affinity, &[self.run.lease.pick.key]) else {
             return false;
         };
-        let lease = Lease::new(&self.door, pick);
+        let lease = Lease::new(&self.door, pick, &self.request);
         let tried = attempt(&self.door, &self.request, lease, self.last_event.as_deref(), None).await;
         let Tried::Head(head) = tried else {
             return false;
@@ -189,7 +186,8 @@
 
     /// keeps the connection for later requests.
     fn end(self) {
-        let Run { connection, lease, keeps, .. } = self.run;
+        let Run { connection, mut lease, keeps, .. } = self.run;
+        lease.settle();
         drop(lease);
         self.door.connections.put(connection, keeps);
     }
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -67,7 +67,7 @@
     fn strike(&mut self, now_ms: u64, strike: &PoisonStrike) {
         let empty = || Content { strikes: BTreeSet::new(), last_ms: now_ms };
         let content = self.contents.entry(strike.content.clone()).or_insert_with(empty);
-        content.strikes.insert(strike.strike.clone());
+        content.strikes.insert(strike.victim.clone());
         content.last_ms = now_ms;
     }
 
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -97,7 +97,7 @@
             CoreAction::Struck { strike, victims } => {
                 metrics::counter!("ledger_strikes_total").increment(1);
                 info!(self.log, "a content ended a replica"; "content" => strike.content,
-                    "strike" => strike.strike, "victims" => victims);
+                    "victim" => strike.victim, "victims" => victims);
             }
             CoreAction::CaughtUp => {
                 let book = self.core.node().book();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod owner;
 pub mod ownership;
 pub mod platform;
+pub mod poison;
 pub mod program;
 pub mod quickstart;
 pub mod release;
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -66,6 +66,8 @@
     pub id: String,
     /// its address.
     pub address: SocketAddr,
+    /// start of its process in Unix milliseconds.
+    pub started_unix_ms: u64,
     /// requests that it had under way as far as is known.
     pub running: u32,
 }
@@ -193,7 +195,8 @@
         let replica = self.replicas.get_mut(key)?;
         replica.own_running += 1;
         let running = replica.own_running + replica.others_running;
-        Some(ReplicaPick { key, id, address: replica.entry.address, running })
+        let ReplicaEntry { address, started_unix_ms, .. } = replica.entry;
+        Some(ReplicaPick { key, id, address, started_unix_ms, running })
     }
 
     /// a request to a replica is over.
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2206,8 +2206,8 @@
 pub struct PoisonStrike {
     ///digest of the content of the request
     pub content: ::std::string::String,
-    ///id that makes a repeated report harmless
-    pub strike: ::std::string::String,
+    ///start of the replica, and the request; the same victim told twice counts once
+    pub victim: ::std::string::String,
 }
 ///asks for a sign of life
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -7,9 +7,9 @@
 use flamingostand::schema::ReplicaUse;
 
 fn report(door: &str, running: u32, strikes: &[(&str, &str)]) -> DoorReport {
-    let strike = |(content, strike): &(&str, &str)| PoisonStrike {
+    let strike = |(content, victim): &(&str, &str)| PoisonStrike {
         content: (*content).to_owned(),
-        strike: (*strike).to_owned(),
+        victim: (*victim).to_owned(),
     };
     DoorReport {
         name: door.to_owned(),
