Keep what is known of requests that end replicas in the ledger, and act on the door's own word

Cause: strikes lived in the memory of ledger nodes, and a door told each once, with a report that nobody confirmed; a door refused only what a ledger node had called poisoned. Restarts, losses of power, lost reports and an away ledger each took the count back. It is the class of fault that the ledger was built against, state that must last kept in memory, and this state had been left out of it. Ruled out: an object a content in the platform's store, which is away when much breaks and is charged by the call. Change: strikes are ledger records, synced on a write quorum of one view before a door stops telling them, copied to nodes that join, told to doors after a mark a node. Why this works: quorums of the ledger meet, so what enough disks hold is found by each door that starts, and nothing is dropped before that.

--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -63,7 +63,7 @@
             if self.request.left().is_zero() {
                 return Err(if self.unclear > 0 { Refusal::TimedOut } else { Refusal::TooLate });
             }
-            if self.is_held() {
+            if self.door.is_held(self.request, self.route) {
                 return Err(if self.unclear > 0 { Refusal::AnswerLost } else { Refusal::Poisoned });
             }
             let Some(pick) = self.door.pick(&self.service, self.request.affinity(self.route), &self.tried)
@@ -111,20 +111,6 @@
         if again { Ok(()) } else { Err(Refusal::AnswerLost) }
     }
 
-    /// whether the content has ended too many replicas to be sent to another one.
-    fn is_held(&self) -> bool {
-        if !self.door.fleet().has_poison() {
-            return false;
-        }
-        let content = self.request.content().digest();
-        let is_held = self.door.fleet().is_poisoned(&content);
-        if is_held {
-            info!(self.door.log, "a content is held back"; "request" => self.request.caller.id.as_deref(),
-                "content" => content, "route" => &self.route.name);
-        }
-        is_held
-    }
-
     /// writes down a try that brought no answer.
     fn note(&self, replica: &str, why: &'static str, started: Instant) {
         metrics::counter!("door_tries_failed_total", "why" => why).increment(1);
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -15,13 +15,15 @@
 use crate::door::connections::Connection;
 use crate::door::connections::Connections;
 use crate::door::connections::OpenFailure;
+use crate::door::request::DoorRequest;
 use crate::fleet::Merge;
 use crate::ledger_client::LedgerClient;
 use crate::platform::OPERATOR_CONFIG;
 use crate::platform::REPLICAS;
+use crate::poison::DoorPoison;
 use crate::poison::Evidence;
 use crate::poison::ReplicaRun;
-use crate::poison::Suspicions;
+use crate::poison::VICTIMS_TO_HOLD;
 use crate::routing::Patience;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
@@ -51,8 +53,7 @@
     fleet: Mutex<FleetView>,
     /// what is known of the platform, by prefix.
     merges: Mutex<Vec<Merge>>,
-    suspicions: Mutex<Suspicions>,
-    strikes: Mutex<Vec<PoisonStrike>>,
+    poison: Mutex<DoorPoison>,
     is_leaving: AtomicBool,
     draws: AtomicU64,
 }
@@ -80,8 +81,7 @@
             patience: Mutex::default(),
             fleet: Mutex::default(),
             merges: Mutex::new(vec![Merge::new(OPERATOR_CONFIG), Merge::new(REPLICAS)]),
-            suspicions: Mutex::default(),
-            strikes: Mutex::default(),
+            poison: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             draws: AtomicU64::new(rand::random()),
         }
@@ -169,19 +169,19 @@
                 return false;
             }
             Err(OpenFailure::Refused) => self.strike(run, Evidence::Refused),
-            Err(OpenFailure::Silent) => self.suspicions().add(self.now_ms(), run, true),
+            Err(OpenFailure::Silent) => self.poison().suspicions.add(self.now_ms(), run, true),
         }
         true
     }
 
     /// watches whether the replica of a run lives on that ended without an answer.
     pub fn suspect(&self, run: ReplicaRun) {
-        self.suspicions().add(self.now_ms(), run, false);
+        self.poison().suspicions.add(self.now_ms(), run, false);
     }
 
     /// a replica has started, perhaps again.
     pub fn replica_started(&self, replica: &str, started_unix_ms: u64) {
-        let ended = self.suspicions().started(replica, started_unix_ms);
+        let ended = self.poison().suspicions.started(replica, started_unix_ms);
         for (run, evidence) in ended {
             self.strike(run, evidence);
         }
@@ -189,7 +189,7 @@
 
     /// a replica's entry is gone.
     pub fn replica_gone(&self, replica: &str) {
-        let ended = self.suspicions().gone(replica);
+        let ended = self.poison().suspicions.gone(replica);
         for (run, evidence) in ended {
             self.strike(run, evidence);
         }
@@ -199,18 +199,40 @@
     fn strike(&self, run: ReplicaRun, evidence: Evidence) {
         let evidence: &'static str = evidence.into();
         metrics::counter!("door_strikes_total", "evidence" => evidence).increment(1);
-        info!(self.log, "a replica ended under a request"; "request" => &run.request,
-            "content" => &run.content, "replica" => &run.replica, "evidence" => evidence);
-        self.strikes.lock().expect("strike lock poisoned").push(run.strike());
+        let ReplicaRun { content, request, replica, .. } = &run;
+        info!(self.log, "a replica ended under a request"; "request" => request, "content" => content,
+            "replica" => replica, "evidence" => evidence);
+        let strike = run.strike();
+        self.poison().untold.add(strike.clone());
+        self.learn_strike(&strike, &self.settings.instance.name);
+    }
+
+    /// takes a strike that this door has seen, or that a ledger node tells of.
+    pub fn learn_strike(&self, strike: &PoisonStrike, source: &str) {
+        let victims = self.poison().strikes.take(self.now_ms(), strike);
+        if victims == Some(VICTIMS_TO_HOLD) {
+            info!(self.log, "a content is refused from now on"; "content" => &strike.content,
+                "victims" => VICTIMS_TO_HOLD, "source" => source);
+        }
     }
 
-    pub fn suspicions(&self) -> MutexGuard<'_, Suspicions> {
-        self.suspicions.lock().expect("suspicion lock poisoned")
+    /// whether the content of a request has ended too many replicas to be sent to another one.
+    pub fn is_held(&self, request: &DoorRequest, route: &Route) -> bool {
+        if self.poison().strikes.is_empty() {
+            return false;
+        }
+        let content = request.content().digest();
+        let victims = self.poison().strikes.victims(&content);
+        let is_held = victims >= VICTIMS_TO_HOLD;
+        if is_held {
+            info!(self.log, "a content is held back"; "request" => request.caller.id.as_deref(),
+                "content" => content, "victims" => victims, "route" => &route.name);
+        }
+        is_held
     }
 
-    /// the strikes since the last report.
-    pub fn take_strikes(&self) -> Vec<PoisonStrike> {
-        std::mem::take(&mut self.strikes.lock().expect("strike lock poisoned"))
+    pub fn poison(&self) -> MutexGuard<'_, DoorPoison> {
+        self.poison.lock().expect("poison table lock poisoned")
     }
 
     /// whether callers should be sent here.
--- a/src/door/fleet_view.rs
+++ b/src/door/fleet_view.rs
@@ -1,5 +1,4 @@
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::schema::DoorRow;
 use crate::schema::FleetNews;
@@ -14,7 +13,6 @@
     doors: BTreeMap<String, Known>,
     /// when doors were told of last.
     heard_ms: u64,
-    poisoned: BTreeSet<String>,
 }
 
 #[derive(Debug)]
@@ -25,8 +23,8 @@
 }
 
 impl FleetView {
-    /// takes the news of one ledger node, and returns the contents that are refused from now on.
-    pub fn update(&mut self, now_ms: u64, news: &FleetNews) -> Vec<String> {
+    /// takes the news of one ledger node.
+    pub fn update(&mut self, now_ms: u64, news: &FleetNews) {
         if news.tells_fleet {
             self.heard_ms = now_ms;
         }
@@ -38,10 +36,6 @@
             }
             self.doors.insert(row.callers.clone(), Known { row: row.clone(), reported_ms });
         }
-        let fresh = news.poisoned.iter().filter(|content| !self.poisoned.contains(*content));
-        let fresh: Vec<String> = fresh.cloned().collect();
-        self.poisoned.extend(fresh.iter().cloned());
-        fresh
     }
 
     /// addresses of doors that take requests.
@@ -55,14 +49,4 @@
         let named: Vec<&Known> = if fresh.is_empty() && !is_ready { others.collect() } else { fresh };
         named.into_iter().map(|known| known.row.callers.as_str()).collect()
     }
-
-    /// whether a content ended several replicas.
-    pub fn is_poisoned(&self, digest: &str) -> bool {
-        self.poisoned.contains(digest)
-    }
-
-    /// whether any content is refused.
-    pub fn has_poison(&self) -> bool {
-        !self.poisoned.is_empty()
-    }
 }
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -3,6 +3,7 @@
 
 use async_channel::Receiver;
 use async_io::Timer;
+use flamingo_edge::timeout;
 use slog::info;
 use slog::warn;
 
@@ -18,11 +19,16 @@
 use crate::schema::LedgerReply;
 use crate::schema::LedgerRequest;
 use crate::schema::LedgerSpent;
+use crate::schema::LedgerStrikes;
+use crate::schema::LedgerView;
+use crate::schema::PoisonStrike;
 
 /// time between two reports to each ledger node; loads change within a few turns.
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 /// time between two reports while the ledger is out of reach; a few of these cost nothing.
 const REPORT_EVERY_WHEN_AWAY: Duration = Duration::from_millis(80);
+/// wait for a node's disk before strikes are told again: many syncs of a slow disk.
+const STORE_LIMIT: Duration = Duration::from_secs(1);
 /// pause before the view is asked for again.
 const VIEW_RETRY: Duration = Duration::from_millis(150);
 
@@ -70,20 +76,22 @@
             ready: door.is_ready(),
             started: door.incarnation.clone(),
             loads: door.replicas().own_loads(),
-            strikes: door.take_strikes(),
+            strikes_mark: None,
         };
         let view = door.ledger.view();
         // Each door is told of the others by one node, and different doors by different ones.
         let informant = door.ledger.first_near(&view, &report.name);
         for member in &view.members {
             report.marks = door.marks(&member.name);
+            report.strikes_mark = door.poison().marks.get(&member.name).cloned();
             report.wants_fleet = informant.as_deref() == Some(&member.name);
             // A node that cannot be reached shows in its silence.
             door.ledger.ask(member, view.epoch, LedgerRequest::Report(report.clone()), None, &sender);
         }
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
-        door.suspicions().expire(door.now_ms());
+        door.poison().expire(door.now_ms());
+        tell_strikes(&door, &view);
         door.connections.expire();
         // A door that waits for the ledger to come back notices it soon.
         let is_away = !door.ledger.is_reachable();
@@ -95,6 +103,51 @@
     }
 }
 
+/// has the ledger nodes store what this door has seen, until enough of them have.
+fn tell_strikes(door: &Arc<Door>, view: &Arc<LedgerView>) {
+    if door.poison().untold.is_empty() {
+        return;
+    }
+    for member in &view.members {
+        let strikes = door.poison().untold.due(view.epoch, &member.name);
+        if strikes.is_empty() {
+            continue;
+        }
+        let (own, view, member) = (Arc::clone(door), Arc::clone(view), member.clone());
+        door.spawner.detach(async move {
+            let is_stored = store_strikes(&own, &view, &member, strikes.clone()).await;
+            let untold = &mut own.poison().untold;
+            if is_stored {
+                untold.stored(view.epoch, &member.name, &strikes, view.quorum().write());
+            } else {
+                untold.unanswered(view.epoch, &member.name);
+            }
+        });
+    }
+}
+
+async fn store_strikes(
+    door: &Door,
+    view: &LedgerView,
+    member: &LedgerMember,
+    strikes: Vec<PoisonStrike>,
+) -> bool {
+    let (sender, heard) = async_channel::unbounded();
+    let request = LedgerRequest::Strikes(LedgerStrikes { strikes });
+    if !door.ledger.ask(member, view.epoch, request, None, &sender) {
+        return false;
+    }
+    let answer = timeout(STORE_LIMIT, heard.recv()).await;
+    match answer.and_then(Result::ok).map(|heard| heard.event) {
+        Some(HeardEvent::Reply(LedgerReply::Stored(_))) => true,
+        Some(HeardEvent::Reply(LedgerReply::Stale(stale))) => {
+            door.ledger.adopt(&stale.view);
+            false
+        }
+        Some(HeardEvent::Reply(_) | HeardEvent::Lost) | None => false,
+    }
+}
+
 fn note_ledger(door: &Door, is_away: bool) {
     let heard = format!("{:?}", door.ledger.silences_ms());
     let epoch = door.ledger.view().epoch;
@@ -109,10 +162,11 @@
     while let Ok(heard) = heard.recv().await {
         match heard.event {
             HeardEvent::Reply(LedgerReply::News(news)) => {
-                for content in door.fleet().update(door.now_ms(), &news) {
-                    info!(door.log, "a content is refused from now on"; "content" => content,
-                        "source" => &heard.member);
+                door.fleet().update(door.now_ms(), &news);
+                for strike in &news.strikes {
+                    door.learn_strike(strike, &heard.member);
                 }
+                door.poison().marks.insert(heard.member.clone(), news.strikes_mark.clone());
                 if news.tells_fleet {
                     door.replicas().set_others(&news.loads);
                 }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -151,7 +151,7 @@
 
     /// goes on at another replica after the last event that has reached the caller.
     async fn resume(&mut self, has_ended: bool) -> bool {
-        if !self.route.resumable {
+        if !self.route.resumable || self.door.is_held(&self.request, &self.route) {
             return false;
         }
         // A replica that has ended does not count as an attempt.
--- a/src/ledger/book.rs
+++ b/src/ledger/book.rs
@@ -1,12 +1,15 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use crate::poison::Strikes;
 use crate::schema::KeptTurn;
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerRecord;
 use crate::schema::LedgerSpend;
 use crate::schema::LedgerTurn;
 use crate::schema::Octets;
+use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
 
 /// how long the spending of a program is remembered after its last turn.
@@ -17,6 +20,8 @@
 pub const PAGE_BYTES: usize = 256 * 1024;
 /// bytes that a record counts for beside what was said.
 const RECORD_BYTES: usize = 128;
+/// strikes told to a door at once; a report comes several times a second.
+const STRIKES_PER_ANSWER: usize = 100;
 /// turns of one history; more can only be a loop of damaged records.
 const MAX_HISTORY_TURNS: usize = 10_000;
 
@@ -25,11 +30,21 @@
 pub struct Book {
     programs: HashMap<String, ProgramRow>,
     turns: HashMap<String, TurnRow>,
-    /// the request of each record, by the number of its last change.
-    order: BTreeMap<u64, (String, String)>,
+    strikes: Strikes,
+    /// what each record is about, by the number of its last change.
+    order: BTreeMap<u64, Subject>,
+    /// records that are strikes, by number.
+    strike_numbers: BTreeSet<u64>,
     last_number: u64,
 }
 
+/// what a record is about.
+#[derive(Clone, Debug)]
+enum Subject {
+    Turn { program: String, request: String },
+    Strike(PoisonStrike),
+}
+
 #[derive(Debug, Default)]
 struct ProgramRow {
     spends: BTreeMap<String, SpendRow>,
@@ -59,6 +74,7 @@
         match record {
             LedgerRecord::Reserved(reserved) => self.reserve(now_ms, reserved),
             LedgerRecord::Finished(finish) => self.finish(now_ms, finish),
+            LedgerRecord::Struck(strike) => self.strike(now_ms, strike),
             LedgerRecord::Joined(_) | LedgerRecord::Observed(_) => false,
         }
     }
@@ -81,7 +97,18 @@
             number: self.last_number,
         };
         program.spends.insert(reserved.request.clone(), row);
-        self.order.insert(self.last_number, (reserved.program.clone(), reserved.request.clone()));
+        let subject = Subject::Turn { program: reserved.program.clone(), request: reserved.request.clone() };
+        self.order.insert(self.last_number, subject);
+        true
+    }
+
+    fn strike(&mut self, now_ms: u64, strike: &PoisonStrike) -> bool {
+        if self.strikes.take(now_ms, strike).is_none() {
+            return false;
+        }
+        self.last_number += 1;
+        self.order.insert(self.last_number, Subject::Strike(strike.clone()));
+        self.strike_numbers.insert(self.last_number);
         true
     }
 
@@ -100,7 +127,8 @@
         let away = known.is_some_and(|row| row.away);
         let row = SpendRow { tokens: finish.used_tokens, settled: true, away, number: self.last_number };
         program.spends.insert(finish.request.clone(), row);
-        self.order.insert(self.last_number, (finish.program.clone(), finish.request.clone()));
+        let subject = Subject::Turn { program: finish.program.clone(), request: finish.request.clone() };
+        self.order.insert(self.last_number, subject);
         if let Some(turn) = &finish.turn {
             self.keep_turn(now_ms, &finish.request, turn);
         }
@@ -172,12 +200,16 @@
         let mut records = Vec::new();
         let mut bytes = 0;
         let mut last = after;
-        for (number, (program, request)) in self.order.range(after + 1..) {
+        for (number, subject) in self.order.range(after + 1..) {
             if bytes >= PAGE_BYTES {
                 return (records, last, true);
             }
             last = *number;
-            let Some(record) = self.record(program, request) else {
+            let record = match subject {
+                Subject::Turn { program, request } => self.turn_record(program, request),
+                Subject::Strike(strike) => Some(LedgerRecord::Struck(strike.clone())),
+            };
+            let Some(record) = record else {
                 continue;
             };
             bytes += record_bytes(&record);
@@ -186,7 +218,7 @@
         (records, last, false)
     }
 
-    fn record(&self, program: &str, request: &str) -> Option<LedgerRecord> {
+    fn turn_record(&self, program: &str, request: &str) -> Option<LedgerRecord> {
         let row = self.programs.get(program)?.spends.get(request)?;
         if !row.settled {
             return Some(LedgerRecord::Reserved(ReservedTokens {
@@ -222,6 +254,38 @@
             }
             keep
         });
+        let forgotten = self.strikes.expire(now_ms);
+        self.strike_numbers.retain(|number| {
+            let is_over = matches!(order.get(number),
+                Some(Subject::Strike(strike)) if forgotten.contains(&strike.content));
+            if is_over {
+                order.remove(number);
+            }
+            !is_over
+        });
+    }
+
+    /// strikes after the record `after`, as many as fit into one answer, and the number of the last one.
+    pub fn strikes_after(&self, after: u64) -> (Vec<PoisonStrike>, u64) {
+        let mut strikes = Vec::new();
+        let mut last = after;
+        for number in self.strike_numbers.range(after + 1..).take(STRIKES_PER_ANSWER) {
+            if let Some(Subject::Strike(strike)) = self.order.get(number) {
+                strikes.push(strike.clone());
+            }
+            last = *number;
+        }
+        (strikes, last)
+    }
+
+    /// replicas that ended under a content.
+    pub fn victims(&self, content: &str) -> usize {
+        self.strikes.victims(content)
+    }
+
+    /// strikes that are remembered.
+    pub fn strike_count(&self) -> usize {
+        self.strike_numbers.len()
     }
 
     /// number of the last record that is live; 0 if there is none.
@@ -243,7 +307,10 @@
 fn record_bytes(record: &LedgerRecord) -> usize {
     let said = match record {
         LedgerRecord::Finished(finish) => finish.turn.as_ref().map_or(0, |turn| turn.said.as_slice().len()),
-        LedgerRecord::Reserved(_) | LedgerRecord::Joined(_) | LedgerRecord::Observed(_) => 0,
+        LedgerRecord::Reserved(_)
+        | LedgerRecord::Joined(_)
+        | LedgerRecord::Observed(_)
+        | LedgerRecord::Struck(_) => 0,
     };
     RECORD_BYTES + said
 }
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -28,6 +28,7 @@
 use crate::schema::LedgerView;
 use crate::schema::ObservedObjects;
 use crate::schema::PoisonStrike;
+use crate::schema::StrikesMark;
 
 /// time between two looks at what has expired.
 const EXPIRE_EVERY_MS: u64 = 5_000;
@@ -227,10 +228,7 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
-        for strike in &report.strikes {
-            let victims = self.board.victims(&strike.content);
-            out.push(CoreAction::Struck { strike: strike.clone(), victims });
-        }
+        (news.strikes, news.strikes_mark) = self.strikes_after(report.strikes_mark.as_ref());
         news.complete = self.node.is_complete();
         let mark = |prefix: &str| report.marks.iter().find(|mark| mark.prefix == prefix);
         news.mirrors =
@@ -244,6 +242,14 @@
         out.push(CoreAction::Answer { to: from, answer: LedgerAnswer { id: ask.id, reply } });
     }
 
+    /// strikes that a door does not know yet, and how far it knows them then.
+    fn strikes_after(&self, mark: Option<&StrikesMark>) -> (Vec<PoisonStrike>, StrikesMark) {
+        // Numbers of an earlier start say nothing.
+        let after = mark.filter(|mark| mark.start == self.start).map_or(0, |mark| mark.number);
+        let (strikes, number) = self.node.book().strikes_after(after);
+        (strikes, StrikesMark { start: self.start.clone(), number })
+    }
+
     /// mirrors the platform's objects; the log keeps them, so that doors that start during an outage have them.
     fn on_followed(
         &mut self,
@@ -424,6 +430,7 @@
             match action {
                 NodeAction::Append { number, record } => out.push(CoreAction::Append { number, record }),
                 NodeAction::Answer { to, answer } => out.push(CoreAction::Answer { to, answer }),
+                NodeAction::Struck { strike, victims } => out.push(CoreAction::Struck { strike, victims }),
                 NodeAction::ViewChanged => {
                     self.peers.follow(now_ms, &self.own.name, self.node.view());
                     self.catch_up.follow(self.node.view());
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -18,6 +18,7 @@
 use crate::schema::LedgerStored;
 use crate::schema::LedgerView;
 use crate::schema::ObservedObjects;
+use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
 
 /// a question whose records are not on disk yet.
@@ -162,6 +163,7 @@
                 let account = self.account("", Some(&history.turn), true);
                 vec![self.answer(from, ask.id, LedgerReply::Account(account))]
             }
+            LedgerRequest::Strikes(strikes) => self.strike(now_ms, from, ask.id, &strikes.strikes),
             LedgerRequest::Pull(_) | LedgerRequest::Push(_) | LedgerRequest::Report(_) => Vec::new(),
         }
     }
@@ -188,6 +190,26 @@
         actions
     }
 
+    fn strike(
+        &mut self,
+        now_ms: u64,
+        from: ConnectionId,
+        id: u64,
+        strikes: &[PoisonStrike],
+    ) -> Vec<NodeAction> {
+        let mut actions = Vec::new();
+        for strike in strikes {
+            let appended = self.copy(now_ms, &[LedgerRecord::Struck(strike.clone())]);
+            if !appended.is_empty() {
+                let victims = self.book.victims(&strike.content);
+                actions.push(NodeAction::Struck { strike: strike.clone(), victims });
+            }
+            actions.extend(appended);
+        }
+        actions.extend(self.stored_later(Unsynced { from, id, told: None }));
+        actions
+    }
+
     /// takes note that all records up to `number` are on disk.
     pub fn synced(&mut self, number: u64) -> Vec<NodeAction> {
         self.synced = self.synced.max(number);
--- a/src/ledger/node_io.rs
+++ b/src/ledger/node_io.rs
@@ -1,6 +1,7 @@
 use crate::mesh::ConnectionId;
 use crate::schema::LedgerAnswer;
 use crate::schema::LedgerRecord;
+use crate::schema::PoisonStrike;
 
 /// who a ledger node is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,4 +31,11 @@
     },
     /// the node follows another view now.
     ViewChanged,
+    /// a door told of a replica that ended under a content.
+    Struck {
+        /// what the door told.
+        strike: PoisonStrike,
+        /// replicas that ended under the content, this one included.
+        victims: usize,
+    },
 }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -463,8 +463,8 @@
     pub ready: bool,
     ///start of the process
     pub started: ::std::string::String,
-    ///replicas that ended under a request since the last report
-    pub strikes: ::std::vec::Vec<PoisonStrike>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub strikes_mark: ::std::option::Option<StrikesMark>,
     ///whether the answer should tell of the other doors; one ledger node is asked for that
     pub wants_fleet: bool,
     ///availability zone
@@ -667,8 +667,9 @@
     pub loads: ::std::vec::Vec<ReplicaUse>,
     ///news of the platform
     pub mirrors: ::std::vec::Vec<MirrorNews>,
-    ///contents that ended several replicas
-    pub poisoned: ::std::vec::Vec<::std::string::String>,
+    ///strikes after the door's mark
+    pub strikes: ::std::vec::Vec<PoisonStrike>,
+    pub strikes_mark: StrikesMark,
     ///whether doors and loads are told
     pub tells_fleet: bool,
 }
@@ -1144,6 +1145,8 @@
     Joined(JoinedView),
     #[serde(rename = "observed")]
     Observed(ObservedObjects),
+    #[serde(rename = "struck")]
+    Struck(PoisonStrike),
 }
 impl ::std::convert::From<ReservedTokens> for LedgerRecord {
     fn from(value: ReservedTokens) -> Self {
@@ -1165,6 +1168,11 @@
         Self::Observed(value)
     }
 }
+impl ::std::convert::From<PoisonStrike> for LedgerRecord {
+    fn from(value: PoisonStrike) -> Self {
+        Self::Struck(value)
+    }
+}
 ///records of a node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerRecords {
@@ -1233,6 +1241,8 @@
     Push(LedgerPush),
     #[serde(rename = "report")]
     Report(DoorReport),
+    #[serde(rename = "strikes")]
+    Strikes(LedgerStrikes),
 }
 impl ::std::convert::From<LedgerBegin> for LedgerRequest {
     fn from(value: LedgerBegin) -> Self {
@@ -1269,6 +1279,11 @@
         Self::Report(value)
     }
 }
+impl ::std::convert::From<LedgerStrikes> for LedgerRequest {
+    fn from(value: LedgerStrikes) -> Self {
+        Self::Strikes(value)
+    }
+}
 ///disk of a ledger node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerSettings {
@@ -1306,6 +1321,12 @@
     ///number of the last record that is on disk
     pub through: u64,
 }
+///asks a ledger node to store strikes
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerStrikes {
+    ///strikes
+    pub strikes: ::std::vec::Vec<PoisonStrike>,
+}
 ///a turn that is kept
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerTurn {
@@ -2959,6 +2980,14 @@
     pub id: u64,
     pub status: InstanceStatus,
 }
+///how far a door knows the strikes of a ledger node
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StrikesMark {
+    ///last record that is known
+    pub number: u64,
+    ///start of the node that numbered its records
+    pub start: ::std::string::String,
+}
 ///digests of the members known, by bucket of their names
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SyncBuckets {
--- a/tests/ledger_histories.rs
+++ b/tests/ledger_histories.rs
@@ -34,3 +34,13 @@
         World::new(seed, 2).run(15, 60);
     }
 }
+
+/// Guards against a replica that ended under a content and is forgotten, although enough disks had stored it.
+#[test_case(8, 4_000_000, 1; "one disk may be lost")]
+#[test_case(12, 5_000_000, 2; "two disks may be lost")]
+fn confirmed_strikes_are_kept(faults: usize, first_seed: u64, lost_disks: u32) {
+    for seed in first(first_seed)..first(first_seed) + seeds().div_ceil(3) {
+        eprintln!("seed {seed}");
+        World::new(seed, lost_disks).run_with_strikes(faults, 12);
+    }
+}
--- a/tests/ledger_world/machine.rs
+++ b/tests/ledger_world/machine.rs
@@ -61,7 +61,10 @@
     pub fn has_complete_disk(&self) -> bool {
         let joined = self.synced.iter().rev().find_map(|record| match record {
             LedgerRecord::Joined(joined) => Some(joined),
-            LedgerRecord::Reserved(_) | LedgerRecord::Finished(_) | LedgerRecord::Observed(_) => None,
+            LedgerRecord::Reserved(_)
+            | LedgerRecord::Finished(_)
+            | LedgerRecord::Observed(_)
+            | LedgerRecord::Struck(_) => None,
         });
         let own = self.member();
         joined.is_some_and(|joined| joined.complete && joined.view.members.contains(&own))
--- a/tests/ledger_world/mod.rs
+++ b/tests/ledger_world/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod machine;
 mod reference;
+mod strikes;
 mod world;
 
 pub use world::World;
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -22,6 +22,8 @@
 use super::door::Turn;
 use super::machine::Machine;
 use super::reference::Reference;
+use super::strikes::StrikeDoor;
+use super::strikes::Telling;
 
 const TICK_MS: u64 = 250;
 const DOORS: usize = 3;
@@ -44,13 +46,17 @@
     Fault,
     NewTurn,
     TurnLate(usize, u64),
+    Strike,
+    TellStrikes(usize),
+    StrikesLate(Telling),
 }
 
 /// who asked a question, by its connection.
 #[derive(Clone)]
-enum Asker {
+pub enum Asker {
     Node { name: String, start: u64 },
     Turn { index: usize, member: String, turn: Option<String>, about_program: bool, round: u64 },
+    Strikes(Telling),
 }
 
 pub struct World {
@@ -64,6 +70,9 @@
     pub door_views: Vec<LedgerView>,
     pub disk_count: u64,
     pub reference: Reference,
+    pub strike_doors: Vec<StrikeDoor>,
+    /// tellings of strikes that were not answered yet.
+    pub waiting_strikes: BTreeSet<(usize, u64)>,
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
     askers: BTreeMap<u64, Asker>,
@@ -91,6 +100,8 @@
             door_views: vec![empty_view(lost_disks); DOORS],
             disk_count: 0,
             reference: Reference::default(),
+            strike_doors: (0..DOORS).map(|_| StrikeDoor::default()).collect(),
+            waiting_strikes: BTreeSet::new(),
             events: BTreeMap::new(),
             event_count: 0,
             askers: BTreeMap::new(),
@@ -145,7 +156,7 @@
     }
 
     /// the nodes and the view, for a failed check.
-    fn describe(&self) -> String {
+    pub fn describe(&self) -> String {
         let mut text = format!("store {:?}\n", self.view);
         for machine in self.machines.values() {
             let state = machine
@@ -214,6 +225,9 @@
             Event::Fault => self.draw_fault(),
             Event::NewTurn => self.new_turn(),
             Event::TurnLate(index, round) => self.turn_late(index, round),
+            Event::Strike => self.new_strike(),
+            Event::TellStrikes(door) => self.tell_strikes(door),
+            Event::StrikesLate(telling) => self.strikes_late(&telling),
         }
     }
 
@@ -328,7 +342,7 @@
         cut(left, right) || cut(right, left)
     }
 
-    fn send(&mut self, from: &str, to: &str, asker: Asker, ask: LedgerAsk) {
+    pub fn send(&mut self, from: &str, to: &str, asker: Asker, ask: LedgerAsk) {
         let in_ms = self.delay_ms();
         let Some(machine) = self.machines.get(to) else {
             return;
@@ -357,6 +371,7 @@
                 }
                 self.input(&name, start, CoreInput::Answer(Box::new(answer)));
             }
+            Some(Asker::Strikes(telling)) => self.strikes_heard(&telling, answer.reply),
             // What was meant for an earlier round is dropped.
             Some(Asker::Turn { round, index, .. }) if self.turns[index].2 != round => {}
             Some(Asker::Turn { index, member, turn, about_program, .. }) => {
