Bound the memory that answers without end may take

What callers would see: a replica that sends a body without end makes doors run out of memory; the platform kills them, and all their requests with them. Cause: a door collected up to 16 MB of each answer, with no bound on all of them; as they came, pieces also kept larger read buffers alive. Change: a door holds 16 MB of unfinished answers at once and copies pieces; an answer beyond that is given up as too large, its connection closed and the replica left alone for a while.

--- a/crates/standins/src/replica/mod.rs
+++ b/crates/standins/src/replica/mod.rs
@@ -1,9 +1,12 @@
 //! stand-in for a replica behind front doors: runs opaque requests, whole or as a stream of events, with faults.
 
 mod answer;
+mod endless;
 mod faults;
 mod standin;
 
+pub use endless::EndlessPart;
+pub use endless::EndlessReplica;
 pub use faults::DEADLY;
 pub use faults::EndStage;
 pub use faults::ReplicaFault;
--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -125,6 +125,11 @@
         })
     }
 
+    /// service that it belongs to.
+    pub fn service(&self) -> &str {
+        &self.options.service
+    }
+
     /// id under which it is listed.
     pub fn id(&self) -> &str {
         &self.options.id
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -49,6 +49,8 @@
     Broken,
     /// the answer belongs to another request, or has no signature.
     Foreign,
+    /// the answer is larger than any answer, or has no end.
+    TooLarge,
     /// the answer takes far longer than usual; there is time for another replica.
     Slow,
     /// the time is over.
@@ -147,7 +149,8 @@
 
 fn learn(door: &Door, lease: &Lease, tried: &Tried) {
     let outcome = match tried {
-        Tried::Head(_) | Tried::Unclear(Unclear::TimedOut | Unclear::Slow | Unclear::Foreign) => return,
+        Tried::Head(_)
+        | Tried::Unclear(Unclear::TimedOut | Unclear::Slow | Unclear::Foreign | Unclear::TooLarge) => return,
         Tried::NotRun(NotRun::Shed) => Outcome::Full,
         Tried::NotRun(NotRun::OtherReplica | NotRun::Unreachable) | Tried::Unclear(Unclear::Broken) => {
             door.connections.forget(lease.pick.address);
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -3,13 +3,12 @@
 use std::time::Instant;
 
 use flamingo_edge::timeout;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Response;
 use slog::info;
 
 use crate::door::answer::DoorBody;
 use crate::door::answer::whole;
+use crate::door::answer_buffer::ReadFailure;
 use crate::door::attempt::Head;
 use crate::door::attempt::NotRun;
 use crate::door::attempt::Tried;
@@ -20,14 +19,13 @@
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
 use crate::platform::caller_headers;
+use crate::routing::Outcome;
 use crate::routing::ReplicaId;
 use crate::routing::RequestKind;
 use crate::routing::Route;
 
 /// replicas that may say in turn that they have not run a request before it is refused.
 const MAX_NOT_RUN: u32 = 4;
-/// largest answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// the tries of one request.
 pub(super) struct Tries<'a> {
@@ -167,14 +165,20 @@
 ) -> Result<Response<DoorBody>, Unclear> {
     let Head { response, connection, mut lease, keeps } = head;
     let (parts, body) = response.into_parts();
-    let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    let body = match timeout(request.left(), read).await {
+    let body = match timeout(request.left(), door.answers.read(body)).await {
         None => return Err(Unclear::TimedOut),
-        Some(Err(_)) => {
+        Some(Err(ReadFailure::Broken)) => {
             lease.broke().await;
             return Err(Unclear::Broken);
         }
-        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(ReadFailure::TooLarge)) => {
+            info!(door.log, "an answer is too large"; "request" => request.caller.id.as_deref(),
+                "replica" => &lease.pick.id);
+            door.replicas().learn(door.now_ms(), lease.pick.key, Outcome::Broken);
+            lease.settle();
+            return Err(Unclear::TooLarge);
+        }
+        Some(Ok(body)) => body,
     };
     lease.settle();
     drop(lease);
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -12,6 +12,7 @@
 use slog::info;
 
 use crate::door::FleetView;
+use crate::door::answer_buffer::AnswerBuffers;
 use crate::door::connections::Connection;
 use crate::door::connections::Connections;
 use crate::door::connections::OpenFailure;
@@ -47,6 +48,7 @@
     pub incarnation: String,
     pub ledger: LedgerClient,
     pub connections: Connections,
+    pub answers: AnswerBuffers,
     pub table: ArcSwapOption<RouteTable>,
     replicas: Mutex<ReplicaTable>,
     patience: Mutex<Patience>,
@@ -76,6 +78,7 @@
             incarnation,
             ledger,
             connections: Connections::default(),
+            answers: AnswerBuffers::default(),
             table: ArcSwapOption::empty(),
             replicas: Mutex::new(ReplicaTable::new(rand::random())),
             patience: Mutex::default(),
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -3,6 +3,7 @@
 //! Owns the connections of callers and to replicas. It keeps nothing: what must last is in the ledger.
 
 mod answer;
+mod answer_buffer;
 mod attempt;
 mod call;
 mod connections;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -16,6 +16,7 @@
 use flamingo_standins::platform::PlatformFaults;
 use flamingo_standins::platform::PlatformOptions;
 use flamingo_standins::platform::PlatformStandin;
+use flamingo_standins::replica::EndlessReplica;
 use flamingo_standins::replica::ReplicaFault;
 use flamingo_standins::replica::ReplicaOptions;
 use flamingo_standins::replica::ReplicaStandin;
@@ -131,6 +132,14 @@
         self.put_object(&format!("servers/{}", replica.id()), &replica.entry(state));
     }
 
+    /// lists a replica that answers without end, in place of all others of its service.
+    pub fn add_endless(&self, replica: &EndlessReplica, service: &str) {
+        self.put_object("servers/endless", &replica.entry(service));
+        for other in self.replicas().filter(|other| other.service() == service) {
+            self.list_replica(other, "draining");
+        }
+    }
+
     fn put_object(&self, key: &str, spec: &Value) {
         let value = spec.to_string();
         self.platform
--- a/tests/fleet/node.rs
+++ b/tests/fleet/node.rs
@@ -99,6 +99,14 @@
         assert!(status.success(), "signal {name} to {pid}");
     }
 
+    /// the most memory that the process has held.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kilobytes: u64 = line.trim().trim_end_matches("kB").trim().parse().expect("a number");
+        kilobytes / 1024
+    }
+
     /// number of the process.
     pub fn id(&self) -> u32 {
         self.child.as_ref().expect("the process runs").id()
