Bound the head that the platform client reads

What callers would see: a platform or an engine whose answer is one header line without end makes the process run out of memory within its own timeout. Cause: async-h1 bounds a head by whole lines only and collects a line that never ends. Change: the client reads through a socket with a limit of 64 KB, lifted once the head is there.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -18,13 +18,18 @@
 
 use crate::ClientError;
 use crate::ReadError;
+use crate::ReadLimit;
 use crate::connection::asks_to_close;
 use crate::keep_alive;
+use crate::limited_socket::LimitedSocket;
 use crate::timeout;
 
 /// the longest line taken from a streamed body.
 const MAX_LINE_BYTES: u64 = 4 * 1024 * 1024;
 
+/// bytes that may come before the head of a response is whole: the head, and what is read ahead of a body.
+const MAX_BYTES_BEFORE_ANSWER: u64 = 64 * 1024;
+
 /// connections given back between two sweeps of the idle ones.
 const PUTS_PER_SWEEP: u64 = 256;
 /// how long an idle connection is kept.
@@ -132,7 +137,10 @@
     ) -> Result<Exchange, Failure> {
         let limit = Duration::from_millis(self.pool.settings.silence_timeout_ms);
         // The future of async-h1 takes several kilobytes; nested futures would copy it on the stack.
-        let connect = Box::pin(async_h1::connect(socket.clone(), request));
+        let read_limit = ReadLimit::default();
+        read_limit.set(MAX_BYTES_BEFORE_ANSWER);
+        let limited = LimitedSocket::new(socket.clone(), read_limit.clone());
+        let connect = Box::pin(async_h1::connect(limited, request));
         // A header value that is not ASCII makes http-types panic.
         let connect = AssertUnwindSafe(connect).catch_unwind();
         let response = match timeout(limit, connect).await {
@@ -141,6 +149,7 @@
             Some(Ok(Err(error))) => return Err(Failure::Closed(error.to_string())),
             Some(Ok(Ok(response))) => response,
         };
+        read_limit.lift();
         // A response without any length has an empty body of length 0 in http-types; only the header counts.
         let announced = response.header("content-length").map(|value| value.last().as_str());
         let announced = announced.and_then(|length| length.parse::<usize>().ok());
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -223,3 +223,34 @@
     assert_eq!(block_on(events.next()).unwrap().unwrap().data, "1");
     assert!(block_on(events.next()).is_err(), "an event without its end is not whole");
 }
+
+/// bytes of one answer that may be taken before its head is given up; sockets hold some megabytes by themselves.
+const MOST_HEAD_BYTES: usize = 32 << 20;
+
+/// Guards against a client that collects a head without end until its memory is used up.
+#[test_case(b"HTTP/1.1 200 OK\r\nx-more: ", b"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"; "one line")]
+#[test_case(b"HTTP/1.1 200 OK\r\n", b"x-more: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"; "many lines")]
+#[test_case(b"", b"HTTP/1.1 102 Processing\r\n\r\n"; "interim")]
+fn endless_head(start: &'static [u8], piece: &'static [u8]) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("the test's own step succeeds");
+    let address = listener.local_addr().expect("the test's own step succeeds");
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the test's own step succeeds");
+        assert!(read_head(&mut stream));
+        let pieces = piece.repeat(1_000);
+        let mut sent_bytes = 0;
+        let mut result = stream.write_all(start);
+        while result.is_ok() && sent_bytes < 16 * MOST_HEAD_BYTES {
+            result = stream.write_all(&pieces);
+            sent_bytes += pieces.len();
+        }
+        sent_bytes
+    });
+    let client = client();
+    let url = Url::parse("http://peer/").expect("the test's own step succeeds");
+    let outcome = block_on(client.send_fresh(address, Request::new(Method::Get, url)));
+    assert!(matches!(outcome, Err(ClientError::Broken(_))), "{outcome:?}");
+    drop(client);
+    let sent_bytes = peer.join().expect("the peer ends");
+    assert!(sent_bytes < MOST_HEAD_BYTES, "{sent_bytes} bytes were taken");
+}
