Do not let a replica's interim heads without end hang a door

What callers would see: a door that sends a request to such a replica answers nobody any more, until it is killed. Cause: hyper skips interim heads in a loop that neither counts nor yields; a replica that sends them as fast as a door reads keeps its only thread there. Evidence: endless_head_is_no_answer, interim case: the callers of the door got no answer for 10 s and the door closed nothing for 20 s before; 502 to 504 and all connections closed now. Ruled out: the limit of the read buffer; it bounds one head, not their number (it is 64 KB instead of 400 KB now). Change: a door reads at most 256 KB before the head of an answer is whole; the limit is in the adapter that hands hyper its socket.

--- a/crates/edge/src/hyper_io.rs
+++ b/crates/edge/src/hyper_io.rs
@@ -12,6 +12,8 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+use crate::ReadLimit;
+
 /// bytes read from the socket at a time.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -19,12 +21,18 @@
 #[derive(Debug)]
 pub struct HyperIo {
     stream: Async<TcpStream>,
+    limit: ReadLimit,
 }
 
 impl HyperIo {
     /// wraps a connected socket.
     pub fn new(stream: Async<TcpStream>) -> Self {
-        Self { stream }
+        Self { stream, limit: ReadLimit::default() }
+    }
+
+    /// the limit of what is read; none at first.
+    pub fn read_limit(&self) -> ReadLimit {
+        self.limit.clone()
     }
 }
 
@@ -34,10 +42,12 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        self.limit.check()?;
         // hyper's buffer may be uninitialised, which safe code cannot read into.
         let mut bytes = [0_u8; READ_BYTES];
         let room = buffer.remaining().min(READ_BYTES);
         let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut bytes[..room]))?;
+        self.limit.count(read);
         buffer.put_slice(&bytes[..read]);
         Poll::Ready(Ok(()))
     }
--- a/src/door/connections.rs
+++ b/src/door/connections.rs
@@ -11,6 +11,7 @@
 use async_io::Async;
 use bytes::Bytes;
 use flamingo_edge::HyperIo;
+use flamingo_edge::ReadLimit;
 use flamingo_edge::Spawner;
 use flamingo_edge::timeout;
 use http_body_util::Full;
@@ -27,10 +28,16 @@
 /// part of the replica's idle time for which a connection is used again, as a close may already be on its way.
 const IDLE_SHARE: f64 = 0.7;
 
+/// room for the status line and headers of an answer: far more than any replica sends.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// bytes that may come before the head of an answer is whole: the head, interim heads, and what is read ahead of a body.
+const MAX_BYTES_BEFORE_ANSWER: u64 = 4 * MAX_HEAD_BYTES as u64;
+
 /// an open connection to a replica; dropping it closes the socket.
 pub(super) struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    read_limit: ReadLimit,
     _driver: Task<()>,
 }
 
@@ -120,13 +127,16 @@
         let stream = stream.ok_or(OpenFailure::Silent)??;
         // Small requests must not wait for an acknowledgement; a socket that refuses is only slower.
         let _ = stream.get_ref().set_nodelay(true);
-        let handshake = http1::Builder::new().preserve_header_case(true).handshake(HyperIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(|_| OpenFailure::Silent)?;
+        let io = HyperIo::new(stream);
+        let read_limit = io.read_limit();
+        let mut builder = http1::Builder::new();
+        builder.preserve_header_case(true).max_buf_size(MAX_HEAD_BYTES);
+        let (sender, connection) = builder.handshake(io).await.map_err(|_| OpenFailure::Silent)?;
         let driver = spawner.spawn(async move {
             // How a connection ends shows in the request that is on it.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, _driver: driver })
+        Ok(Self { address, sender, read_limit, _driver: driver })
     }
 
     /// sends a request and waits for the head of its answer.
@@ -134,8 +144,12 @@
         if self.sender.ready().await.is_err() {
             return Err(SendFailure::NotSent);
         }
+        self.read_limit.set(MAX_BYTES_BEFORE_ANSWER);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.read_limit.lift();
+                Ok(response)
+            }
             // hyper hands the request back only if it has not written any of it.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendFailure::NotSent),
