End a turn that goes on beyond its tokens

What callers would see: a replica that sends events without end is handed on until the route's time is over: tokens far beyond the budget of the program, and for kept turns as much in the memory of the door and of the ledger. Cause: events were counted and settled, but nothing compared them with what the turn had reserved. Change: a turn takes no event that its reservation has no tokens for. Why this works: the reservation is what the budget was checked against, so no answer can take more than was checked.

--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -57,6 +57,8 @@
     Broken,
     /// the time is over.
     TimedOut,
+    /// the replica goes on beyond the tokens of the turn.
+    Overlong,
 }
 
 /// hands a stream on, event by event; `account` is told of each.
@@ -112,6 +114,11 @@
                     self.note("timed_out");
                     return Err(anyhow!("the time of the route is over"));
                 }
+                Next::Overlong => {
+                    self.note("overlong");
+                    self.run.lease.settle();
+                    return Err(anyhow!("the replica goes on beyond the tokens of the turn"));
+                }
                 Next::Broken => {
                     let has_ended = self.run.lease.broke().await;
                     if !self.resume(has_ended).await {
@@ -129,10 +136,8 @@
                 if let Some(id) = event.id() {
                     self.last_event = Some(id.to_owned());
                 }
-                if let Some(account) = &mut self.account {
-                    account.count(&event);
-                }
-                return Next::Event(event.bytes);
+                let fits = self.account.as_mut().is_none_or(|account| account.count(&event));
+                return if fits { Next::Event(event.bytes) } else { Next::Overlong };
             }
             let frame = match timeout(self.request.left(), self.run.body.frame()).await {
                 None => return Next::TimedOut,
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -38,6 +38,8 @@
     program: String,
     request: String,
     tokens_per_event: u64,
+    /// tokens that were reserved for the turn.
+    most_tokens: u64,
     event_count: u64,
     kept: Option<Kept>,
     is_settled: bool,
@@ -51,16 +53,21 @@
 }
 
 impl TurnAccount {
-    /// takes an event that goes to the caller.
-    pub fn count(&mut self, event: &CutEvent) {
+    /// takes an event that goes to the caller; `false` if the turn has no tokens for it.
+    pub fn count(&mut self, event: &CutEvent) -> bool {
         let Some(data) = event.data() else {
-            return;
+            return true;
         };
+        // The last event may stand for fewer tokens than the others.
+        if self.event_count >= self.most_tokens.div_ceil(self.tokens_per_event.max(1)) {
+            return false;
+        }
         self.event_count += 1;
         if let Some(kept) = &mut self.kept {
             kept.said.extend_from_slice(data.as_bytes());
             kept.said.push(b'\n');
         }
+        true
     }
 
     /// stores the whole turn; the caller learns of its end only afterwards.
@@ -126,6 +133,7 @@
         previous: caller.previous_turn.clone(),
     };
     let mut account = TurnAccount {
+        most_tokens: start.most_tokens,
         door: Arc::clone(door),
         program: program.clone(),
         request: id.clone(),
