Send nothing more to a replica that says in an answer that it leaves

Cause: doors knew of leaving replicas by their entries only, which lag, and are not there while the platform is away. Found by the tests while it was written: two looks at the replica table in one statement hung the door; they are two statements now. Change: the adapter decodes the header once; the table keeps the starts of replicas that leave apart from their entries, so no old list brings them back; idle connections to them are dropped. Doors tell each other with their reports, without a call to the platform. Ruled out: to send to a leaving replica where no other one is left. It may have gone by the time the request arrives, and a refusal that says when to come back costs the caller less than a cut.

--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -59,7 +59,17 @@
 }
 
 /// answers a request as the replica's fault says.
-pub(super) async fn answer(parts: Parts, mut incoming: Incoming) -> Response {
+pub(super) async fn answer(parts: Parts, incoming: Incoming) -> Response {
+    let state = Arc::clone(&parts.state);
+    lock(&state).asked += 1;
+    let mut response = run(parts, incoming).await;
+    if lock(&state).is_leaving {
+        response.insert_header("server-leaving", "1");
+    }
+    response
+}
+
+async fn run(parts: Parts, mut incoming: Incoming) -> Response {
     let Parts { options, state, .. } = &parts;
     let request = &incoming.request;
     let header = |name: &str| request.header(name).map(|values| values.last().as_str().to_owned());
@@ -80,13 +90,21 @@
         return Response::new(StatusCode::InternalServerError);
     }
     if expected.is_some_and(|expected| expected != options.id) {
-        return Response::new(StatusCode::MisdirectedRequest);
+        let mut response = Response::new(StatusCode::MisdirectedRequest);
+        response.insert_header("x-instance-id", options.id.as_str());
+        return response;
     }
     if fault == ReplicaFault::Shed {
         let mut response = Response::new(StatusCode::ServiceUnavailable);
         response.insert_header("x-not-executed", "1");
         return response;
     }
+    if fault == ReplicaFault::Fail {
+        let mut response = Response::new(StatusCode::InternalServerError);
+        response.insert_header("x-request-id", id.as_str());
+        response.insert_header("x-response-signature", format!("sig-{}", options.id));
+        return response;
+    }
     let Ok(body) = incoming.body().await else {
         return Response::new(StatusCode::BadRequest);
     };
--- a/crates/standins/src/replica/faults.rs
+++ b/crates/standins/src/replica/faults.rs
@@ -9,6 +9,8 @@
     None,
     /// it refuses without running.
     Shed,
+    /// it answers with a failure of its own.
+    Fail,
     /// it runs the request and closes the connection without an answer.
     LoseAnswer,
     /// it runs the request and never answers.
--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -53,6 +53,10 @@
 pub(super) struct State {
     pub fault: ReplicaFault,
     pub runs: Vec<Run>,
+    /// requests that reached it, whatever became of them.
+    pub asked: usize,
+    /// whether it says in its answers that it leaves.
+    pub is_leaving: bool,
     /// whether it has ended and was not started again.
     pub is_down: bool,
     /// times that a request ended it.
@@ -140,6 +144,23 @@
         lock(&self.state).fault = fault;
     }
 
+    /// requests that reached it, whatever became of them.
+    pub fn asked(&self) -> usize {
+        lock(&self.state).asked
+    }
+
+    /// says in all answers from now on that it leaves; its entry stays as it is.
+    pub fn leave(&self) {
+        lock(&self.state).is_leaving = true;
+    }
+
+    /// is another start of the process from now on, which does not leave.
+    pub fn start_anew(&self) {
+        let mut state = lock(&self.state);
+        state.is_leaving = false;
+        state.restarts += 1;
+    }
+
     /// requests that it ran, the oldest first.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state).runs.clone()
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -3,6 +3,7 @@
 
 use flamingo_edge::timeout;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -10,14 +11,18 @@
 use crate::door::connections::Connection;
 use crate::door::connections::SendFailure;
 use crate::door::door::Door;
+use crate::door::door::Word;
 use crate::door::lease::Lease;
 use crate::door::request::DoorRequest;
 use crate::platform::AnswerHead;
 use crate::platform::ReplicaOrder;
+use crate::platform::answering_replica;
 use crate::platform::judge;
 use crate::platform::keeps_connection;
 use crate::platform::replica_headers;
+use crate::platform::says_leaving;
 use crate::routing::Outcome;
+use crate::schema::LeavingReplica;
 
 /// how one try at one replica went, up to the head of the answer.
 pub(super) enum Tried {
@@ -92,7 +97,11 @@
         }
         Some(Ok((connection, response))) => {
             let id = request.caller.id.as_deref();
-            let tried = match judge(response.status(), response.headers(), id) {
+            let head = judge(response.status(), response.headers(), id);
+            if says_leaving(response.headers()) {
+                hear_leaving(door, request, &lease, head, response.headers());
+            }
+            let tried = match head {
                 AnswerHead::Usable => None,
                 AnswerHead::NotRun => Some(Tried::NotRun(NotRun::Shed)),
                 AnswerHead::OtherReplica => Some(Tried::NotRun(NotRun::OtherReplica)),
@@ -147,6 +156,23 @@
     message
 }
 
+/// takes the word of the replica that answered that it leaves.
+fn hear_leaving(door: &Door, request: &DoorRequest, lease: &Lease, head: AnswerHead, headers: &HeaderMap) {
+    let pick = &lease.pick;
+    let (replica, started_unix_ms) = match head {
+        // Another replica has the address; it speaks for itself.
+        AnswerHead::OtherReplica => (answering_replica(headers), None),
+        AnswerHead::Usable | AnswerHead::NotRun | AnswerHead::Foreign => {
+            (Some(pick.id.clone()), Some(pick.started_unix_ms))
+        }
+    };
+    if let Some(replica) = replica {
+        door.connections.forget(pick.address);
+        let leaving = LeavingReplica { replica, started_unix_ms, age_ms: 0 };
+        door.hear_leaving(&leaving, Word::Answer { request: request.caller.id.as_deref() });
+    }
+}
+
 fn learn(door: &Door, lease: &Lease, tried: &Tried) {
     let outcome = match tried {
         Tried::Head(_)
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -181,8 +181,8 @@
         Some(Ok(body)) => body,
     };
     lease.settle();
+    door.keep(connection, &lease.pick, keeps);
     drop(lease);
-    door.connections.put(connection, keeps);
     let mut response = Response::new(whole(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = caller_headers(&parts.headers);
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
@@ -32,6 +33,7 @@
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::routing::Wanted;
+use crate::schema::LeavingReplica;
 use crate::schema::MirrorMark;
 use crate::schema::PoisonStrike;
 use crate::settings::DoorAddresses;
@@ -60,6 +62,18 @@
     draws: AtomicU64,
 }
 
+/// how a replica's word has come.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Word<'a> {
+    /// in an answer to this door.
+    Answer {
+        /// id of the request that was answered.
+        request: Option<&'a str>,
+    },
+    /// from another door.
+    Door,
+}
+
 impl Door {
     pub fn new(
         settings: NodeSettings,
@@ -158,6 +172,28 @@
         self.table.store(Some(Arc::new(table)));
     }
 
+    /// takes a replica's word that it leaves.
+    pub fn hear_leaving(&self, leaving: &LeavingReplica, word: Word<'_>) {
+        let is_own = matches!(word, Word::Answer { .. });
+        if !self.replicas().hear_leaving(self.now_ms(), leaving, is_own) {
+            return;
+        }
+        let (source, request) = match word {
+            Word::Answer { request } => ("answer", request),
+            Word::Door => ("door", None),
+        };
+        metrics::counter!("door_replicas_leaving_total", "source" => source).increment(1);
+        info!(self.log, "a replica says that it leaves"; "replica" => &leaving.replica,
+            "request" => request, "source" => source, "age_ms" => leaving.age_ms);
+    }
+
+    /// keeps a connection for later requests, unless its replica leaves.
+    pub fn keep(&self, connection: Connection, pick: &ReplicaPick, keeps: Option<Duration>) {
+        if !self.replicas().is_leaving(pick) {
+            self.connections.put(connection, keeps);
+        }
+    }
+
     /// looks whether somebody still listens at the address of a replica that broke an answer off.
     pub async fn probe(&self, pick: &ReplicaPick) -> Result<(), OpenFailure> {
         Connection::open(&self.spawner, pick.address).await.map(drop)
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -8,6 +8,7 @@
 use slog::warn;
 
 use crate::door::door::Door;
+use crate::door::door::Word;
 use crate::door::follow;
 use crate::ledger::empty_view;
 use crate::ledger_client::Heard;
@@ -67,6 +68,9 @@
     door.spawner.detach(take_news(Arc::clone(&door), heard));
     let mut was_away = true;
     loop {
+        // One look at the table at a time: the lock is held until the end of a statement.
+        let loads = door.replicas().own_loads();
+        let leaving = door.replicas().own_leaving(door.now_ms());
         let mut report = DoorReport {
             marks: Vec::new(),
             wants_fleet: false,
@@ -75,8 +79,9 @@
             callers: door.addresses.callers.to_string(),
             ready: door.is_ready(),
             started: door.incarnation.clone(),
-            loads: door.replicas().own_loads(),
+            loads,
             strikes_mark: None,
+            leaving,
         };
         let view = door.ledger.view();
         // Each door is told of the others by one node, and different doors by different ones.
@@ -163,6 +168,9 @@
         match heard.event {
             HeardEvent::Reply(LedgerReply::News(news)) => {
                 door.fleet().update(door.now_ms(), &news);
+                for leaving in &news.leaving {
+                    door.hear_leaving(leaving, Word::Door);
+                }
                 for strike in &news.strikes {
                     door.learn_strike(strike, &heard.member);
                 }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -193,8 +193,7 @@
     fn end(self) {
         let Run { connection, mut lease, keeps, .. } = self.run;
         lease.settle();
-        drop(lease);
-        self.door.connections.put(connection, keeps);
+        self.door.keep(connection, &lease.pick, keeps);
     }
 
     fn note(&self, what: &'static str) {
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -3,6 +3,7 @@
 use crate::schema::DoorReport;
 use crate::schema::DoorRow;
 use crate::schema::FleetNews;
+use crate::schema::LeavingReplica;
 use crate::schema::ReplicaUse;
 use crate::schema::StrikesMark;
 
@@ -40,7 +41,7 @@
         self.doors.retain(|_, row| now_ms < row.heard_ms + DOOR_KEEP_MS);
     }
 
-    /// what is known of all doors, and of the loads through others than the one that asks.
+    /// what is known of all doors, of replicas that leave, and of the loads through others than the one that asks.
     fn tell_fleet(&self, now_ms: u64, asker: &str, news: &mut FleetNews) {
         let mut running: BTreeMap<&str, u32> = BTreeMap::new();
         for row in self.doors.values().filter(|row| now_ms < row.heard_ms + DOOR_KEEP_MS) {
@@ -56,6 +57,10 @@
             for load in &report.loads {
                 *running.entry(&load.replica).or_default() += load.running;
             }
+            news.leaving.extend(report.leaving.iter().map(|leaving| LeavingReplica {
+                age_ms: leaving.age_ms + (now_ms - row.heard_ms),
+                ..leaving.clone()
+            }));
         }
         let loads = running.into_iter();
         news.loads =
@@ -73,6 +78,7 @@
             doors: Vec::new(),
             loads: Vec::new(),
             strikes: Vec::new(),
+            leaving: Vec::new(),
             strikes_mark: StrikesMark { start: String::new(), number: 0 },
             mirrors: Vec::new(),
         }
--- a/src/platform/replica_answer.rs
+++ b/src/platform/replica_answer.rs
@@ -17,6 +17,10 @@
 const NOT_EXECUTED: &str = "x-not-executed";
 /// proves that the answer is the replica's; without it a success does not count.
 const RESPONSE_SIGNATURE: &str = "x-response-signature";
+/// `1` in the answers of a replica that leaves.
+const SERVER_LEAVING: &str = "server-leaving";
+/// id of the replica that answers, in answers to requests that expected another one.
+const INSTANCE_ID: &str = "x-instance-id";
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// what the head of a replica's answer says.
@@ -51,6 +55,18 @@
     AnswerHead::Usable
 }
 
+/// whether the replica that answers says that it leaves. Only the value `1` does, alone or in a list; an empty value,
+/// `0` and anything else say nothing.
+pub fn says_leaving(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(SERVER_LEAVING).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|value| value.trim() == "1")
+}
+
+/// the replica that answered, if it is another one than was meant.
+pub fn answering_replica(headers: &HeaderMap) -> Option<String> {
+    text(headers, INSTANCE_ID)
+}
+
 /// how long a replica keeps an idle connection; zero if it closes it after this answer.
 pub fn keeps_connection(headers: &HeaderMap) -> Option<Duration> {
     let options = text(headers, CONNECTION.as_str()).unwrap_or_default();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns what a front door believes of replicas. Decisions only; time comes in as an argument.
 
+mod leaving;
 mod patience;
 mod pick;
 mod replica_table;
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -7,7 +7,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::routing::Wanted;
+use crate::routing::leaving::LeavingStarts;
 use crate::routing::pick;
+use crate::schema::LeavingReplica;
 use crate::schema::ReplicaUse;
 
 /// how long an entry that vanished while the platform was away is still used after its return.
@@ -96,8 +98,9 @@
         f64::from(self.others_running) / f64::from(self.entry.slots.max(1))
     }
 
-    fn is_usable(&self, now_ms: u64) -> bool {
-        !self.entry.leaving && self.drop_at_ms.is_none_or(|drop_at_ms| now_ms < drop_at_ms)
+    fn is_usable(&self, now_ms: u64, leaving: &LeavingStarts) -> bool {
+        let says_leaving = leaving.contains(&self.entry.id, self.entry.started_unix_ms);
+        !self.entry.leaving && !says_leaving && self.drop_at_ms.is_none_or(|drop_at_ms| now_ms < drop_at_ms)
     }
 }
 
@@ -106,6 +109,7 @@
 pub struct ReplicaTable {
     replicas: SlotMap<ReplicaId, Replica>,
     by_id: HashMap<String, ReplicaId>,
+    leaving: LeavingStarts,
     /// changes with each choice, to decide between equal replicas.
     draw: u64,
 }
@@ -130,6 +134,7 @@
 
     /// takes an entry that is new or has changed.
     pub fn put(&mut self, entry: ReplicaEntry) {
+        self.leaving.listed(&entry.id, entry.started_unix_ms);
         if let Some(replica) = self.by_id.get(&entry.id).and_then(|key| self.replicas.get_mut(*key)) {
             if entry.started_unix_ms != replica.entry.started_unix_ms {
                 replica.rest_until_ms = 0;
@@ -167,6 +172,7 @@
 
     /// drops entries that stayed away after an outage.
     pub fn expire(&mut self, now_ms: u64) {
+        self.leaving.expire(now_ms);
         let replicas = &mut self.replicas;
         self.by_id.retain(|_, key| {
             let stays = replicas
@@ -182,7 +188,9 @@
     /// chooses a replica and counts a request to it; `avoid` are replicas that were tried already.
     pub fn pick(&mut self, now_ms: u64, wanted: &Wanted<'_>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
         let usable = self.replicas.iter().filter(|(key, replica)| {
-            replica.entry.service == wanted.service && replica.is_usable(now_ms) && !avoid.contains(key)
+            replica.entry.service == wanted.service
+                && replica.is_usable(now_ms, &self.leaving)
+                && !avoid.contains(key)
         });
         let usable: Vec<&Replica> = usable.map(|(_, replica)| replica).collect();
         let rested: Vec<&Replica> =
@@ -222,6 +230,23 @@
         }
     }
 
+    /// takes a replica's word that it leaves, heard by this door or told by another one; `true` if it is news.
+    ///
+    /// It gets no further requests, whatever its entry says, until it shows a later start.
+    pub fn hear_leaving(&mut self, now_ms: u64, leaving: &LeavingReplica, is_own: bool) -> bool {
+        self.leaving.hear(now_ms, leaving, is_own)
+    }
+
+    /// whether a replica that was chosen has said since that it leaves.
+    pub fn is_leaving(&self, pick: &ReplicaPick) -> bool {
+        self.leaving.contains(&pick.id, pick.started_unix_ms)
+    }
+
+    /// replicas that said to this door that they leave, for the other doors.
+    pub fn own_leaving(&self, now_ms: u64) -> Vec<LeavingReplica> {
+        self.leaving.own(now_ms)
+    }
+
     /// takes what other doors have under way.
     pub fn set_others(&mut self, loads: &[ReplicaUse]) {
         for replica in self.replicas.values_mut() {
@@ -245,7 +270,7 @@
     /// usable replicas of each service.
     pub fn usable_counts(&self, now_ms: u64) -> BTreeMap<&str, usize> {
         let mut counts = BTreeMap::new();
-        for replica in self.replicas.values().filter(|replica| replica.is_usable(now_ms)) {
+        for replica in self.replicas.values().filter(|replica| replica.is_usable(now_ms, &self.leaving)) {
             *counts.entry(replica.entry.service.as_str()).or_default() += 1;
         }
         counts
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -453,6 +453,8 @@
 pub struct DoorReport {
     ///address that callers send requests to
     pub callers: ::std::string::String,
+    ///replicas that said that they leave, to this door
+    pub leaving: ::std::vec::Vec<LeavingReplica>,
     ///requests that it has under way
     pub loads: ::std::vec::Vec<ReplicaUse>,
     ///how far it knows the mirrors of the node that it reports to
@@ -663,6 +665,8 @@
     pub complete: bool,
     ///doors
     pub doors: ::std::vec::Vec<DoorRow>,
+    ///replicas that said to other doors that they leave
+    pub leaving: ::std::vec::Vec<LeavingReplica>,
     ///requests under way at each replica, through other doors than the one that asks
     pub loads: ::std::vec::Vec<ReplicaUse>,
     ///news of the platform
@@ -1046,6 +1050,17 @@
     ///id of the turn
     pub turn: ::std::string::String,
 }
+///a replica that said in an answer that it leaves
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LeavingReplica {
+    ///time since it said so
+    pub age_ms: u64,
+    ///id of the replica
+    pub replica: ::std::string::String,
+    ///start of its process; absent if it is not known
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub started_unix_ms: ::std::option::Option<u64>,
+}
 ///what a node knows of a program, and of the history that was asked for
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerAccount {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -132,6 +132,11 @@
         self.put_object(&format!("servers/{}", replica.id()), &replica.entry(state));
     }
 
+    /// lists a replica that is gone, at an address that another one has since.
+    pub fn list_ghost(&self, id: &str, replica: &ReplicaStandin) {
+        self.put_object(&format!("servers/{id}"), &replica.entry("ready"));
+    }
+
     /// lists a replica that answers without end, in place of all others of its service.
     pub fn add_endless(&self, replica: &EndlessReplica, service: &str) {
         self.put_object("servers/endless", &replica.entry(service));
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -14,6 +14,7 @@
         started: "s".to_owned(),
         loads: vec![ReplicaUse { replica: "r1".to_owned(), running }],
         strikes_mark: None,
+        leaving: Vec::new(),
         marks: Vec::new(),
         wants_fleet: true,
     }
