--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -11,7 +11,7 @@
 use crate::door::connections::Connection;
 use crate::door::connections::SendFailure;
 use crate::door::door::Door;
-use crate::door::door::Word;
+use crate::door::door::LeavingSource;
 use crate::door::lease::Lease;
 use crate::door::request::DoorRequest;
 use crate::platform::AnswerHead;
@@ -156,7 +156,7 @@
     message
 }
 
-/// takes the word of the replica that answered that it leaves.
+/// takes note that the replica that answered leaves.
 fn hear_leaving(door: &Door, request: &DoorRequest, lease: &Lease, head: AnswerHead, headers: &HeaderMap) {
     let pick = &lease.pick;
     let (replica, started_unix_ms) = match head {
@@ -169,7 +169,7 @@
     if let Some(replica) = replica {
         door.connections.forget(pick.address);
         let leaving = LeavingReplica { replica, started_unix_ms, age_ms: 0 };
-        door.hear_leaving(&leaving, Word::Answer { request: request.caller.id.as_deref() });
+        door.hear_leaving(&leaving, LeavingSource::Answer { request: request.caller.id.as_deref() });
     }
 }
 
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -62,9 +62,9 @@
     draws: AtomicU64,
 }
 
-/// how a replica's word has come.
+/// where it was heard that a replica leaves.
 #[derive(Clone, Copy, Debug)]
-pub(super) enum Word<'a> {
+pub(super) enum LeavingSource<'a> {
     /// in an answer to this door.
     Answer {
         /// id of the request that was answered.
@@ -172,15 +172,15 @@
         self.table.store(Some(Arc::new(table)));
     }
 
-    /// takes a replica's word that it leaves.
-    pub fn hear_leaving(&self, leaving: &LeavingReplica, word: Word<'_>) {
-        let is_own = matches!(word, Word::Answer { .. });
+    /// takes note that a replica leaves.
+    pub fn hear_leaving(&self, leaving: &LeavingReplica, word: LeavingSource<'_>) {
+        let is_own = matches!(word, LeavingSource::Answer { .. });
         if !self.replicas().hear_leaving(self.now_ms(), leaving, is_own) {
             return;
         }
         let (source, request) = match word {
-            Word::Answer { request } => ("answer", request),
-            Word::Door => ("door", None),
+            LeavingSource::Answer { request } => ("answer", request),
+            LeavingSource::Door => ("door", None),
         };
         metrics::counter!("door_replicas_leaving_total", "source" => source).increment(1);
         info!(self.log, "a replica says that it leaves"; "replica" => &leaving.replica,
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -8,7 +8,7 @@
 use slog::warn;
 
 use crate::door::door::Door;
-use crate::door::door::Word;
+use crate::door::door::LeavingSource;
 use crate::door::follow;
 use crate::ledger::empty_view;
 use crate::ledger_client::Heard;
@@ -169,7 +169,7 @@
             HeardEvent::Reply(LedgerReply::News(news)) => {
                 door.fleet().update(door.now_ms(), &news);
                 for leaving in &news.leaving {
-                    door.hear_leaving(leaving, Word::Door);
+                    door.hear_leaving(leaving, LeavingSource::Door);
                 }
                 for strike in &news.strikes {
                     door.learn_strike(strike, &heard.member);
--- a/src/routing/leaving.rs
+++ b/src/routing/leaving.rs
@@ -25,7 +25,7 @@
 }
 
 impl LeavingStarts {
-    /// takes a replica's word, heard by this door or told by another one; `true` if it is news.
+    /// takes note that a replica leaves, as it said itself or as another door was told; `true` if it is news.
     pub fn hear(&mut self, now_ms: u64, leaving: &LeavingReplica, is_own: bool) -> bool {
         let heard_ms = now_ms.saturating_sub(leaving.age_ms);
         let started_unix_ms = leaving.started_unix_ms;
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -230,7 +230,7 @@
         }
     }
 
-    /// takes a replica's word that it leaves, heard by this door or told by another one; `true` if it is news.
+    /// takes note that a replica leaves, as it said itself or as another door was told; `true` if it is news.
     ///
     /// It gets no further requests, whatever its entry says, until it shows a later start.
     pub fn hear_leaving(&mut self, now_ms: u64, leaving: &LeavingReplica, is_own: bool) -> bool {
--- a/tests/fleet_leaving.rs
+++ b/tests/fleet_leaving.rs
@@ -72,7 +72,7 @@
     assert_eq!(later(&fleet, 0, leaving, ask), 0);
 }
 
-/// Guards against a word that is lost because it came with a refusal meant for another replica.
+/// Guards against a header that is overlooked because it came with a refusal meant for another replica.
 #[test]
 fn leaving_replica_at_a_reused_address() {
     let fleet = Fleet::start("leaving-reused", 1);
@@ -127,9 +127,9 @@
     ask_until_heard(&fleet, 0, leaving, letter);
 }
 
-/// Guards against an answer that the door changes: the word goes on to the caller.
+/// Guards against an answer that the door changes: the header goes on to the caller.
 #[test]
-fn word_goes_on_to_the_caller() {
+fn leaving_header_goes_on_to_the_caller() {
     let fleet = Fleet::start("leaving-header", 1);
     for tool in &fleet.tools {
         tool.leave();
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -66,7 +66,7 @@
 
 /// Guards against a replica that is used because it said that it leaves before its entry was known.
 #[test]
-fn word_may_come_before_the_entry() {
+fn answer_may_come_before_the_entry() {
     let mut table = ReplicaTable::default();
     table.hear_leaving(0, &leaving("a", None), true);
     table.put(entry("a", 100));
@@ -75,9 +75,9 @@
     assert_eq!(usable(&mut table, 2).len(), 1);
 }
 
-/// Guards against words that doors pass to each other without end: a door tells only what it has heard itself.
+/// Guards against doors that tell each other the same for ever: a door tells only what replicas said to itself.
 #[test]
-fn doors_tell_only_their_own_word() {
+fn doors_tell_only_what_they_heard() {
     let mut table = ReplicaTable::default();
     table.hear_leaving(0, &leaving("told", Some(1)), false);
     table.hear_leaving(0, &leaving("heard", Some(1)), true);
@@ -88,7 +88,7 @@
 
 /// Guards against a door that does not learn what another one has heard, or learns it as if it were new.
 #[test]
-fn ledger_nodes_pass_the_word_on() {
+fn ledger_nodes_tell_other_doors() {
     let report = |name: &str, leaving: Vec<LeavingReplica>| DoorReport {
         name: name.to_owned(),
         zone: "zone-a".to_owned(),
@@ -105,7 +105,7 @@
     board.report(0, &report("a", vec![LeavingReplica { age_ms: 30, ..leaving("r", Some(1)) }]));
     let news = board.report(200, &report("b", Vec::new()));
     assert_eq!(news.leaving, [LeavingReplica { age_ms: 230, ..leaving("r", Some(1)) }]);
-    assert!(board.report(200, &report("a", Vec::new())).leaving.is_empty(), "not its own word");
+    assert!(board.report(200, &report("a", Vec::new())).leaving.is_empty(), "not what it said itself");
 }
 
 /// what must hold, kept plainly: each start of a replica, and which starts said that they leave.
@@ -123,7 +123,7 @@
     }
 }
 
-/// Guards against any order of words, rows, lapses and starts in which a leaving replica is used, or a new start is not.
+/// Guards against any order of answers, rows, lapses and starts in which a leaving replica is used, or a new start is not.
 #[test]
 fn leaving_agrees_with_a_plain_reference() {
     for seed in 0..2_000 {
