Let tests of endless bytes reach their bounds on a busy machine, and play lapses against leaving

Traced in the log that the test prints: eleven answers were given up as too large within 2 s, the last one was still below the bound when the 3 s of its route were over. Both bounds are right, the time came first; the test took a time for granted that it had not set. Change: these tests set a timeout of 60 s, so the bound of bytes decides. The check is stricter: heads without end are 502 as well, where 502 to 504 was taken before.

--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -11,6 +11,8 @@
 
 /// requests at once.
 const CALLERS: usize = 12;
+/// time that a request may take: far more than it takes to reach any bound of bytes, however busy the machine is.
+const WAIT_MS: u64 = 60_000;
 /// memory of the smallest front machine of any deployment.
 const MACHINE_MB: u64 = 88;
 /// the most that a turn may generate, and the tokens that it has left.
@@ -18,7 +20,16 @@
 
 /// what the callers got, once the door has closed all connections to the replica.
 fn ask_many(name: &str, part: EndlessPart, ask: impl Fn(usize) -> Ask + Sync) -> (Fleet, Vec<fleet::Answer>) {
-    let fleet = Fleet::start(name, 1);
+    let mut fleet = Fleet::start(name, 1);
+    let patient = serde_json::json!({ "timeout_ms": WAIT_MS });
+    let retained = serde_json::json!({ "timeout_ms": WAIT_MS, "retained": true, "retention_s": 60.0 });
+    fleet.put_config(&serde_json::json!([
+        fleet::route("send", "/send/", "non_idempotent", "tools", patient),
+        fleet::route("kept", "/kept/", "streaming", "models", retained),
+    ]));
+    fleet.wait("the longer timeout is in force", || {
+        fleet.doors[0].lines_with("a configuration is in force").len() > 1
+    });
     let replica = EndlessReplica::start(part).expect("the replica starts");
     let ask = &ask;
     let service = if ask(0).path.starts_with("/send/") { "tools" } else { "models" };
@@ -36,12 +47,14 @@
 }
 
 fn letter(caller: usize) -> Ask {
-    Ask::post("/send/letter", &format!("letter-{caller}"), &format!("text {caller}"))
+    let ask = Ask::post("/send/letter", &format!("letter-{caller}"), &format!("text {caller}"));
+    ask.with("X-Deadline-Ms", &WAIT_MS.to_string())
 }
 
 fn chat(caller: usize) -> Ask {
     let program = format!("program-{caller}");
-    Ask::turn("/kept/t", &format!("chat-{caller}"), &program, &program, TURN_TOKENS, TURN_TOKENS)
+    let ask = Ask::turn("/kept/t", &format!("chat-{caller}"), &program, &program, TURN_TOKENS, TURN_TOKENS);
+    ask.with("X-Deadline-Ms", &WAIT_MS.to_string())
 }
 
 /// Guards against a door that reads heads without end until its memory is used up.
@@ -53,7 +66,7 @@
     let name: &str = part.into();
     let (fleet, answers) = ask_many(&format!("endless-{name}"), part, letter);
     for answer in &answers {
-        assert!(matches!(answer.status, 502..=504), "it may have run: {answer:?}");
+        assert_eq!(answer.status, 502, "it may have run: {answer:?}");
     }
     assert!(fleet.doors[0].peak_memory_mb() < MACHINE_MB);
 }
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -108,36 +108,62 @@
     assert!(board.report(200, &report("a", Vec::new())).leaving.is_empty(), "not what it said itself");
 }
 
-/// what must hold, kept plainly: each start of a replica, and which starts said that they leave.
+/// what must hold, kept plainly: the entries, when they lapse, and which starts said that they leave.
 #[derive(Default)]
 struct Reference {
-    listed: BTreeMap<String, u64>,
+    listed: BTreeMap<String, Listed>,
     left: BTreeMap<String, u64>,
 }
 
+#[derive(Clone, Copy)]
+struct Listed {
+    started_unix_ms: u64,
+    lapses_ms: Option<u64>,
+}
+
 impl Reference {
-    fn usable(&self) -> BTreeSet<String> {
-        let is_usable =
-            |(id, started): &(&String, &u64)| self.left.get(*id).is_none_or(|left| left < started);
-        self.listed.iter().filter(is_usable).map(|(id, _)| id.clone()).collect()
+    fn put(&mut self, id: &str, started_unix_ms: u64) {
+        self.listed.insert(id.to_owned(), Listed { started_unix_ms, lapses_ms: None });
+    }
+
+    fn remove(&mut self, now_ms: u64, id: &str, after_outage: bool) {
+        if !after_outage {
+            self.listed.remove(id);
+        } else if let Some(listed) = self.listed.get_mut(id) {
+            listed.lapses_ms.get_or_insert(now_ms + LAPSE_MS);
+        }
+    }
+
+    fn usable(&mut self, now_ms: u64) -> BTreeSet<String> {
+        self.listed.retain(|_, listed| listed.lapses_ms.is_none_or(|lapses_ms| now_ms < lapses_ms));
+        let has_left =
+            |id: &str, listed: &Listed| self.left.get(id).is_some_and(|left| listed.started_unix_ms <= *left);
+        let usable = self.listed.iter().filter(|(id, listed)| !has_left(id, listed));
+        usable.map(|(id, _)| id.clone()).collect()
     }
 }
 
-/// Guards against any order of answers, rows, lapses and starts in which a leaving replica is used, or a new start is not.
+/// time for which an entry is still used that vanished around an outage of the platform.
+const LAPSE_MS: u64 = 2_000;
+
+/// Guards against any order of answers, rows, lapses, returns and starts in which a leaving replica is used, or a new
+/// start is not.
 #[test]
 fn leaving_agrees_with_a_plain_reference() {
     for seed in 0..2_000 {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut table = ReplicaTable::default();
         let mut reference = Reference::default();
-        for step in 0..60_u64 {
-            let now_ms = step * 3_000;
+        let mut now_ms = 0;
+        for step in 0..60 {
+            now_ms += rng.random_range(1..1_500);
             let id = format!("r{}", rng.random_range(0..4));
             let started = rng.random_range(1..5);
+            let after_outage = rng.random_range(0..2) == 0;
             match rng.random_range(0..5) {
                 0 | 1 => {
                     table.put(entry(&id, started));
-                    reference.listed.insert(id, started);
+                    reference.put(&id, started);
                 }
                 2 => {
                     table.hear_leaving(now_ms, &leaving(&id, Some(started)), rng.random_range(0..2) == 0);
@@ -145,22 +171,37 @@
                     *left = started.max(*left);
                 }
                 3 => {
-                    table.remove(now_ms, &id, false);
-                    reference.listed.remove(&id);
-                }
-                _ => {
-                    let rows: Vec<ReplicaEntry> = reference
-                        .listed
-                        .iter()
-                        .filter(|_| rng.random_range(0..3) > 0)
-                        .map(|(id, started)| entry(id, *started))
-                        .collect();
-                    reference.listed = rows.iter().map(|row| (row.id.clone(), row.started_unix_ms)).collect();
-                    table.replace(now_ms, rows, false);
+                    table.remove(now_ms, &id, after_outage);
+                    reference.remove(now_ms, &id, after_outage);
                 }
+                _ => replace(&mut rng, now_ms, after_outage, &mut table, &mut reference),
             }
             table.expire(now_ms);
-            assert_eq!(usable(&mut table, now_ms), reference.usable(), "seed {seed}, step {step}");
+            assert_eq!(usable(&mut table, now_ms), reference.usable(now_ms), "seed {seed}, step {step}");
         }
     }
 }
+
+/// lists some of the known replicas anew, each as it was or with another start.
+fn replace(
+    rng: &mut StdRng,
+    now_ms: u64,
+    after_outage: bool,
+    table: &mut ReplicaTable,
+    reference: &mut Reference,
+) {
+    let known: Vec<(String, Listed)> =
+        reference.listed.iter().map(|(id, listed)| (id.clone(), *listed)).collect();
+    let mut rows = Vec::new();
+    for (id, listed) in known {
+        match rng.random_range(0..4) {
+            0 => reference.remove(now_ms, &id, after_outage),
+            1 => rows.push(entry(&id, rng.random_range(1..5))),
+            _ => rows.push(entry(&id, listed.started_unix_ms)),
+        }
+    }
+    for row in &rows {
+        reference.put(&row.id, row.started_unix_ms);
+    }
+    table.replace(now_ms, rows, after_outage);
+}
