Refuse a content after three victims, not two

What callers would see: where many replicas end at the same moment, a stream that goes on elsewhere meets a second dead one and its content is refused on all doors for ten minutes, although it has done nothing. Cause: since each victim of an attempt counts, two of them are no longer independent; a mass failure makes both within milliseconds. Ruled out: to count victims that are close in time once; a request that ends its replicas, tried again at once, looks just the same.

--- a/src/poison/strikes.rs
+++ b/src/poison/strikes.rs
@@ -5,8 +5,8 @@
 
 /// replicas that may end under a content before it is refused.
 ///
-/// One may be chance, as replicas also end by themselves; a third victim is one too many.
-pub const VICTIMS_TO_HOLD: usize = 2;
+/// Two may be chance: where many replicas end at once, a request that is tried again meets the second one a moment later.
+pub const VICTIMS_TO_HOLD: usize = 3;
 /// how long a content is remembered after its last victim: longer than callers come back with the same request.
 const KEEP_MS: u64 = 600_000;
 /// contents remembered; of more, those with one victim go first, and the oldest of them.
