Send a turn where the program's last turn ran

Cause: a door took the replica with the fewest requests of its own and used the program only to decide between equals. With seven doors and some load there is one least busy replica, so a program's turns went wherever it was, and its prompt was read again at each. Reading prompts is what these engines spend most time on.

Ruled out: the ledger (turns wait a few ms for it), refusals (none), slots (no queue but during the burst).

Change: the end of a turn tells the ledger which replica ran it; the answer to the next beginning names it. The replica keeps the program until its slots are taken, then loses a growing part of what arrives. A program without a home takes the less busy one of two drawn replicas. Keyed calls go by their own key before the program.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -26,6 +26,7 @@
 use crate::poison::Evidence;
 use crate::poison::ReplicaRun;
 use crate::poison::VICTIMS_TO_HOLD;
+use crate::routing::Affinity;
 use crate::routing::Patience;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
@@ -141,7 +142,7 @@
     }
 
     /// chooses a replica, which then counts one more request until its lease is dropped.
-    pub fn pick(&self, service: &str, affinity: Option<&str>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
+    pub fn pick(&self, service: &str, affinity: Affinity<'_>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
         let wanted = Wanted { service, zone: &self.settings.instance.zone, affinity };
         self.replicas().pick(self.now_ms(), &wanted, avoid)
     }
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -52,6 +52,7 @@
                         headers: head.headers,
                         caller,
                         body,
+                        home: None,
                         deadline,
                     };
                     run(&door, &request, &route).await
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -9,6 +9,8 @@
 
 use crate::door::content::Content;
 use crate::platform::CallerRequest;
+use crate::routing::Affinity;
+use crate::routing::RequestKind;
 use crate::routing::Route;
 
 /// a caller's request, read whole.
@@ -20,6 +22,8 @@
     pub headers: HeaderMap,
     pub caller: CallerRequest,
     pub body: Bytes,
+    /// replica that ran the turn before this one, as far as the ledger knows.
+    pub home: Option<String>,
     /// when the caller's or the route's time is over, whichever is first.
     pub deadline: Instant,
 }
@@ -31,9 +35,15 @@
     }
 
     /// what the request gains from the same replica by.
-    pub fn affinity(&self, route: &Route) -> Option<&str> {
-        let key = self.caller.program.as_ref().or(self.caller.affinity_key.as_ref())?;
-        route.sticky.then_some(key.as_str())
+    pub fn affinity(&self, route: &Route) -> Affinity<'_> {
+        if !route.sticky {
+            return Affinity::None;
+        }
+        if route.kind == RequestKind::Streaming && self.caller.program.is_some() {
+            return Affinity::Program { home: self.home.as_deref() };
+        }
+        let key = self.caller.affinity_key.as_ref().or(self.caller.program.as_ref());
+        key.map_or(Affinity::None, |key| Affinity::Key(key))
     }
 
     /// what goes to a replica.
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -184,6 +184,9 @@
         }
         self.note("resumed");
         let Head { response, connection, lease, keeps } = *head;
+        if let Some(account) = &mut self.account {
+            account.runs_at(&lease.pick.id);
+        }
         self.run = Run { body: response.into_body(), connection, lease, keeps };
         self.cutter = EventCutter::default();
         true
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -37,6 +37,9 @@
     door: Arc<Door>,
     program: String,
     request: String,
+    line: Option<String>,
+    /// replica that runs the turn.
+    replica: Option<String>,
     tokens_per_event: u64,
     /// tokens that were reserved for the turn.
     most_tokens: u64,
@@ -70,6 +73,11 @@
         true
     }
 
+    /// takes note of the replica that runs the turn from here on.
+    pub fn runs_at(&mut self, replica: &str) {
+        self.replica = Some(replica.to_owned());
+    }
+
     /// stores the whole turn; the caller learns of its end only afterwards.
     pub async fn finish(&mut self) -> anyhow::Result<()> {
         let Some(kept) = self.kept.take() else {
@@ -90,6 +98,8 @@
         LedgerFinish {
             program: self.program.clone(),
             request: self.request.clone(),
+            line: self.line.clone(),
+            replica: self.replica.clone(),
             used_tokens: self.event_count * self.tokens_per_event,
             turn,
         }
@@ -128,6 +138,7 @@
     let start = TurnStart {
         program: program.clone(),
         request: id.clone(),
+        line: caller.session.clone(),
         budget_tokens,
         most_tokens: caller.most_tokens.unwrap_or(budget_tokens),
         previous: caller.previous_turn.clone(),
@@ -137,6 +148,8 @@
         door: Arc::clone(door),
         program: program.clone(),
         request: id.clone(),
+        line: caller.session.clone(),
+        replica: None,
         tokens_per_event: door.tokens_per_event(route),
         event_count: 0,
         kept: None,
@@ -147,8 +160,8 @@
         let lost_just_now = door.ledger.away_ms().is_some_and(|away_ms| away_ms < LOST_JUST_NOW_MS);
         return Err(if lost_just_now { Refusal::LedgerUnsure } else { Refusal::LedgerAway });
     }
-    let (history, reservation) = match door.ledger.begin(start).await {
-        Begun::Go { history, reservation } => (history, reservation),
+    let (history, home, reservation) = match door.ledger.begin(start).await {
+        Begun::Go { history, home, reservation } => (history, home, reservation),
         Begun::OverBudget { held_tokens } => {
             info!(door.log, "a budget is spent"; "request" => id, "program" => program,
                 "budget_tokens" => budget_tokens, "held_tokens" => held_tokens);
@@ -165,10 +178,12 @@
         door.spawner.clone().spawn(async move { door.ledger.confirm(*reservation).await })
     };
     let mut whole = request.clone();
+    whole.home = home;
     if !history.is_empty() {
         whole.body = Bytes::from([history.as_slice(), &request.body].concat());
     }
     let head = Tries::new(door, &whole, route)?.head().await?;
+    account.runs_at(&head.lease.pick.id);
     if !head.response.status().is_success() {
         return read_whole(door, &whole, *head).await.map_err(|_| Refusal::AnswerLost);
     }
--- a/src/ledger/book.rs
+++ b/src/ledger/book.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use crate::ledger::homes::Homes;
 use crate::poison::Strikes;
 use crate::schema::KeptTurn;
 use crate::schema::LedgerFinish;
@@ -48,6 +49,7 @@
 #[derive(Debug, Default)]
 struct ProgramRow {
     spends: BTreeMap<String, SpendRow>,
+    homes: Homes,
     touched_ms: u64,
 }
 
@@ -127,6 +129,7 @@
         let away = known.is_some_and(|row| row.away);
         let row = SpendRow { tokens: finish.used_tokens, settled: true, away, number: self.last_number };
         program.spends.insert(finish.request.clone(), row);
+        program.homes.finished(finish);
         let subject = Subject::Turn { program: finish.program.clone(), request: finish.request.clone() };
         self.order.insert(self.last_number, subject);
         if let Some(turn) = &finish.turn {
@@ -170,6 +173,11 @@
         changed.map(spend).collect()
     }
 
+    /// the replica at which a turn of a program finds most of its prompt.
+    pub fn home(&self, program: &str, line: Option<&str>) -> Option<&str> {
+        self.programs.get(program)?.homes.home(line)
+    }
+
     /// tells whether a turn is kept.
     pub fn knows_turn(&self, request: &str) -> bool {
         self.turns.contains_key(request)
@@ -236,6 +244,8 @@
         Some(LedgerRecord::Finished(LedgerFinish {
             program: program.to_owned(),
             request: request.to_owned(),
+            line: None,
+            replica: None,
             used_tokens: row.tokens,
             turn,
         }))
--- a/src/ledger/gather.rs
+++ b/src/ledger/gather.rs
@@ -46,6 +46,8 @@
     /// tokens held by each turn.
     spends: BTreeMap<String, LedgerSpend>,
     turns: HashMap<String, KeptTurn>,
+    /// replica that ran the last turn of the line, by the first member that knows one.
+    home: Option<String>,
     /// complete members that lack a turn, by the turn.
     lacked_by: HashMap<String, BTreeSet<String>>,
 }
@@ -60,6 +62,7 @@
             stored: BTreeSet::new(),
             spends: BTreeMap::new(),
             turns: HashMap::new(),
+            home: None,
             lacked_by: HashMap::new(),
         }
     }
@@ -67,6 +70,7 @@
     /// takes what a member knows of the program, and of `turn` if that was asked for as well.
     pub fn account(&mut self, member: &str, turn: Option<&str>, mut account: LedgerAccount) {
         self.take_spends(account.spends.drain(..));
+        self.home = self.home.take().or_else(|| account.home.take());
         if account.complete {
             self.complete.insert(member.to_owned());
         }
@@ -94,6 +98,11 @@
         }
     }
 
+    /// replica at which the turn finds most of its prompt.
+    pub fn home(&self) -> Option<&str> {
+        self.home.as_deref()
+    }
+
     /// takes note that the records are on the disk of a member, and what changed there meanwhile.
     pub fn stored(&mut self, member: &str, stored: LedgerStored) {
         self.stored.insert(member.to_owned());
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -6,6 +6,7 @@
 mod book;
 mod core;
 mod gather;
+mod homes;
 mod join;
 mod join_plan;
 mod node;
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -156,11 +156,11 @@
             LedgerRequest::Begin(begin) => self.begin(now_ms, from, ask.id, begin),
             LedgerRequest::Finish(finish) => self.finish(now_ms, from, ask.id, finish),
             LedgerRequest::Spent(spent) => {
-                let account = self.account(&spent.program, None, false);
+                let account = self.account(&spent.program, None, None, false);
                 vec![self.answer(from, ask.id, LedgerReply::Account(account))]
             }
             LedgerRequest::History(history) => {
-                let account = self.account("", Some(&history.turn), true);
+                let account = self.account("", None, Some(&history.turn), true);
                 vec![self.answer(from, ask.id, LedgerReply::Account(account))]
             }
             LedgerRequest::Strikes(strikes) => self.strike(now_ms, from, ask.id, &strikes.strikes),
@@ -176,7 +176,8 @@
             away: begin.away,
         });
         let mut actions = self.copy(now_ms, std::slice::from_ref(&reserved));
-        let account = self.account(&begin.program, begin.previous.as_deref(), begin.wants_history);
+        let (line, previous) = (begin.line.as_deref(), begin.previous.as_deref());
+        let account = self.account(&begin.program, line, previous, begin.wants_history);
         actions.push(self.answer(from, id, LedgerReply::Account(account)));
         let told = Some((begin.program.clone(), self.book.last_number()));
         actions.extend(self.stored_later(Unsynced { from, id, told }));
@@ -235,10 +236,22 @@
         self.answer(ask.from, ask.id, LedgerReply::Stored(stored))
     }
 
-    fn account(&self, program: &str, turn: Option<&str>, wants_history: bool) -> LedgerAccount {
+    fn account(
+        &self,
+        program: &str,
+        line: Option<&str>,
+        turn: Option<&str>,
+        wants_history: bool,
+    ) -> LedgerAccount {
         let knows_turn = turn.is_none_or(|turn| self.book.knows_turn(turn));
         let history = turn.filter(|_| wants_history).map(|turn| self.book.history(turn)).unwrap_or_default();
-        LedgerAccount { spends: self.book.spends(program, 0), complete: self.complete, knows_turn, history }
+        LedgerAccount {
+            spends: self.book.spends(program, 0),
+            home: self.book.home(program, line).map(str::to_owned),
+            complete: self.complete,
+            knows_turn,
+            history,
+        }
     }
 
     fn records(&self, after: u64) -> LedgerRecords {
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -36,6 +36,8 @@
     pub program: String,
     /// id of the turn.
     pub request: String,
+    /// line of turns of the program that it belongs to.
+    pub line: Option<String>,
     /// tokens that all turns of the program may generate.
     pub budget_tokens: u64,
     /// the most that this turn generates.
@@ -51,6 +53,8 @@
     Go {
         /// everything that was said before.
         history: Vec<u8>,
+        /// replica that ran the turn before it.
+        home: Option<String>,
         /// its tokens.
         reservation: Box<Reservation>,
     },
@@ -113,8 +117,9 @@
             }
             match self.first_look(&mut round, &start, deadline).await {
                 Look::Go(history) => {
+                    let home = round.gather.home().map(str::to_owned);
                     let reservation = Box::new(Reservation { start, round });
-                    return Begun::Go { history, reservation };
+                    return Begun::Go { history, home, reservation };
                 }
                 Look::Stop(begun) => return begun,
                 Look::Again(why) => is_away |= why == Again::Away,
@@ -261,6 +266,7 @@
             program: self.program.clone(),
             request: self.request.clone(),
             most_tokens: self.most_tokens,
+            line: self.line.clone(),
             previous: self.previous.clone(),
             wants_history,
             away,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod service;
 
 pub use patience::Patience;
+pub use pick::Affinity;
 pub use pick::Wanted;
 pub use replica_table::Outcome;
 pub use replica_table::ReplicaEntry;
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -98,6 +98,11 @@
         f64::from(self.others_running) / f64::from(self.entry.slots.max(1))
     }
 
+    /// requests of all doors under way as far as is known, as a share of the slots.
+    pub fn share(&self) -> f64 {
+        self.own_share() + self.others_share()
+    }
+
     fn is_usable(&self, now_ms: u64, leaving: &LeavingStarts) -> bool {
         let says_leaving = leaving.contains(&self.entry.id, self.entry.started_unix_ms);
         !self.entry.leaving && !says_leaving && self.drop_at_ms.is_none_or(|drop_at_ms| now_ms < drop_at_ms)
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1068,6 +1068,9 @@
     pub complete: bool,
     ///the turn and those before it, the newest first, as far as the node has them without a gap; empty unless asked for
     pub history: ::std::vec::Vec<KeptTurn>,
+    ///replica that ran the last turn of the line, or else of the program, as far as the node knows
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub home: ::std::option::Option<::std::string::String>,
     ///whether the turn that was named is known; true if none was named
     pub knows_turn: bool,
     ///tokens held by each turn of the program
@@ -1094,6 +1097,9 @@
 pub struct LedgerBegin {
     ///whether other members than the first ones of the program were asked, because one of those is out of reach
     pub away: bool,
+    ///line of turns of the program that it belongs to
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub line: ::std::option::Option<::std::string::String>,
     ///the most that the turn may generate
     pub most_tokens: u64,
     ///turn that this one goes on from
@@ -1109,8 +1115,14 @@
 ///a turn has ended
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerFinish {
+    ///line of turns of the program that it belongs to
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub line: ::std::option::Option<::std::string::String>,
     ///program
     pub program: ::std::string::String,
+    ///replica that ran it; absent if none did, and in records that were copied
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub replica: ::std::option::Option<::std::string::String>,
     ///id of the turn
     pub request: ::std::string::String,
     ///what is kept of it
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use flamingostand::fleet::Board;
+use flamingostand::routing::Affinity;
 use flamingostand::routing::ReplicaEntry;
 use flamingostand::routing::ReplicaTable;
 use flamingostand::routing::Wanted;
@@ -13,7 +14,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-const WANTED: Wanted<'_> = Wanted { service: "models", zone: "zone-a", affinity: None };
+const WANTED: Wanted<'_> = Wanted { service: "models", zone: "zone-a", affinity: Affinity::None };
 
 fn entry(id: &str, started_unix_ms: u64) -> ReplicaEntry {
     ReplicaEntry {
--- a/tests/ledger_world/door.rs
+++ b/tests/ledger_world/door.rs
@@ -123,6 +123,7 @@
                 program,
                 request: self.request.clone(),
                 most_tokens: self.tokens,
+                line: None,
                 previous: self.previous.clone(),
                 wants_history: true,
                 away: self.is_away,
@@ -131,6 +132,8 @@
             Stage::Finish | Stage::Done => LedgerRequest::Finish(LedgerFinish {
                 program,
                 request: self.request.clone(),
+                line: None,
+                replica: None,
                 used_tokens: self.tokens,
                 turn: Some(LedgerTurn {
                     previous: self.previous.clone(),
--- /dev/null
+++ b/tests/program_homes.rs
@@ -0,0 +1,93 @@
+//! the replica at which a program's prompts are kept: the ledger names it, so that all doors know it.
+
+mod fleet;
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use flamingostand::ledger::Book;
+use flamingostand::schema::LedgerFinish;
+use flamingostand::schema::LedgerRecord;
+use fleet::Ask;
+use fleet::Fleet;
+
+/// budget that no test turn exhausts.
+const AMPLE: u64 = 100_000;
+/// pause between two turns of a program, in which the end of the first one reaches the ledger.
+const THINK: Duration = Duration::from_millis(200);
+
+fn finish(request: &str, line: Option<&str>, replica: Option<&str>) -> LedgerRecord {
+    LedgerRecord::Finished(LedgerFinish {
+        program: "p".to_owned(),
+        request: request.to_owned(),
+        line: line.map(str::to_owned),
+        replica: replica.map(str::to_owned),
+        used_tokens: 1,
+        turn: None,
+    })
+}
+
+#[test]
+fn line_before_program() {
+    let mut book = Book::default();
+    assert_eq!(book.home("p", Some("main")), None);
+    book.merge(0, &finish("a", Some("main"), Some("r1")));
+    book.merge(0, &finish("b", Some("helper"), Some("r2")));
+    assert_eq!(book.home("p", Some("main")), Some("r1"));
+    assert_eq!(book.home("p", Some("helper")), Some("r2"));
+    assert_eq!(book.home("p", Some("new helper")), Some("r2"), "a new line goes on from its program");
+}
+
+#[test]
+fn turn_without_replica_changes_nothing() {
+    let mut book = Book::default();
+    book.merge(0, &finish("a", Some("main"), Some("r1")));
+    book.merge(0, &finish("b", Some("main"), None));
+    assert_eq!(book.home("p", Some("main")), Some("r1"));
+}
+
+#[test]
+fn endless_helpers_do_not_fill_the_memory() {
+    let mut book = Book::default();
+    for number in 0..1_000 {
+        book.merge(0, &finish(&format!("t{number}"), Some(&format!("line-{number}")), Some("r1")));
+    }
+    let remembered = (0..1_000).filter(|number| {
+        let line = format!("line-{number}");
+        book.merge(0, &finish("last", None, Some("r2")));
+        book.home("p", Some(&line)) == Some("r1")
+    });
+    assert!(remembered.count() <= 64);
+}
+
+/// replicas that ran the turns of the program, each once.
+fn homes(fleet: &Fleet) -> usize {
+    fleet.models.iter().filter(|replica| !replica.runs().is_empty()).count()
+}
+
+#[test]
+fn turns_through_two_doors_share_a_home() {
+    let mut fleet = Fleet::start("homes", 2);
+    for number in 3..=8 {
+        fleet.add_replica(&format!("model-{number}"), "models", 4);
+    }
+    // Doors hear of new replicas within a few reports.
+    sleep(Duration::from_secs(1));
+    for number in 0..8 {
+        let ask = Ask::turn("/chat/t", &format!("turn-{number}"), "x", "program-1", AMPLE, 50);
+        let answer = fleet.doors[number % 2].send(&ask.with("X-Session-Id", "main"));
+        assert!(answer.is_whole, "{answer:?}");
+        sleep(THINK);
+        if number == 3 {
+            // The hint is in the log of the ledger nodes as well.
+            for node in &mut fleet.ledgers {
+                node.kill();
+                node.start();
+            }
+            let ask = Ask::turn("/chat/t", "turn-again", "x", "program-1", AMPLE, 50);
+            fleet.turn_until_answered(0, &ask.with("X-Session-Id", "main"));
+            sleep(THINK);
+        }
+    }
+    assert_eq!(homes(&fleet), 1, "the turns ran at several replicas");
+}
--- a/tests/replica_spread.rs
+++ b/tests/replica_spread.rs
@@ -2,8 +2,10 @@
 //! each of which sees its own requests at once and those of others only by reports that are as old as a turn is long.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use flamingostand::routing::Affinity;
 use flamingostand::routing::ReplicaEntry;
 use flamingostand::routing::ReplicaId;
 use flamingostand::routing::ReplicaTable;
@@ -30,8 +32,21 @@
     }
 }
 
+/// what doors choose by.
+#[derive(Clone, Copy, PartialEq)]
+enum By {
+    /// the replica that ran the program's turn before, which the ledger names.
+    Home,
+    /// a key of the request.
+    Key,
+    /// nothing.
+    Nothing,
+}
+
 /// a turn that a door has sent to a replica.
 struct Turn {
+    program: String,
+    replica: String,
     door: usize,
     key: ReplicaId,
     sent_ms: u64,
@@ -55,8 +70,9 @@
     doors: Vec<Door>,
     engines: Vec<Engine>,
     draws: Draws,
-    /// whether turns go by their program, or calls by nothing.
-    by_program: bool,
+    by: By,
+    /// replica of the last turn of each program that has ended.
+    homes: HashMap<String, String>,
     shed_count: usize,
     served_count: usize,
     /// turns that waited longer than they ran.
@@ -64,7 +80,7 @@
 }
 
 impl World {
-    fn new(doors: usize, engines: usize, by_program: bool) -> Self {
+    fn new(doors: usize, engines: usize, by: By) -> Self {
         let door = |door| {
             let mut table = ReplicaTable::new(door as u64);
             for number in 0..engines {
@@ -76,7 +92,8 @@
             doors: (0..doors).map(door).collect(),
             engines: (0..engines).map(|_| Engine::default()).collect(),
             draws: Draws(7),
-            by_program,
+            by,
+            homes: HashMap::new(),
             shed_count: 0,
             served_count: 0,
             slow_count: 0,
@@ -104,10 +121,15 @@
         let number = self.draws.below(self.doors.len());
         let program = format!("p{}", self.draws.below(400));
         let zone = format!("zone-{}", number % ZONES);
-        let wanted = Wanted { service: "models", zone: &zone, affinity: self.by_program.then_some(&program) };
+        let affinity = match self.by {
+            By::Home => Affinity::Program { home: self.homes.get(&program).map(String::as_str) },
+            By::Key => Affinity::Key(&program),
+            By::Nothing => Affinity::None,
+        };
+        let wanted = Wanted { service: "models", zone: &zone, affinity };
         let pick = self.doors[number].table.pick(now_ms, &wanted, &[]).expect("all replicas are up");
         let engine = &mut self.engines[usize::from(pick.address.port())];
-        let turn = Turn { door: number, key: pick.key, sent_ms: now_ms };
+        let turn = Turn { program, replica: pick.id, door: number, key: pick.key, sent_ms: now_ms };
         if engine.running.len() < SLOTS as usize {
             engine.running.push((now_ms + TURN_MS, turn));
         } else if engine.waiting.len() < QUEUE {
@@ -126,6 +148,7 @@
                 self.served_count += 1;
                 self.slow_count += usize::from(end_ms - turn.sent_ms > 2 * TURN_MS);
                 self.doors[turn.door].table.release(turn.key);
+                self.homes.insert(turn.program, turn.replica);
             }
             while engine.running.len() < SLOTS as usize {
                 let Some(turn) = engine.waiting.pop_front() else {
@@ -167,22 +190,26 @@
     }
 }
 
-#[test_case(52, 36, true; "turns by many doors")]
-#[test_case(9, 8, true; "turns by few doors")]
-#[test_case(52, 36, false; "calls by many doors")]
-#[test_case(9, 8, false; "calls by few doors")]
-fn nothing_is_refused_below_capacity(doors: usize, engines: usize, by_program: bool) {
-    let mut world = World::new(doors, engines, by_program);
+#[test_case(52, 36, By::Home; "turns by many doors")]
+#[test_case(9, 8, By::Home; "turns by few doors")]
+#[test_case(52, 36, By::Key; "keyed by many doors")]
+#[test_case(9, 8, By::Key; "keyed by few doors")]
+#[test_case(52, 36, By::Nothing; "calls by many doors")]
+#[test_case(9, 8, By::Nothing; "calls by few doors")]
+fn nothing_is_refused_below_capacity(doors: usize, engines: usize, by: By) {
+    let mut world = World::new(doors, engines, by);
     world.play(20_000, 0.85);
     assert_eq!(world.shed_count, 0, "of {}", world.served_count);
 }
 
-#[test_case(52, 36, true; "turns by many doors")]
-#[test_case(9, 8, true; "turns by few doors")]
-#[test_case(52, 36, false; "calls by many doors")]
-#[test_case(9, 8, false; "calls by few doors")]
-fn few_wait_longer_than_they_run(doors: usize, engines: usize, by_program: bool) {
-    let mut world = World::new(doors, engines, by_program);
+#[test_case(52, 36, By::Home; "turns by many doors")]
+#[test_case(9, 8, By::Home; "turns by few doors")]
+#[test_case(52, 36, By::Key; "keyed by many doors")]
+#[test_case(9, 8, By::Key; "keyed by few doors")]
+#[test_case(52, 36, By::Nothing; "calls by many doors")]
+#[test_case(9, 8, By::Nothing; "calls by few doors")]
+fn few_wait_longer_than_they_run(doors: usize, engines: usize, by: By) {
+    let mut world = World::new(doors, engines, by);
     world.play(20_000, 0.75);
     // A program may take half as long again as on idle replicas: a twentieth of its turns may wait that long.
     assert!(world.slow_count * 20 < world.served_count, "{} of {}", world.slow_count, world.served_count);
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -1,5 +1,6 @@
 //! choice of a replica by what a door believes. Pattern of load: bursts through doors that see only their own part.
 
+use flamingostand::routing::Affinity;
 use flamingostand::routing::Outcome;
 use flamingostand::routing::ReplicaEntry;
 use flamingostand::routing::ReplicaTable;
@@ -27,6 +28,7 @@
 }
 
 fn wanted(affinity: Option<&str>) -> Wanted<'_> {
+    let affinity = affinity.map_or(Affinity::None, Affinity::Key);
     Wanted { service: "models", zone: "zone-1", affinity }
 }
 
