Ask nodes for the ledger before the platform, and repeat failed looks rarely

What callers saw: nothing; the operators paid.

Cause: each of 83 doors read the ledger's view from the platform every 150 ms until it had enough members, and listed and watched both prefixes itself from 250 ms after its start until ledger nodes had word. During an outage each door repeated its own looks up to every 500 ms, though ledger nodes do the same and tell the doors.

Ruled out: the ledger nodes' watches (five seated nodes, two prefixes, about 360 calls), retirements (about 140).

Change: a door asks the nodes that its settings name, and the platform only after 500 ms, then with growing pauses; its first own look at a prefix comes a second after its start; failed looks of a door back off from 500 ms to 2 s.

--- a/src/door/follow.rs
+++ b/src/door/follow.rs
@@ -21,6 +21,9 @@
 use crate::schema::MirrorNews;
 use crate::schema::MirroredObject;
 
+/// time after its start from which on a door may ask the platform itself: ledger nodes that start at the same moment have
+/// listed it by then.
+const FIRST_LOOK_AFTER: Duration = Duration::from_millis(1_000);
 /// how often a door looks whether the ledger nodes still have word of the platform.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
@@ -97,13 +100,14 @@
 /// asks the platform itself while no ledger node has word of it, until the process ends.
 pub(super) async fn follow(door: Arc<Door>, platform: Arc<HttpPlatform>, prefix: &'static str) {
     let wait_ms = door.settings.platform.watch_ms;
+    Timer::after(FIRST_LOOK_AFTER).await;
     loop {
         Timer::after(LOOK_EVERY).await;
         if door.is_told_of(prefix) {
             continue;
         }
         info!(door.log, "follow the platform without the ledger nodes"; "prefix" => prefix);
-        let mut following = Following::new(prefix, wait_ms);
+        let mut following = Following::fallback(prefix, wait_ms);
         let mut mirror = Mirror::new(prefix, &door.incarnation);
         while !door.is_told_of(prefix) {
             let pause_ms = following.pause_ms(door.now_ms());
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -10,6 +10,7 @@
 use crate::door::door::Door;
 use crate::door::door::LeavingSource;
 use crate::door::follow;
+use crate::door::ledger_search::LedgerSearch;
 use crate::ledger::empty_view;
 use crate::ledger_client::Heard;
 use crate::ledger_client::HeardEvent;
@@ -30,23 +31,34 @@
 const REPORT_EVERY_WHEN_AWAY: Duration = Duration::from_millis(80);
 /// wait for a node's disk before strikes are told again: many syncs of a slow disk.
 const STORE_LIMIT: Duration = Duration::from_secs(1);
-/// pause before the view is asked for again.
-const VIEW_RETRY: Duration = Duration::from_millis(150);
+/// pause before the nodes that the settings name are asked again for the view.
+const SEEDS_RETRY: Duration = Duration::from_millis(150);
 
-/// looks for the ledger until its view has enough members; later views come with the answers of its nodes.
+/// looks for the ledger's view whenever the ledger is out of reach, until the process ends.
+///
+/// While some nodes of the known view answer, later views come with their answers.
 pub(super) async fn find_ledger(door: Arc<Door>, platform: Arc<HttpPlatform>) {
-    let is_found = || {
-        let view = door.ledger.view();
-        view.members.len() >= view.quorum().write()
-    };
-    while !is_found() {
-        ask_seeds(&door);
-        let empty = empty_view(door.settings.tolerance.lost_disks);
-        match read_view(&platform, empty).await {
-            Ok((_, view)) => door.ledger.adopt(&view),
-            Err(error) => warn!(door.log, "the ledger view cannot be read"; "error" => error),
+    let mut search = LedgerSearch::new(rand::random());
+    loop {
+        if door.ledger.is_reachable() {
+            search.found();
+        } else {
+            ask_seeds(&door);
+            if search.is_due(door.now_ms()) {
+                read_view_from(&door, &platform).await;
+            }
+        }
+        Timer::after(SEEDS_RETRY).await;
+    }
+}
+
+async fn read_view_from(door: &Door, platform: &HttpPlatform) {
+    let empty = empty_view(door.settings.tolerance.lost_disks);
+    match read_view(platform, empty).await {
+        Ok((_, view)) => door.ledger.adopt(&view),
+        Err(error) => {
+            warn!(door.log, "the ledger view cannot be read"; "dependency" => "platform", "error" => error)
         }
-        Timer::after(VIEW_RETRY).await;
     }
 }
 
--- a/src/fleet/follower.rs
+++ b/src/fleet/follower.rs
@@ -12,6 +12,9 @@
 const FIRST_RETRY_MS: u64 = 60;
 /// longest wait after a failed call: an outage that ends is noticed well within the bounds of a second and more.
 const LONGEST_RETRY_MS: u64 = 500;
+/// the same waits of a fallback, as every door is one: whoever is not a fallback notices the end of an outage first.
+const FALLBACK_FIRST_RETRY_MS: u64 = 500;
+const FALLBACK_LONGEST_RETRY_MS: u64 = 2_000;
 /// wait after changes before the next call, as changes come in rows and each call is charged: far below the bounds of
 /// two seconds and more within which changes have to be in force.
 const GATHER_CHANGES_MS: u64 = 150;
@@ -23,6 +26,7 @@
     wait_ms: u64,
     state: State,
     backoff: Backoff,
+    seed: u64,
     next_call_ms: u64,
 }
 
@@ -53,10 +57,17 @@
             wait_ms,
             state: State::Listing { after: String::new(), objects: Vec::new() },
             backoff: Backoff::new(FIRST_RETRY_MS, LONGEST_RETRY_MS, seed),
+            seed,
             next_call_ms: 0,
         }
     }
 
+    /// repeats failed calls less often, beside others who follow the same prefix.
+    pub fn into_fallback(mut self) -> Self {
+        self.backoff = Backoff::new(FALLBACK_FIRST_RETRY_MS, FALLBACK_LONGEST_RETRY_MS, self.seed);
+        self
+    }
+
     /// revision of the platform up to which all changes were seen; `None` while listing.
     pub fn revision(&self) -> Option<u64> {
         match &self.state {
--- a/src/fleet/following.rs
+++ b/src/fleet/following.rs
@@ -34,8 +34,16 @@
 impl Following {
     /// follows a prefix with watches of `wait_ms`.
     pub fn new(prefix: &'static str, wait_ms: u64) -> Self {
-        let seed = rand::random();
-        Self { prefix, follower: Follower::new(prefix, wait_ms, seed), failed_ms: None, is_lost: false }
+        Self::with(prefix, Follower::new(prefix, wait_ms, rand::random()))
+    }
+
+    /// follows a prefix beside others who do; failed calls are repeated less often.
+    pub fn fallback(prefix: &'static str, wait_ms: u64) -> Self {
+        Self::with(prefix, Follower::new(prefix, wait_ms, rand::random()).into_fallback())
+    }
+
+    fn with(prefix: &'static str, follower: Follower) -> Self {
+        Self { prefix, follower, failed_ms: None, is_lost: false }
     }
 
     /// how long to wait before the next call.
