Keep callers, programs and news within availability zones, and tell doors changes

What callers saw: nothing; the operators paid.

Cause, worked out from sizes: each of 83 doors was told of all 83 doors four times a second (about 1.5 MB/s); callers were named doors of any zone, and programs replicas of any zone, so that four prompts in five crossed zones.

Ruled out: the watches (ledger nodes follow the platform, which is in no zone).

Change: ledger nodes number what changes among doors and tell what is new since the mark of the door that asks. A caller whose zone has three doors is named only those. A program without a home takes a replica of the door's zone unless that is busier than replicas are on the whole.

Tests: fleet_news.rs (a steady fleet of 10, 83 and 1,500 doors is told nothing; a dead door is heard of through changes; a new informant; callers of a zone).

--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -16,6 +16,7 @@
 use hyper::header::HeaderValue;
 use slog::info;
 
+use crate::door::OwnDoor;
 use crate::door::answer::DoorBody;
 use crate::door::answer::plain;
 use crate::door::answer::whole;
@@ -29,6 +30,7 @@
 use crate::platform::MAX_ADDRESSES;
 use crate::platform::READINESS_PATH;
 use crate::platform::RESOLVE_PATH;
+use crate::platform::asker_zone;
 use crate::platform::resolve_body;
 use crate::routing::RequestKind;
 use crate::routing::Route;
@@ -120,13 +122,10 @@
     if request.uri().path() != RESOLVE_PATH {
         return plain(StatusCode::NOT_FOUND, "no such path");
     }
-    let own = door.addresses.callers.to_string();
-    let is_ready = door.is_ready();
+    let callers = door.addresses.callers.to_string();
+    let own = OwnDoor { callers: &callers, zone: &door.settings.instance.zone, is_ready: door.is_ready() };
     let fleet = door.fleet();
-    let mut addresses = fleet.addresses(&own, is_ready);
-    if is_ready || addresses.is_empty() {
-        addresses.insert(0, &own);
-    }
+    let mut addresses = fleet.addresses(&own, asker_zone(request.uri()));
     addresses.truncate(MAX_ADDRESSES);
     let keep_s = door.settings.bounds.directory_ttl_ms as f64 / 1_000.0;
     let mut response = Response::new(whole(resolve_body(&addresses, keep_s)));
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -28,4 +28,5 @@
 pub use daemon::run_door;
 pub use event_cutter::EventCutter;
 pub use fleet_view::FleetView;
+pub use fleet_view::OwnDoor;
 pub use ledger_search::LedgerSearch;
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -86,6 +86,7 @@
         let mut report = DoorReport {
             marks: Vec::new(),
             wants_fleet: false,
+            doors_mark: None,
             name: door.settings.instance.name.clone(),
             zone: door.settings.instance.zone.clone(),
             callers: door.addresses.callers.to_string(),
@@ -102,6 +103,7 @@
             report.marks = door.marks(&member.name);
             report.strikes_mark = door.poison().marks.get(&member.name).cloned();
             report.wants_fleet = informant.as_deref() == Some(&member.name);
+            report.doors_mark = door.fleet().mark().filter(|_| report.wants_fleet).cloned();
             // A node that cannot be reached shows in its silence.
             door.ledger.ask(member, view.epoch, LedgerRequest::Report(report.clone()), None, &sender);
         }
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -150,7 +150,7 @@
         Self {
             node: LedgerNode::new(identity, empty),
             own,
-            board: Board::default(),
+            board: Board::new(start),
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
             peers: Peers::default(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -31,6 +31,7 @@
 pub use entry_calls::MAX_ADDRESSES;
 pub use entry_calls::READINESS_PATH;
 pub use entry_calls::RESOLVE_PATH;
+pub use entry_calls::asker_zone;
 pub use entry_calls::resolve_body;
 pub use http_platform::HttpPlatform;
 pub use http_platform::HttpPlatformOptions;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -58,7 +58,7 @@
     match wanted.affinity {
         Affinity::Key(key) => rendezvous::first(key, equal.iter(), |replica| &replica.entry.id).copied(),
         Affinity::None => drawn(draw, &near(wanted.zone, &equal)),
-        Affinity::Program { .. } => new_home(draw, &equal),
+        Affinity::Program { .. } => new_home(wanted.zone, draw, &equal),
     }
 }
 
@@ -73,10 +73,20 @@
     shares / candidates.len().max(1) as f64
 }
 
-/// a replica for a program that has none, or whose one is too busy: the less busy one of two that are drawn.
+/// a replica for a program that has none, or whose one is too busy: one of the own availability zone, as all prompts of
+/// the program go to it, unless it is busier than replicas are on the whole.
+fn new_home<'a>(zone: &str, draw: u64, replicas: &[&'a Replica]) -> Option<&'a Replica> {
+    let near = less_busy(draw, &near(zone, replicas))?;
+    if near.share() <= mean_share(replicas) {
+        return Some(near);
+    }
+    less_busy(draw, replicas)
+}
+
+/// the less busy one of two that are drawn.
 ///
 /// Two are enough to keep away from the busiest ones, and not so many that all doors meet at the least busy one.
-fn new_home<'a>(draw: u64, replicas: &[&'a Replica]) -> Option<&'a Replica> {
+fn less_busy<'a>(draw: u64, replicas: &[&'a Replica]) -> Option<&'a Replica> {
     let (first, second) = (drawn(draw, replicas)?, drawn(draw >> 32, replicas)?);
     Some(if second.share() < first.share() { second } else { first })
 }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -453,6 +453,8 @@
 pub struct DoorReport {
     ///address that callers send requests to
     pub callers: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub doors_mark: ::std::option::Option<DoorsMark>,
     ///replicas that said that they leave, to this door
     pub leaving: ::std::vec::Vec<LeavingReplica>,
     ///requests that it has under way
@@ -475,12 +477,22 @@
 ///a front door as a ledger node knows it
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DoorRow {
-    ///time since its last report
-    pub age_ms: u64,
     ///address that callers send requests to
     pub callers: ::std::string::String,
-    ///whether it takes requests
+    ///whether it takes requests, as it said last
     pub ready: bool,
+    ///whether its reports have stopped
+    pub silent: bool,
+    ///availability zone
+    pub zone: ::std::string::String,
+}
+///how far a door knows the doors that a ledger node knows
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DoorsMark {
+    ///last change that is known
+    pub number: u64,
+    ///start of the node that numbered the changes
+    pub start: ::std::string::String,
 }
 ///tells an instance to leave
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -663,14 +675,18 @@
 pub struct FleetNews {
     ///whether the node has all that its disk should hold
     pub complete: bool,
-    ///doors
+    ///doors that are new or have changed since the mark of the door that asks
     pub doors: ::std::vec::Vec<DoorRow>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub doors_mark: ::std::option::Option<DoorsMark>,
     ///replicas that said to other doors that they leave
     pub leaving: ::std::vec::Vec<LeavingReplica>,
     ///requests under way at each replica, through other doors than the one that asks
     pub loads: ::std::vec::Vec<ReplicaUse>,
     ///news of the platform
     pub mirrors: ::std::vec::Vec<MirrorNews>,
+    ///whether these are all doors, and not only those that changed
+    pub names_all_doors: bool,
     ///strikes after the door's mark
     pub strikes: ::std::vec::Vec<PoisonStrike>,
     pub strikes_mark: StrikesMark,
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -1,6 +1,7 @@
 //! what doors tell each other through ledger nodes: loads, and who is there.
 
 use flamingostand::door::FleetView;
+use flamingostand::door::OwnDoor;
 use flamingostand::fleet::Board;
 use flamingostand::schema::DoorReport;
 use flamingostand::schema::ReplicaUse;
@@ -17,6 +18,7 @@
         leaving: Vec::new(),
         marks: Vec::new(),
         wants_fleet: true,
+        doors_mark: None,
     }
 }
 
@@ -31,17 +33,107 @@
     assert!(late.loads.is_empty(), "a door that is gone runs nothing");
 }
 
+/// addresses that the door `b` names to a caller from nowhere in particular, but for its own.
+fn others(view: &FleetView, is_ready: bool) -> Vec<&str> {
+    let own = OwnDoor { callers: "b:80", zone: "zone-a", is_ready };
+    view.addresses(&own, None).into_iter().filter(|callers| *callers != own.callers).collect()
+}
+
 #[test]
 fn dead_door_is_not_named() {
     let mut board = Board::default();
     board.report(0, &report("a", 0));
     let mut view = FleetView::default();
     view.update(0, &board.report(0, &report("b", 0)));
-    assert_eq!(view.addresses("b:80", true), ["a:80"]);
-    assert_eq!(view.addresses("b:80", false), ["a:80"], "without news, what was known last stands");
+    assert_eq!(others(&view, true), ["a:80"]);
+    assert_eq!(others(&view, false), ["a:80"], "without news, what was known last stands");
     view.update(1_500, &board.report(1_500, &report("b", 0)));
-    assert!(view.addresses("b:80", true).is_empty());
-    assert_eq!(view.addresses("b:80", false), ["a:80"], "a door that is cut off names the others");
+    assert!(others(&view, true).is_empty());
+    assert_eq!(others(&view, false), ["a:80"], "a door that is cut off names the others");
+}
+
+/// what the door `b` asks with after it has taken `view`.
+fn asks(view: &FleetView) -> DoorReport {
+    DoorReport { doors_mark: view.mark().cloned(), ..report("b", 0) }
+}
+
+#[test]
+fn dead_door_is_heard_of_through_changes() {
+    let mut board = Board::new("s1");
+    let mut view = FleetView::default();
+    for now_ms in (0..1_000).step_by(250) {
+        board.report(now_ms, &report("c", 0));
+        if now_ms == 0 {
+            board.report(now_ms, &report("a", 0));
+        }
+        view.update(now_ms, &board.report(now_ms, &asks(&view)));
+    }
+    board.report(1_000, &report("c", 0));
+    view.update(1_000, &board.report(1_000, &asks(&view)));
+    assert_eq!(others(&view, true), ["c:80"]);
+    board.report(1_250, &report("a", 0));
+    view.update(1_250, &board.report(1_250, &asks(&view)));
+    assert_eq!(others(&view, true), ["a:80", "c:80"], "it is back");
+    let leaving = DoorReport { ready: false, ..report("a", 0) };
+    board.report(1_300, &leaving);
+    view.update(1_500, &board.report(1_500, &asks(&view)));
+    assert_eq!(others(&view, true), ["c:80"], "it says that it takes no requests");
+}
+
+/// Pattern of load: a large fleet at rest. What each door is told must not grow with the number of doors.
+#[test]
+fn steady_fleet_is_told_nothing() {
+    for count in [10, 83, 1_500] {
+        let mut board = Board::new("s1");
+        let mut view = FleetView::default();
+        let mut told = 0;
+        for now_ms in (0..5_000).step_by(250) {
+            for number in 0..count {
+                board.report(now_ms, &DoorReport { wants_fleet: false, ..report(&format!("d{number}"), 0) });
+            }
+            let news = board.report(now_ms, &asks(&view));
+            told += if now_ms > 0 { news.doors.len() } else { 0 };
+            view.update(now_ms, &news);
+        }
+        assert_eq!(told, 0, "{count} doors");
+        assert_eq!(others(&view, true).len(), count);
+    }
+}
+
+#[test]
+fn new_informant_tells_of_all() {
+    let (mut first, mut second) = (Board::new("s1"), Board::new("s2"));
+    let mut view = FleetView::default();
+    for door in ["a", "c"] {
+        first.report(0, &report(door, 0));
+    }
+    view.update(0, &first.report(0, &asks(&view)));
+    // The second node has just started and has heard of one door only.
+    second.report(250, &report("c", 0));
+    view.update(250, &second.report(250, &asks(&view)));
+    assert_eq!(others(&view, true), ["a:80", "c:80"], "a door that it does not know yet stays for a while");
+    second.report(1_500, &report("c", 0));
+    view.update(1_500, &second.report(1_500, &asks(&view)));
+    assert_eq!(others(&view, true), ["c:80"]);
+}
+
+#[test]
+fn callers_get_doors_of_their_zone() {
+    let mut board = Board::new("s1");
+    for number in 0..9 {
+        let zone = format!("zone-{}", number % 3);
+        board.report(0, &DoorReport { zone, ..report(&format!("d{number}"), 0) });
+    }
+    board.report(0, &DoorReport { zone: "zone-3".to_owned(), ..report("d9", 0) });
+    let mut view = FleetView::default();
+    view.update(0, &board.report(0, &asks(&view)));
+    let own = OwnDoor { callers: "b:80", zone: "zone-1", is_ready: true };
+    assert_eq!(view.addresses(&own, Some("zone-2")), ["d2:80", "d5:80", "d8:80"]);
+    let near = view.addresses(&own, Some("zone-1"));
+    assert_eq!(near, ["b:80", "d1:80", "d4:80", "d7:80"]);
+    let few = view.addresses(&own, Some("zone-3"));
+    assert_eq!((few.len(), few[0]), (11, "d9:80"), "one door of a zone is not enough");
+    assert_eq!(view.addresses(&own, None).len(), 11);
 }
 
 #[test]
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -100,6 +100,7 @@
         strikes_mark: None,
         marks: Vec::new(),
         wants_fleet: true,
+        doors_mark: None,
         leaving,
     };
     let mut board = Board::default();
