Answer requests on connections that a stopping door has accepted

Cause: 1.5 s after the signal a door ends each connection after its request; one that was accepted later and had not sent its request yet counted as idle and was closed at once, while the listener went on accepting. A connection was also counted only when its task first ran, so that the process could end in between.

Ruled out: requests under way (stop_finishes_streams), idle kept connections (their callers were told `Connection: close` with the last answer).

Change: such a connection has 300 ms to send its first request, which is answered; accepted connections count from their acceptance.

Test: fleet_stop accepted_requests_are_answered_until_the_end failed before (status 0 at 2,089 ms after the signal) and passes now; fleet_changes passes.

--- a/src/door/serve.rs
+++ b/src/door/serve.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 use flamingo_edge::HyperIo;
 use flamingo_edge::Spawner;
+use flamingo_edge::timeout;
 use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
@@ -23,6 +24,9 @@
 
 /// how long to pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// how long a connection that was accepted while the process stops may take to send its request: the opening of the
+/// connection and the request are a round trip apart, and a lost packet is sent again after as long.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
 /// room for the request line and headers; callers stay within the operators' bound, which is smaller.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -48,6 +52,8 @@
         };
         // A socket that refuses is only slower.
         let _ = stream.get_ref().set_nodelay(true);
+        // Counted here, as a process that stops must not overlook a connection that it has accepted.
+        served.open.fetch_add(1, Ordering::Relaxed);
         served.spawner.detach(carry(stream, served.clone(), handler.clone()));
     }
 }
@@ -57,8 +63,10 @@
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<DoorBody>> + Send + 'static,
 {
-    served.open.fetch_add(1, Ordering::Relaxed);
+    let (first_request, has_first_request) = async_channel::bounded::<()>(1);
     let service = service_fn(|request| {
+        // The channel is full from the second request on.
+        let _ = first_request.try_send(());
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -68,6 +76,7 @@
     let closes = async {
         // The channel carries nothing; it closes.
         let _ = served.closing.recv().await;
+        timeout(FIRST_REQUEST_WAIT, has_first_request.recv()).await;
         None
     };
     let ended = future::or(async { Some(connection.as_mut().await) }, closes).await;
