Count the time of a suspended machine against a request

What callers could see: a machine that was suspended for seconds and woke again sent a letter whose caller had long given up, as its steady clock had stood still (operators of similar systems have met a process that acted on a permission that had run out).

Cause: the deadline of a request was an instant of the steady clock, which does not count a suspension. A second look was missing between the opening of a connection, up to 400 ms, and the sending.

Ruled out: a process stopped by a signal (the steady clock goes on); caps on what a replica is told (they follow the same deadline).

Change: the time that is left is the least by the steady clock and by the clock that counts suspensions (rustix, which async-io brings already); it is looked at again right before the request goes out. A request that is too late then has not run and is refused as such.

--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -44,6 +44,8 @@
     OtherReplica,
     /// no connection could be opened.
     Unreachable,
+    /// the time was over before a byte went out, as after a pause of this process.
+    Expired,
 }
 
 /// why the outcome of a request is unknown.
@@ -138,6 +140,10 @@
                 Err(_) => return Err(Tried::NotRun(NotRun::Unreachable)),
             },
         };
+        // The connection may have taken long to open, or the machine was suspended meanwhile.
+        if request.left().is_zero() {
+            return Err(Tried::NotRun(NotRun::Expired));
+        }
         match connection.send(message(request, lease, last_event)).await {
             Ok(response) => return Ok((connection, response)),
             Err(SendFailure::NotSent) if !fresh => fresh = true,
@@ -176,6 +182,7 @@
 fn learn(door: &Door, lease: &Lease, tried: &Tried) {
     let outcome = match tried {
         Tried::Head(_)
+        | Tried::NotRun(NotRun::Expired)
         | Tried::Unclear(Unclear::TimedOut | Unclear::Slow | Unclear::Foreign | Unclear::TooLarge) => return,
         Tried::NotRun(NotRun::Shed) => Outcome::Full,
         Tried::NotRun(NotRun::OtherReplica | NotRun::Unreachable) | Tried::Unclear(Unclear::Broken) => {
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -136,6 +136,7 @@
             _ if self.unclear > 0 => Refusal::AnswerLost,
             None => Refusal::NoReplica,
             Some(NotRun::Shed) => Refusal::AllFull,
+            Some(NotRun::Expired) => Refusal::TooLate,
             Some(NotRun::OtherReplica | NotRun::Unreachable) => Refusal::Unreachable,
         }
     }
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::time::Instant;
 
 use flamingo_edge::timeout;
 use http_body_util::BodyExt;
@@ -16,6 +15,8 @@
 use hyper::header::HeaderValue;
 use slog::info;
 
+use crate::clock::Deadline;
+use crate::clock::Moment;
 use crate::door::OwnDoor;
 use crate::door::answer::DoorBody;
 use crate::door::answer::plain;
@@ -37,7 +38,7 @@
 
 /// answers a request of a caller.
 pub(super) async fn answer_caller(door: Arc<Door>, request: Request<Incoming>) -> Response<DoorBody> {
-    let received = Instant::now();
+    let received = Moment::now();
     let (head, body) = request.into_parts();
     let caller = CallerRequest::read(&head.headers);
     let id = caller.id.clone();
@@ -62,7 +63,7 @@
             }
         }
     };
-    let elapsed_ms = received.elapsed().as_secs_f64() * 1_000.0;
+    let elapsed_ms = received.steady.elapsed().as_secs_f64() * 1_000.0;
     metrics::histogram!("door_first_byte_ms").record(elapsed_ms);
     metrics::counter!("door_requests_total", "answered" => if outcome.is_ok() { "yes" } else { "no" })
         .increment(1);
@@ -70,7 +71,7 @@
         let reason: &'static str = refusal.into();
         metrics::counter!("door_refusals_total", "reason" => reason).increment(1);
         info!(door.log, "a request was not answered by a replica"; "request" => id, "reason" => reason,
-            "status" => refusal.status().as_u16(), "waited_ms" => received.elapsed().as_millis() as u64);
+            "status" => refusal.status().as_u16(), "waited_ms" => received.steady.elapsed().as_millis() as u64);
         refusal.response()
     });
     if door.is_leaving() {
@@ -87,8 +88,8 @@
     Ok((Arc::clone(route), table.limits.max_body_bytes))
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<bytes::Bytes, Refusal> {
-    let left = deadline.saturating_duration_since(Instant::now());
+async fn read_body(body: Incoming, max_bytes: usize, deadline: Deadline) -> Result<bytes::Bytes, Refusal> {
+    let left = deadline.left(&Moment::now());
     match timeout(left, Limited::new(body, max_bytes).collect()).await {
         None => Err(Refusal::TooLate),
         Some(Ok(body)) => Ok(body.to_bytes()),
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -1,5 +1,4 @@
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -7,6 +6,8 @@
 use hyper::Uri;
 use hyper::header::HOST;
 
+use crate::clock::Deadline;
+use crate::clock::Moment;
 use crate::door::content::Content;
 use crate::platform::CallerRequest;
 use crate::routing::Affinity;
@@ -25,13 +26,13 @@
     /// replica that ran the turn before this one, as far as the ledger knows.
     pub home: Option<String>,
     /// when the caller's or the route's time is over, whichever is first.
-    pub deadline: Instant,
+    pub deadline: Deadline,
 }
 
 impl DoorRequest {
     /// the time that is left.
     pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.left(&Moment::now())
     }
 
     /// what the request gains from the same replica by.
@@ -55,7 +56,7 @@
 }
 
 /// when the time of a request is over.
-pub(super) fn deadline(received: Instant, route: &Route, caller: &CallerRequest) -> Instant {
+pub(super) fn deadline(received: Moment, route: &Route, caller: &CallerRequest) -> Deadline {
     let wait_ms = caller.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    received + Duration::from_millis(wait_ms)
+    Deadline::new(received, Duration::from_millis(wait_ms))
 }
