End a process whose essential task has ended, so that it is started again

What callers could see: a door that goes on with a configuration and replicas of long ago. Not seen; found by looking for unexpected errors that take a process down (operators of similar systems have met one).

Cause: a panic in a detached task ends only that task, so a bad message or request takes nothing else along; tests/essential_tasks.rs shows it, and it held before. But the same holds for the tasks that a process rests on: one panic in a door's reports or looks at the platform, or in a ledger node's ticks, and the process would look alive and never learn anything again.

Change: these tasks are started as essential; if one ends, the daemon logs its name and ends with an error, and the platform starts it again.

--- a/src/door/daemon.rs
+++ b/src/door/daemon.rs
@@ -7,15 +7,18 @@
 use std::time::Instant;
 
 use anyhow::Context;
+use anyhow::bail;
 use async_io::Async;
 use async_io::Timer;
 use async_signal::Signal;
 use async_signal::Signals;
 use flamingo_edge::Spawner;
 use futures_lite::StreamExt;
+use futures_lite::future;
 use hyper::Request;
 use hyper::body::Incoming;
 use slog::Logger;
+use slog::error;
 use slog::info;
 
 use crate::door::door::Door;
@@ -28,6 +31,7 @@
 use crate::door::reporter::report;
 use crate::door::serve::Served;
 use crate::door::serve::serve;
+use crate::fleet::Essentials;
 use crate::fleet::start_mesh;
 use crate::ids::Incarnation;
 use crate::platform::HttpPlatform;
@@ -77,20 +81,27 @@
     let (close, closing) = async_channel::bounded::<()>(1);
     let open = Arc::new(AtomicUsize::new(0));
     let served = Served { spawner: spawner.clone(), open: Arc::clone(&open), closing };
+    let essentials = Essentials::new(spawner.clone());
     for prefix in [OPERATOR_CONFIG, REPLICAS] {
-        spawner.detach(follow(Arc::clone(&door), Arc::clone(&platform), prefix));
+        essentials.start(prefix, follow(Arc::clone(&door), Arc::clone(&platform), prefix));
     }
-    spawner.detach(find_ledger(Arc::clone(&door), platform));
-    spawner.detach(report(Arc::clone(&door)));
+    essentials.start("find the ledger", find_ledger(Arc::clone(&door), platform));
+    essentials.start("report", report(Arc::clone(&door)));
     listen(&door, &served)?;
-    loop {
-        match signals.next().await {
-            Some(Ok(Signal::Hup)) => {
-                info!(log, "told to read the settings again; they hold from the next start")
+    let told_to_stop = async {
+        loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => {
+                    info!(log, "told to read the settings again; they hold from the next start")
+                }
+                Some(Ok(_)) | None => return None,
+                Some(Err(error)) => info!(log, "signals cannot be read"; "error" => error.to_string()),
             }
-            Some(Ok(_)) | None => break,
-            Some(Err(error)) => info!(log, "signals cannot be read"; "error" => error.to_string()),
         }
+    };
+    if let Some(task) = future::or(told_to_stop, async { Some(essentials.ended().await) }).await {
+        error!(log, "an essential task has ended"; "task" => task);
+        bail!("the task {task:?} has ended");
     }
     leave(&door, &open, close).await;
     info!(log, "stop"; "open_connections" => open.load(Ordering::Relaxed));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! what the processes of a fleet know of each other and of the platform's objects.
 
 mod board;
+mod essentials;
 mod follower;
 mod following;
 mod merge;
@@ -8,6 +9,7 @@
 mod start_mesh;
 
 pub use board::Board;
+pub use essentials::Essentials;
 pub use follower::Followed;
 pub use follower::Follower;
 pub use following::Following;
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use anyhow::Context;
+use anyhow::bail;
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_io::Timer;
@@ -13,9 +14,12 @@
 use async_signal::Signals;
 use flamingo_edge::Spawner;
 use futures_lite::StreamExt;
+use futures_lite::future;
 use slog::Logger;
+use slog::error;
 use slog::info;
 
+use crate::fleet::Essentials;
 use crate::fleet::Followed;
 use crate::fleet::Following;
 use crate::fleet::Step;
@@ -91,20 +95,21 @@
     let platform = Arc::new(HttpPlatform::new(HttpPlatformOptions::try_from(&settings.platform)?));
     let inbox = Arc::new(Inbox { events: events.clone() });
     let mesh = start_mesh(settings, &spawner, incarnation, inbox)?;
-    spawner.detach(forward_log_events(opened.events, events.clone()));
+    let essentials = Essentials::new(spawner.clone());
+    essentials.start("log", forward_log_events(opened.events, events.clone()));
     let wait_ms = settings.platform.watch_ms;
     // Until it has read a view, a node counts as seated: doors may know it as a member.
     let seated = Arc::new(AtomicBool::new(true));
     for prefix in MIRRORED {
         let source =
             Source { platform: Arc::clone(&platform), prefix, wait_ms, seated: Some(Arc::clone(&seated)) };
-        spawner.detach(follow(source, events.clone(), log.clone()));
+        essentials.start(prefix, follow(source, events.clone(), log.clone()));
     }
     let wait_ms = RETIREMENT_WAIT_FACTOR * wait_ms;
     let source = Source { platform: Arc::clone(&platform), prefix: RETIREMENTS, wait_ms, seated: None };
-    spawner.detach(follow(source, events.clone(), log.clone()));
-    spawner.detach(tick(events.clone()));
-    spawner.detach(watch_signals(signals, events.clone(), log.clone()));
+    essentials.start(RETIREMENTS, follow(source, events.clone(), log.clone()));
+    essentials.start("tick", tick(events.clone()));
+    essentials.start("signals", watch_signals(signals, events.clone(), log.clone()));
     let mut runner = Runner {
         name,
         core,
@@ -118,11 +123,20 @@
         started: Instant::now(),
         seated,
     };
-    while let Ok(event) = incoming.recv().await {
-        if !runner.take(event)? {
-            break;
+    let work = async {
+        while let Ok(event) = incoming.recv().await {
+            if !runner.take(event)? {
+                break;
+            }
         }
-    }
+        Ok(())
+    };
+    let ended = async {
+        let task = essentials.ended().await;
+        error!(log, "an essential task has ended"; "task" => task);
+        bail!("the task {task:?} has ended")
+    };
+    future::or(work, ended).await?;
     info!(log, "stop");
     Ok(())
 }
--- /dev/null
+++ b/tests/essential_tasks.rs
@@ -0,0 +1,44 @@
+//! unexpected errors in the tasks of a process: one of a connection ends only that, one that the process rests on ends
+//! the process, so that it is started again.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use flamingo_edge::Spawner;
+use flamingostand::fleet::Essentials;
+use futures_lite::future;
+
+/// waits for an essential task that has ended, for a while.
+async fn ended(essentials: &Essentials) -> Option<&'static str> {
+    let patience = async {
+        Timer::after(Duration::from_millis(200)).await;
+        None
+    };
+    future::or(async { Some(essentials.ended().await) }, patience).await
+}
+
+#[test]
+fn panic_of_an_essential_task_is_noticed() {
+    let spawner = Spawner::local();
+    let essentials = Essentials::new(spawner.clone());
+    essentials.start("follow", future::pending());
+    essentials.start("report", async { panic!("a lock was poisoned") });
+    assert_eq!(spawner.run(ended(&essentials)), Some("report"));
+}
+
+#[test]
+fn return_of_an_essential_task_is_noticed() {
+    let spawner = Spawner::local();
+    let essentials = Essentials::new(spawner.clone());
+    essentials.start("tick", async {});
+    assert_eq!(spawner.run(ended(&essentials)), Some("tick"));
+}
+
+#[test]
+fn panic_of_a_connection_ends_nothing() {
+    let spawner = Spawner::local();
+    let essentials = Essentials::new(spawner.clone());
+    essentials.start("report", future::pending());
+    spawner.detach(async { panic!("a message that makes no sense") });
+    assert_eq!(spawner.run(ended(&essentials)), None);
+}
