Tell doors of thousands of replicas in pages, from one node, and of the busiest loads

Cause: ledger nodes were ended for their memory, 47 times. Each of some 280 doors is told of all replicas by each seated node, and as long as the answer was under way it was told again with each report, several times a second: three quarters of a megabyte each time. Beside that, each door was told of the load of every busy replica four times a second.

Change: a mirror tells at most 128 KiB at a time, by number. A mirror of more than 128 objects tells all of them only to the doors whose informant the node is; the other nodes go on from the revision up to which a door knows everything. A removal that was forgotten leads to all objects again, which also closes an old gap: a door that was cut off for more than a minute kept a replica that had gone. Loads are counted as reports come in, and a door is told of the 128 busiest replicas.

Fleets with up to 128 replicas are told what they were told before.

Tests: platform_mirror.rs (pages, a second node, a page that comes twice, an object that went unseen, a forgotten removal) and fleet_news.rs (3,000 loaded replicas). removal_that_was_forgotten and the bounds on pages and loads cannot be met by the code before.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -138,7 +138,7 @@
     /// how far the mirrors of a ledger node are known.
     pub fn marks(&self, node: &str) -> Vec<MirrorMark> {
         let merges = self.merges.lock().expect("merge lock poisoned");
-        merges.iter().filter_map(|merge| merge.mark(node)).cloned().collect()
+        merges.iter().map(|merge| merge.mark_for(node)).collect()
     }
 
     /// chooses a replica, which then counts one more request until its lease is dropped.
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -12,6 +12,9 @@
 ///
 /// Several reports may be lost before; callers that try a door in vain go to the next one within a second.
 const DOOR_KEEP_MS: u64 = 3_000;
+/// replicas whose loads a door is told of: the busiest ones, as only those are left out or compared for being busy. A
+/// fleet has thousands, and loads are told several times a second.
+const MOST_LOADS: usize = 128;
 /// silence after which a door is not named to callers any more: three reports that were missed.
 const SILENT_AFTER_MS: u64 = 900;
 /// time between two looks for doors that have fallen silent: a fraction of the silence that counts.
@@ -28,6 +31,8 @@
     /// what doors are told of each other, by the address for callers.
     told: BTreeMap<String, Told>,
     number: u64,
+    /// requests under way at each replica, through all doors.
+    running: BTreeMap<String, u32>,
     looked_ms: u64,
 }
 
@@ -53,9 +58,12 @@
     /// takes a report and answers with what is known of the other doors.
     pub fn report(&mut self, now_ms: u64, report: &DoorReport) -> FleetNews {
         self.tell(now_ms, door_row(report, false));
+        self.add_loads(&report.loads);
         let row = Row { report: report.clone(), heard_ms: now_ms };
-        self.doors.insert(report.name.clone(), row);
-        self.look_for_silent(now_ms);
+        if let Some(previous) = self.doors.insert(report.name.clone(), row) {
+            self.remove_loads(&previous.report.loads);
+        }
+        self.look(now_ms);
         let mut news = FleetNews::empty();
         if report.wants_fleet {
             self.tell_fleet(now_ms, report, &mut news);
@@ -65,12 +73,12 @@
 
     /// forgets doors that are gone.
     pub fn expire(&mut self, now_ms: u64) {
-        self.look_for_silent(now_ms);
-        self.doors.retain(|_, row| now_ms < row.heard_ms + DOOR_KEEP_MS);
+        self.look(now_ms);
         self.told.retain(|_, told| !told.row.silent || now_ms < told.changed_ms + FORGET_SILENT_MS);
     }
 
-    fn look_for_silent(&mut self, now_ms: u64) {
+    /// looks for doors that have fallen silent or are gone.
+    fn look(&mut self, now_ms: u64) {
         if now_ms < self.looked_ms + LOOK_EVERY_MS {
             return;
         }
@@ -80,6 +88,46 @@
         for row in silent {
             self.tell(now_ms, row);
         }
+        let gone = self.doors.extract_if(.., |_, row| now_ms >= row.heard_ms + DOOR_KEEP_MS);
+        for (_, row) in Vec::from_iter(gone) {
+            self.remove_loads(&row.report.loads);
+        }
+    }
+
+    fn add_loads(&mut self, loads: &[ReplicaUse]) {
+        for load in loads {
+            *self.running.entry(load.replica.clone()).or_default() += load.running;
+        }
+    }
+
+    fn remove_loads(&mut self, loads: &[ReplicaUse]) {
+        for load in loads {
+            let Some(running) = self.running.get_mut(&load.replica) else {
+                continue;
+            };
+            *running = running.saturating_sub(load.running);
+            if *running == 0 {
+                self.running.remove(&load.replica);
+            }
+        }
+    }
+
+    /// requests under way at the busiest replicas, through others than the door that asks.
+    fn loads_of_others(&self, asker: &DoorReport) -> Vec<ReplicaUse> {
+        let own: BTreeMap<&str, u32> =
+            asker.loads.iter().map(|load| (load.replica.as_str(), load.running)).collect();
+        let others = self.running.iter().map(|(replica, running)| {
+            (replica, running.saturating_sub(own.get(replica.as_str()).copied().unwrap_or(0)))
+        });
+        let mut others: Vec<(&String, u32)> = others.filter(|(_, running)| *running > 0).collect();
+        if others.len() > MOST_LOADS {
+            others.sort_by_key(|(_, running)| std::cmp::Reverse(*running));
+            others.truncate(MOST_LOADS);
+        }
+        others
+            .into_iter()
+            .map(|(replica, running)| ReplicaUse { replica: replica.clone(), running })
+            .collect()
     }
 
     fn tell(&mut self, now_ms: u64, row: DoorRow) {
@@ -100,23 +148,13 @@
         news.doors = changed.map(|told| told.row.clone()).collect();
         news.names_all_doors = known.is_none();
         news.doors_mark = Some(DoorsMark { start: self.start.clone(), number: self.number });
-        let mut running: BTreeMap<&str, u32> = BTreeMap::new();
-        for row in self.doors.values().filter(|row| now_ms < row.heard_ms + DOOR_KEEP_MS) {
-            let report = &row.report;
-            if report.name == asker.name {
-                continue;
-            }
-            for load in &report.loads {
-                *running.entry(&load.replica).or_default() += load.running;
-            }
-            news.leaving.extend(report.leaving.iter().map(|leaving| LeavingReplica {
+        news.loads = self.loads_of_others(asker);
+        for row in self.doors.values().filter(|row| row.report.name != asker.name) {
+            news.leaving.extend(row.report.leaving.iter().map(|leaving| LeavingReplica {
                 age_ms: leaving.age_ms + (now_ms - row.heard_ms),
                 ..leaving.clone()
             }));
         }
-        let loads = running.into_iter();
-        news.loads =
-            loads.map(|(replica, running)| ReplicaUse { replica: replica.to_owned(), running }).collect();
         news.tells_fleet = true;
     }
 }
--- a/src/fleet/merge.rs
+++ b/src/fleet/merge.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::schema::MirrorMark;
 use crate::schema::MirrorNews;
@@ -20,6 +21,10 @@
     known: BTreeMap<String, Known>,
     /// how far each node's mirror is known.
     marks: BTreeMap<String, MirrorMark>,
+    /// keys that a node has named so far that tells of all objects in pages.
+    naming: BTreeMap<String, BTreeSet<String>>,
+    /// revision of the platform up to which everything is known.
+    revision: u64,
     /// when some node last had word of the platform, by the own clock.
     contact_ms: Option<u64>,
     /// when there was word again after there had been none.
@@ -39,6 +44,8 @@
             prefix: prefix.to_owned(),
             known: BTreeMap::new(),
             marks: BTreeMap::new(),
+            naming: BTreeMap::new(),
+            revision: 0,
             contact_ms: None,
             regained_ms: None,
         }
@@ -54,6 +61,17 @@
         self.marks.get(node)
     }
 
+    /// what to tell a node of what is known, its mirror or not.
+    pub fn mark_for(&self, node: &str) -> MirrorMark {
+        let known = self.marks.get(node);
+        MirrorMark {
+            prefix: self.prefix.clone(),
+            start: known.map_or_else(String::new, |mark| mark.start.clone()),
+            number: known.map_or(0, |mark| mark.number),
+            revision: self.revision,
+        }
+    }
+
     /// whether some mirror had word of the platform lately.
     pub fn is_fresh(&self, now_ms: u64) -> bool {
         self.contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + FRESH_MS)
@@ -87,11 +105,24 @@
             }
             self.contact_ms = self.contact_ms.max(Some(contact_ms));
         }
-        let mark = MirrorMark { prefix: news.prefix.clone(), start: news.start.clone(), number: news.number };
-        self.marks.insert(node.to_owned(), mark);
+        if news.start.is_empty() {
+            return Vec::new();
+        }
+        let has_word = news.age_ms.is_some();
+        let named = self.all_named(node, &news);
+        if has_word && !news.more {
+            self.revision = self.revision.max(news.revision);
+        }
         // A mirror that only replayed its log cannot tell what has gone since.
-        let names_all = news.is_whole && news.age_ms.is_some();
-        let missing = if names_all { self.missing(&news) } else { Vec::new() };
+        let named = named.filter(|_| has_word);
+        let missing = named.map(|named| self.missing(&named, news.revision)).unwrap_or_default();
+        let mark = MirrorMark {
+            prefix: news.prefix,
+            start: news.start,
+            number: news.number,
+            revision: news.revision,
+        };
+        self.marks.insert(node.to_owned(), mark);
         let mut changed = news.objects;
         // A node that was cut off alone cannot tell its cut from an outage of the platform.
         let was_outage = !self.is_fresh(now_ms)
@@ -106,11 +137,26 @@
         changed
     }
 
+    /// the keys of all objects, once a node has told of them to the last page.
+    fn all_named(&mut self, node: &str, news: &MirrorNews) -> Option<BTreeSet<String>> {
+        let keys = news.objects.iter().map(|object| object.key.clone());
+        let is_other_start = self.marks.get(node).is_none_or(|mark| mark.start != news.start);
+        if is_other_start {
+            self.naming.remove(node);
+        }
+        if news.is_whole {
+            // A page may come twice; within one start of the node, what has gone since is told as gone.
+            self.naming.entry(node.to_owned()).or_default().extend(keys);
+        } else if let Some(named) = self.naming.get_mut(node) {
+            named.extend(keys);
+        }
+        if news.more { None } else { self.naming.remove(node) }
+    }
+
     /// objects that a whole mirror would hold, had they not gone.
-    fn missing(&self, news: &MirrorNews) -> Vec<MirroredObject> {
-        let is_named = |key: &str| news.objects.iter().any(|object| object.key == key);
+    fn missing(&self, named: &BTreeSet<String>, revision: u64) -> Vec<MirroredObject> {
         let older = self.known.iter().filter(|(key, known)| {
-            known.gone_ms.is_none() && known.version <= news.revision && !is_named(key)
+            known.gone_ms.is_none() && known.version <= revision && !named.contains(*key)
         });
         let gone = older.map(|(key, known)| MirroredObject {
             key: key.clone(),
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -231,8 +231,10 @@
         (news.strikes, news.strikes_mark) = self.strikes_after(report.strikes_mark.as_ref());
         news.complete = self.node.is_complete();
         let mark = |prefix: &str| report.marks.iter().find(|mark| mark.prefix == prefix);
-        news.mirrors =
-            self.mirrors.values().map(|mirror| mirror.news(now_ms, mark(mirror.prefix()))).collect();
+        let mirrors = self.mirrors.values();
+        let mirrors =
+            mirrors.map(|mirror| mirror.news_for(now_ms, mark(mirror.prefix()), report.wants_fleet));
+        news.mirrors = mirrors.collect();
         let view = self.node.view();
         // A door learns of a new view from its next report at the latest.
         let reply = match ask.epoch < view.epoch {
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1888,7 +1888,9 @@
     pub number: u64,
     ///prefix of the keys
     pub prefix: ::std::string::String,
-    ///start of the node that numbered its changes
+    ///revision of the platform up to which the door knows all objects, through whatever node; 0 for none
+    pub revision: u64,
+    ///start of the node that numbered its changes; empty if the door knows nothing of the node
     pub start: ::std::string::String,
 }
 ///what a door does not know yet of the mirror of a node
@@ -1897,8 +1899,10 @@
     ///time since the platform answered the node; absent if it has not since its start
     #[serde(deserialize_with = "::std::option::Option::deserialize")]
     pub age_ms: ::std::option::Option<u64>,
-    ///whether these are all objects, and not only those that changed
+    ///whether these, with the pages that follow, are all objects, and not only those that changed
     pub is_whole: bool,
+    ///whether more is known than fits into one answer; the mark of these leads to the next
+    pub more: bool,
     ///last change of the mirror
     pub number: u64,
     ///objects
@@ -1907,7 +1911,7 @@
     pub prefix: ::std::string::String,
     ///revision of the platform up to which all changes were seen
     pub revision: u64,
-    ///start of the node that numbered the changes
+    ///start of the node that numbered the changes; empty if the door should ask another node
     pub start: ::std::string::String,
 }
 ///an object of the platform, or that it is gone
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -143,3 +143,32 @@
     let news = board.report(0, &DoorReport { wants_fleet: false, ..report("b", 1) });
     assert!(!news.tells_fleet && news.doors.is_empty() && news.loads.is_empty());
 }
+
+/// Pattern of load: thousands of replicas, most of them with a request or two.
+#[test]
+fn busiest_replicas_are_told() {
+    let mut board = Board::new("s1");
+    for number in 0..3_000 {
+        let loads =
+            vec![ReplicaUse { replica: format!("r{number}"), running: 1 + u32::from(number % 100 == 0) }];
+        board.report(0, &DoorReport { loads, ..report(&format!("d{number}"), 0) });
+    }
+    let news = board.report(0, &report("b", 0));
+    assert!(news.loads.len() <= 128, "{} loads", news.loads.len());
+    assert_eq!(
+        news.loads.iter().filter(|load| load.running == 2).count(),
+        30,
+        "all busy ones are among them"
+    );
+}
+
+#[test]
+fn loads_follow_reports() {
+    let mut board = Board::new("s1");
+    for running in [3, 7, 2] {
+        board.report(0, &report("a", running));
+        board.report(0, &report("c", 1));
+    }
+    let news = board.report(0, &report("b", 0));
+    assert_eq!(news.loads, [ReplicaUse { replica: "r1".to_owned(), running: 3 }]);
+}
--- a/tests/platform_mirror.rs
+++ b/tests/platform_mirror.rs
@@ -145,3 +145,123 @@
     let mut merge = Merge::new(PREFIX);
     assert_eq!(merge.take(0, "node", replayed.news(0, None)).len(), 1);
 }
+
+/// a mirror of many objects of a kilobyte, at revision 5,000.
+fn large_mirror(start: &str, count: u64) -> Mirror {
+    let mut mirror = Mirror::new(PREFIX, start);
+    let objects =
+        (0..count).map(|number| Object { value: vec![b'x'; 1_000], ..object(&format!("r{number}"), number) });
+    mirror.take_all(0, &objects.collect::<Vec<_>>(), false);
+    mirror.contact(0, Some(5_000));
+    mirror
+}
+
+/// asks a node until it has told everything; the pages that it took.
+fn follow(merge: &mut Merge, node: &str, mirror: &Mirror, tells_all: bool) -> Vec<usize> {
+    let mut pages = Vec::new();
+    for _ in 0..1_000 {
+        let news = mirror.news_for(0, Some(&merge.mark_for(node)), tells_all);
+        let more = news.more;
+        pages.push(news.objects.len());
+        merge.take(0, node, news);
+        if !more {
+            break;
+        }
+    }
+    pages
+}
+
+/// Pattern of load: hundreds of doors that start at once before thousands of replicas. One answer of a node to each door
+/// must stay small, and only one node tells a door of everything.
+#[test]
+fn thousands_of_objects_come_in_pages_from_one_node() {
+    let (first, second) = (large_mirror("s1", 3_000), large_mirror("s2", 3_000));
+    let mut merge = Merge::new(PREFIX);
+    assert_eq!(
+        follow(&mut merge, "b", &second, false),
+        [0],
+        "a node that is not the informant tells nothing yet"
+    );
+    let pages = follow(&mut merge, "a", &first, true);
+    assert_eq!(pages.iter().sum::<usize>(), 3_000);
+    assert!(pages.iter().all(|page| *page <= 132), "{pages:?}");
+    assert_eq!(follow(&mut merge, "b", &second, false), [0], "nothing is new at the second node");
+    assert_eq!(follow(&mut merge, "b", &second, false), [0]);
+}
+
+#[test]
+fn second_node_goes_on_where_the_first_one_stopped() {
+    let (first, mut second) = (large_mirror("s1", 200), large_mirror("s2", 200));
+    let mut merge = Merge::new(PREFIX);
+    follow(&mut merge, "a", &first, true);
+    let changes = [
+        Change { key: "config/r1".to_owned(), version: 5_001, value: Some(b"new".to_vec()) },
+        Change { key: "config/r2".to_owned(), version: 5_002, value: None },
+    ];
+    second.take_changes(0, &changes, false);
+    second.contact(0, Some(5_002));
+    let news = second.news_for(0, Some(&merge.mark_for("b")), false);
+    let changed = merge.take(0, "b", news);
+    let changed: Vec<&str> = changed.iter().map(|object| object.key.as_str()).collect();
+    assert_eq!(changed, ["config/r1", "config/r2"]);
+}
+
+#[test]
+fn page_that_comes_twice_loses_nothing() {
+    let mirror = large_mirror("s1", 400);
+    let mut merge = Merge::new(PREFIX);
+    let first = mirror.news_for(0, Some(&merge.mark_for("a")), true);
+    merge.take(0, "a", first.clone());
+    let second = mirror.news_for(0, Some(&merge.mark_for("a")), true);
+    merge.take(0, "a", second);
+    merge.take(0, "a", first);
+    let mut gone = 0;
+    loop {
+        let news = mirror.news_for(0, Some(&merge.mark_for("a")), true);
+        let more = news.more;
+        gone += merge.take(0, "a", news).iter().filter(|object| object.value.is_none()).count();
+        if !more {
+            break;
+        }
+    }
+    assert_eq!(gone, 0, "replicas were dropped that are there");
+}
+
+#[test]
+fn object_that_went_unseen_is_dropped_after_the_last_page() {
+    let mut merge = Merge::new(PREFIX);
+    follow(&mut merge, "a", &large_mirror("s1", 400), true);
+    // The next node has started after an object had gone, so that it never knew it.
+    let mut later = Mirror::new(PREFIX, "s2");
+    let objects =
+        (1..400).map(|number| Object { value: vec![b'x'; 1_000], ..object(&format!("r{number}"), number) });
+    later.take_all(0, &objects.collect::<Vec<_>>(), false);
+    later.contact(0, Some(6_000));
+    let mut gone = Vec::new();
+    loop {
+        let news = later.news_for(0, Some(&merge.mark_for("b")), true);
+        let more = news.more;
+        gone.extend(merge.take(0, "b", news).into_iter().filter(|object| object.value.is_none()));
+        if !more {
+            break;
+        }
+    }
+    let gone: Vec<&str> = gone.iter().map(|object| object.key.as_str()).collect();
+    assert_eq!(gone, ["config/r0"]);
+}
+
+#[test]
+fn removal_that_was_forgotten_is_told_by_all_objects() {
+    let mut mirror = Mirror::new(PREFIX, "s1");
+    mirror.take_all(0, &[object("a", 1), object("b", 2)], false);
+    mirror.contact(0, Some(2));
+    let mut merge = Merge::new(PREFIX);
+    follow(&mut merge, "a", &mirror, true);
+    // The door is cut off for longer than a removal is remembered.
+    mirror.take_changes(1_000, &[Change { key: "config/b".to_owned(), version: 3, value: None }], false);
+    mirror.contact(1_000, Some(3));
+    mirror.expire(100_000);
+    let news = mirror.news_for(100_000, Some(&merge.mark_for("a")), true);
+    let changed = merge.take(100_000, "a", news);
+    assert!(changed.iter().any(|object| object.key == "config/b" && object.value.is_none()), "{changed:?}");
+}
