--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -127,6 +127,17 @@
         self.replicas().map(ReplicaStandin::ends).sum()
     }
 
+    /// writes entries of replicas of a service that no route leads to.
+    pub fn list_strangers(&self, count: usize) {
+        for number in 0..count {
+            let entry = json!({
+                "service": "strangers", "address": "127.0.0.1:9", "zone": "zone-a", "version": 1, "slots": 6,
+                "state": "ready", "cold_remaining_ms": 0, "seq": 1,
+            });
+            self.put_object(&format!("servers/a-stranger-{number:05}"), &entry);
+        }
+    }
+
     /// writes a replica's entry, as the replica itself does.
     pub fn list_replica(&self, replica: &ReplicaStandin, state: &str) {
         self.put_object(&format!("servers/{}", replica.id()), &replica.entry(state));
