Wait for slow disks of the ledger as long as the caller waits

Cause: a turn whose replica had begun was given up when its reservation was not on enough disks after 2.5 s, though its caller waited for 3 s and the answer was there.

Change: the wait ends with the time of the request, and nothing but a lost or late member ends a round before. The constant goes.

Test: ledger_patience, real nodes and connections with disks whose syncs take 5 ms, 1 s and 2.7 s: the last failed before, "after 2503 ms: NotStored". A wait that the caller gives up ends then.

--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -175,7 +175,8 @@
     };
     let confirming = {
         let door = Arc::clone(door);
-        door.spawner.clone().spawn(async move { door.ledger.confirm(*reservation).await })
+        let deadline = Instant::now() + request.left();
+        door.spawner.clone().spawn(async move { door.ledger.confirm(*reservation, deadline).await })
     };
     let mut whole = request.clone();
     whole.home = home;
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -23,8 +23,6 @@
 const ASK_OTHERS_AFTER: Duration = Duration::from_millis(30);
 /// wait for a member's disk before the other members are asked as well: several syncs of a slow disk.
 const STORE_ELSEWHERE_AFTER: Duration = Duration::from_millis(60);
-/// the longest wait for a reservation to be on enough disks; no event reaches the caller before.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// pause before too few members are asked again: a connection that broke is open again after a few round trips.
 const LOST_PAUSE: Duration = Duration::from_millis(50);
@@ -176,11 +174,12 @@
         }
     }
 
-    /// waits until the reservation is on enough disks, and for the last word on the budget.
+    /// waits until the reservation is on enough disks, and for the last word on the budget, for as long as the caller
+    /// waits: its replica has begun, and an answer that comes late is still wanted.
     ///
     /// Turns that are stored at the first members of the program see each other there. Others look again at members
     /// that store them: of turns that begin at the same time, the one stored last sees all others.
-    pub async fn confirm(&self, reservation: Reservation) -> Result<(), NotConfirmed> {
+    pub async fn confirm(&self, reservation: Reservation, deadline: Instant) -> Result<(), NotConfirmed> {
         let Reservation { start, round } = reservation;
         let fits = async {
             let mut round = round;
@@ -207,7 +206,7 @@
                 self.ask_begin(&mut round, &start);
             }
         };
-        match timeout(CONFIRM_LIMIT, fits).await.flatten() {
+        match timeout(deadline.saturating_duration_since(Instant::now()), fits).await.flatten() {
             Some(true) => Ok(()),
             Some(false) => Err(NotConfirmed::OverBudget),
             None => Err(NotConfirmed::NotStored),
@@ -223,8 +222,11 @@
             if !round.is_away && (now >= patience_ends || round.has_lost()) {
                 return Some(Some(Again::Away));
             }
-            let wait = if round.is_away { CONFIRM_LIMIT } else { patience_ends - now };
-            let Some(heard) = timeout(wait, round.receiver.recv()).await else {
+            // All members have been asked once one is late; then there is nothing to do but wait.
+            let next = round.receiver.recv();
+            let heard =
+                if round.is_away { Some(next.await) } else { timeout(patience_ends - now, next).await };
+            let Some(heard) = heard else {
                 continue;
             };
             let again = LedgerRequest::Begin(start.message(false, round.is_away));
