Take back that calls use open connections first

Cause: a door with few calls finds its one open connection, so that all of them go to one replica, though there are others. A slow replica, or one that fails a part, would keep all calls of such a door in the same way, and one that leaves is not met.

Ruled out: nothing else was looked for; the test waits for just what the change prevents.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -143,12 +143,7 @@
 
     /// chooses a replica, which then counts one more request until its lease is dropped.
     pub fn pick(&self, service: &str, affinity: Affinity<'_>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
-        let connected = match affinity {
-            Affinity::None => self.connections.idle_addresses(),
-            Affinity::Key(_) | Affinity::Program { .. } => Vec::new(),
-        };
-        let zone = &self.settings.instance.zone;
-        let wanted = Wanted { service, zone, affinity, connected: &connected };
+        let wanted = Wanted { service, zone: &self.settings.instance.zone, affinity };
         self.replicas().pick(self.now_ms(), &wanted, avoid)
     }
 
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -1,5 +1,3 @@
-use std::net::SocketAddr;
-
 use crate::rendezvous;
 use crate::routing::replica_table::Replica;
 
@@ -24,8 +22,6 @@
     pub zone: &'a str,
     /// what makes one replica better than another.
     pub affinity: Affinity<'a>,
-    /// addresses to which the door keeps an idle connection.
-    pub connected: &'a [SocketAddr],
 }
 
 /// what a request gains from a replica that has handled something before.
@@ -61,7 +57,7 @@
     let equal: Vec<&Replica> = equal.collect();
     match wanted.affinity {
         Affinity::Key(key) => rendezvous::first(key, equal.iter(), |replica| &replica.entry.id).copied(),
-        Affinity::None => connected_or_drawn(wanted, draw, &near(wanted.zone, &equal)),
+        Affinity::None => drawn(draw, &near(wanted.zone, &equal)),
         Affinity::Program { .. } => new_home(wanted.zone, draw, &equal),
     }
 }
@@ -77,15 +73,6 @@
     shares / candidates.len().max(1) as f64
 }
 
-/// a replica to which no connection has to be opened, unless it is busier than the others, or else a drawn one.
-fn connected_or_drawn<'a>(wanted: &Wanted<'_>, draw: u64, replicas: &[&'a Replica]) -> Option<&'a Replica> {
-    let mean = mean_share(replicas);
-    let is_open = |replica: &&Replica| wanted.connected.contains(&replica.entry.address);
-    let open = replicas.iter().copied().filter(is_open).filter(|replica| replica.share() <= mean);
-    let open: Vec<&Replica> = open.collect();
-    drawn(draw, if open.is_empty() { replicas } else { &open })
-}
-
 /// a replica for a program that has none, or whose one is too busy: one of the own availability zone, as all prompts of
 /// the program go to it, unless it is busier than replicas are on the whole.
 fn new_home<'a>(zone: &str, draw: u64, replicas: &[&'a Replica]) -> Option<&'a Replica> {
