Let doors hear of all replicas before a deadly request is played

Two causes; this is the test's: it sent its request right after it had added three of five replicas, and the door's log shows that it knew two.

Change: the test waits as long as it does elsewhere for doors to learn. It asks for the same three ends.

--- a/tests/fleet_poison.rs
+++ b/tests/fleet_poison.rs
@@ -27,6 +27,8 @@
         fleet.add_replica(&format!("tool-{number}"), "tools", 0);
     }
     fleet.set_faults(ReplicaFault::EndUnder(stage));
+    // A door that has not heard of the new replicas runs out of them before the third one has ended.
+    std::thread::sleep(SPREAD);
     fleet
 }
 
