Log how far processes are behind, what turns ask of the ledger, and callers that leave

Added, before any change of logic: a line when a timer fires 100 ms late or in time again, with the questions by kind since the last one (ledger nodes); a line when the ledger takes 100 ms to say whether a turn may begin or is quick again, with the turns and questions since the last one (doors); a line for each caller that leaves before the answer. The same as metrics: ledger_asks_total by kind, process_late_ms, door_ledger_wait_ms, door_callers_left_total.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -39,6 +39,7 @@
 use crate::schema::PoisonStrike;
 use crate::settings::DoorAddresses;
 use crate::settings::NodeSettings;
+use crate::telemetry::Lateness;
 
 /// what the tasks of a front door share.
 pub(super) struct Door {
@@ -59,6 +60,8 @@
     /// what is known of the platform, by prefix.
     merges: Mutex<Vec<Merge>>,
     poison: Mutex<DoorPoison>,
+    /// how long the ledger takes to say whether a turn may begin.
+    ledger_lateness: Mutex<Lateness>,
     is_leaving: AtomicBool,
     draws: AtomicU64,
 }
@@ -100,6 +103,7 @@
             fleet: Mutex::default(),
             merges: Mutex::new(vec![Merge::new(OPERATOR_CONFIG), Merge::new(REPLICAS)]),
             poison: Mutex::default(),
+            ledger_lateness: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             draws: AtomicU64::new(rand::random()),
         }
@@ -271,6 +275,19 @@
         is_held
     }
 
+    /// takes how long the ledger took to say whether a turn may begin.
+    pub fn note_ledger_wait(&self, waited_ms: u64) {
+        metrics::histogram!("door_ledger_wait_ms").record(waited_ms as f64);
+        let note =
+            self.ledger_lateness.lock().expect("lateness lock poisoned").take(self.now_ms(), waited_ms);
+        let Some(note) = note else {
+            return;
+        };
+        let note: &'static str = note.into();
+        info!(self.log, "how long the ledger takes has changed"; "note" => note, "waited_ms" => waited_ms,
+            "asks" => self.ledger.take_counts().to_string());
+    }
+
     pub fn poison(&self) -> MutexGuard<'_, DoorPoison> {
         self.poison.lock().expect("poison table lock poisoned")
     }
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -42,6 +42,7 @@
     let (head, body) = request.into_parts();
     let caller = CallerRequest::read(&head.headers);
     let id = caller.id.clone();
+    let mut waiting = WaitingCaller { door: &door, id: id.as_deref(), received, is_answered: false };
     let outcome = match find_route(&door, &head.headers, head.uri.path()) {
         Err(refusal) => Err(refusal),
         Ok((route, max_body_bytes)) => {
@@ -63,6 +64,8 @@
             }
         }
     };
+    waiting.is_answered = true;
+    drop(waiting);
     let elapsed_ms = received.steady.elapsed().as_secs_f64() * 1_000.0;
     metrics::histogram!("door_first_byte_ms").record(elapsed_ms);
     metrics::counter!("door_requests_total", "answered" => if outcome.is_ok() { "yes" } else { "no" })
@@ -80,6 +83,25 @@
     response
 }
 
+/// a caller who has no answer yet; one that leaves before is written down.
+struct WaitingCaller<'a> {
+    door: &'a Door,
+    id: Option<&'a str>,
+    received: Moment,
+    is_answered: bool,
+}
+
+impl Drop for WaitingCaller<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        metrics::counter!("door_callers_left_total").increment(1);
+        info!(self.door.log, "a caller left before the answer"; "request" => self.id,
+            "waited_ms" => self.received.steady.elapsed().as_millis() as u64);
+    }
+}
+
 fn find_route(door: &Door, headers: &HeaderMap, path: &str) -> Result<(Arc<Route>, usize), Refusal> {
     let table = door.table.load();
     let table = table.as_ref().ok_or(Refusal::NoConfiguration)?;
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -24,6 +25,7 @@
 use crate::schema::LedgerStrikes;
 use crate::schema::LedgerView;
 use crate::schema::PoisonStrike;
+use crate::telemetry::Lateness;
 
 /// time between two reports to each ledger node; loads change within a few turns.
 const REPORT_EVERY: Duration = Duration::from_millis(250);
@@ -79,6 +81,7 @@
     let (sender, heard) = async_channel::unbounded();
     door.spawner.detach(take_news(Arc::clone(&door), heard));
     let mut was_away = true;
+    let mut lateness = Lateness::default();
     loop {
         // One look at the table at a time: the lock is held until the end of a statement.
         let loads = door.replicas().own_loads();
@@ -118,7 +121,9 @@
             note_ledger(&door, is_away);
             was_away = is_away;
         }
-        Timer::after(if is_away { REPORT_EVERY_WHEN_AWAY } else { REPORT_EVERY }).await;
+        let due = Instant::now() + if is_away { REPORT_EVERY_WHEN_AWAY } else { REPORT_EVERY };
+        Timer::at(due).await;
+        note_lateness(&door, &mut lateness, due.elapsed().as_millis() as u64);
     }
 }
 
@@ -177,6 +182,15 @@
     }
 }
 
+fn note_lateness(door: &Door, lateness: &mut Lateness, late_ms: u64) {
+    metrics::histogram!("process_late_ms").record(late_ms as f64);
+    let Some(note) = lateness.take(door.now_ms(), late_ms) else {
+        return;
+    };
+    let note: &'static str = note.into();
+    info!(door.log, "how far the process is behind has changed"; "note" => note, "late_ms" => late_ms);
+}
+
 async fn take_news(door: Arc<Door>, heard: Receiver<Heard>) {
     while let Ok(heard) = heard.recv().await {
         match heard.event {
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -160,7 +160,10 @@
         let lost_just_now = door.ledger.away_ms().is_some_and(|away_ms| away_ms < LOST_JUST_NOW_MS);
         return Err(if lost_just_now { Refusal::LedgerUnsure } else { Refusal::LedgerAway });
     }
-    let (history, home, reservation) = match door.ledger.begin(start).await {
+    let asked = Instant::now();
+    let begun = door.ledger.begin(start).await;
+    door.note_ledger_wait(asked.elapsed().as_millis() as u64);
+    let (history, home, reservation) = match begun {
         Begun::Go { history, home, reservation } => (history, home, reservation),
         Begun::OverBudget { held_tokens } => {
             info!(door.log, "a budget is spent"; "request" => id, "program" => program,
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 //! Owns the records of one ledger node and the rules by which their copies agree. Nothing here reads a clock,
 //! a socket or a file. See docs/design/ledger.md.
 
+mod ask_kind;
 mod book;
 mod core;
 mod gather;
@@ -16,6 +17,8 @@
 mod retirement;
 mod view;
 
+pub use ask_kind::AskCounts;
+pub use ask_kind::AskKind;
 pub use book::Book;
 pub use book::PAGE_BYTES;
 pub use book::SPEND_KEEP_MS;
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -14,6 +14,8 @@
 use slog::info;
 use slog::warn;
 
+use crate::ledger::AskCounts;
+use crate::ledger::AskKind;
 use crate::ledger::empty_view;
 use crate::mesh::ConnectionId;
 use crate::mesh::Mesh;
@@ -69,6 +71,8 @@
     asked: Mutex<HashMap<u64, Asked>>,
     nodes: Mutex<HashMap<String, NodeRow>>,
     last_id: AtomicU64,
+    /// questions since the counts were last taken.
+    counts: Mutex<AskCounts>,
     /// when enough nodes were last known to answer; 0 for never.
     reached_ms: AtomicU64,
     started: Instant,
@@ -95,6 +99,7 @@
             asked: Mutex::default(),
             nodes: Mutex::default(),
             last_id: AtomicU64::new(0),
+            counts: Mutex::default(),
             reached_ms: AtomicU64::new(0),
             started: Instant::now(),
             log,
@@ -199,6 +204,10 @@
             LedgerRequest::Begin(_) => 2,
             _ => 1,
         };
+        let kind = AskKind::from(&request);
+        self.counts.lock().expect("counts lock poisoned").add(kind);
+        let kind: &'static str = kind.into();
+        metrics::counter!("ledger_asks_total", "kind" => kind).increment(1);
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let about_program = !matches!(request, LedgerRequest::History(_));
         let asked = Asked {
@@ -226,6 +235,15 @@
         }
     }
 
+    pub(super) fn count_turn(&self) {
+        self.counts.lock().expect("counts lock poisoned").add_turn();
+    }
+
+    /// questions of each kind since the last call.
+    pub fn take_counts(&self) -> AskCounts {
+        std::mem::take(&mut self.counts.lock().expect("counts lock poisoned"))
+    }
+
     fn send(&self, member: &LedgerMember, message: MeshMessage) -> Option<ConnectionId> {
         let Ok(address) = member.mesh.parse::<SocketAddr>() else {
             warn!(self.log, "the address of a ledger node makes no sense"; "mesh" => &member.mesh);
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -106,6 +106,7 @@
 impl LedgerClient {
     /// reserves the tokens of a turn and fetches what was said before.
     pub async fn begin(&self, start: TurnStart) -> Begun {
+        self.count_turn();
         let deadline = Instant::now() + BEGIN_LIMIT;
         let mut is_away = false;
         loop {
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -25,6 +25,7 @@
 use crate::fleet::Step;
 use crate::fleet::start_mesh;
 use crate::ids::Incarnation;
+use crate::ledger::AskCounts;
 use crate::ledger::CoreInput;
 use crate::ledger::NodeCore;
 use crate::ledger::empty_view;
@@ -44,6 +45,7 @@
 use crate::schema::LedgerRecord;
 use crate::settings::LedgerDisk;
 use crate::settings::NodeSettings;
+use crate::telemetry::Lateness;
 use crate::telemetry::serve_metrics;
 use crate::telemetry::start_logger;
 
@@ -122,6 +124,9 @@
         events,
         started: Instant::now(),
         seated,
+        lateness: Lateness::default(),
+        asks: AskCounts::default(),
+        asks_since: Instant::now(),
     };
     let work = async {
         while let Ok(event) = incoming.recv().await {
@@ -148,9 +153,12 @@
 }
 
 async fn tick(events: Sender<Event>) {
+    let mut due = Instant::now();
     loop {
-        let _ = events.try_send(Event::Input(CoreInput::Tick));
-        Timer::after(TICK).await;
+        let late_ms = due.elapsed().as_millis() as u64;
+        let _ = events.try_send(Event::Tick { late_ms });
+        due = Instant::now() + TICK;
+        Timer::at(due).await;
     }
 }
 
--- a/src/ledger_node/event.rs
+++ b/src/ledger_node/event.rs
@@ -6,6 +6,11 @@
 pub(super) enum Event {
     /// an input for the decisions of the node.
     Input(CoreInput),
+    /// time has passed; the timer fired this late.
+    Tick {
+        /// milliseconds after it was due.
+        late_ms: u64,
+    },
     /// the log tells something.
     Log(LogEvent),
     /// the process was told to stop.
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -13,6 +13,8 @@
 use slog::info;
 use slog::warn;
 
+use crate::ledger::AskCounts;
+use crate::ledger::AskKind;
 use crate::ledger::CoreAction;
 use crate::ledger::CoreInput;
 use crate::ledger::NodeCore;
@@ -30,6 +32,7 @@
 use crate::schema::LedgerMember;
 use crate::schema::LedgerView;
 use crate::schema::MeshMessage;
+use crate::telemetry::Lateness;
 
 /// the one task of a ledger node: hands inputs to its decisions and performs what they ask for.
 pub(super) struct Runner {
@@ -45,13 +48,24 @@
     pub started: Instant,
     /// whether the node has a seat in the view, as far as it knows.
     pub seated: Arc<AtomicBool>,
+    pub lateness: Lateness,
+    /// questions since the last note about lateness.
+    pub asks: AskCounts,
+    pub asks_since: Instant,
 }
 
 impl Runner {
     /// takes one event; `false` ends the process.
     pub fn take(&mut self, event: Event) -> anyhow::Result<bool> {
         let input = match event {
-            Event::Input(input) => input,
+            Event::Input(input) => {
+                self.count(&input);
+                input
+            }
+            Event::Tick { late_ms } => {
+                self.note_lateness(late_ms);
+                CoreInput::Tick
+            }
             Event::Log(LogEvent::Synced(number)) => {
                 metrics::counter!("ledger_syncs_total").increment(1);
                 CoreInput::Synced(number)
@@ -70,6 +84,29 @@
         Ok(true)
     }
 
+    fn count(&mut self, input: &CoreInput) {
+        if let CoreInput::Ask(_, ask) = input {
+            let kind = AskKind::from(&ask.request);
+            self.asks.add(kind);
+            let kind: &'static str = kind.into();
+            metrics::counter!("ledger_asks_total", "kind" => kind).increment(1);
+        }
+    }
+
+    fn note_lateness(&mut self, late_ms: u64) {
+        metrics::histogram!("process_late_ms").record(late_ms as f64);
+        let now_ms = self.started.elapsed().as_millis() as u64;
+        let Some(note) = self.lateness.take(now_ms, late_ms) else {
+            return;
+        };
+        let note: &'static str = note.into();
+        info!(self.log, "how far the process is behind has changed"; "note" => note, "late_ms" => late_ms,
+            "waiting" => self.events.len(), "asks" => self.asks.to_string(),
+            "over_ms" => self.asks_since.elapsed().as_millis() as u64);
+        self.asks = AskCounts::default();
+        self.asks_since = Instant::now();
+    }
+
     fn perform(&self, action: CoreAction) {
         match action {
             CoreAction::Append { number, record } => {
