--- /dev/null
+++ b/tests/ledger_nodes/mod.rs
@@ -0,0 +1,196 @@
+//! ledger nodes over real connections, real but for their disks and processors, which take as long as a test says.
+#![allow(dead_code, reason = "each test file uses its own part of the nodes")]
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use flamingo_edge::Spawner;
+use flamingostand::ids::Incarnation;
+use flamingostand::ledger::LedgerNode;
+use flamingostand::ledger::NodeAction;
+use flamingostand::ledger::OwnIdentity;
+use flamingostand::ledger::empty_view;
+use flamingostand::ledger::with_member;
+use flamingostand::ledger_client::LedgerClient;
+use flamingostand::ledger_client::TurnStart;
+use flamingostand::mesh::ConnectionId;
+use flamingostand::mesh::Mesh;
+use flamingostand::mesh::MeshHandler;
+use flamingostand::mesh::MeshKey;
+use flamingostand::mesh::MeshLimits;
+use flamingostand::mesh::MeshSettings;
+use flamingostand::mesh::PeerIdentity;
+use flamingostand::schema::LedgerAsk;
+use flamingostand::schema::LedgerMember;
+use flamingostand::schema::LedgerView;
+use flamingostand::schema::MeshMessage;
+use flamingostand::timeline::Timeline;
+
+/// how fast a node is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    /// time from a question to the moment at which it is looked at, however many there are.
+    pub delay: Duration,
+    /// time that the processor works on each question, one after the other.
+    pub work: Duration,
+    /// time that a sync takes.
+    pub sync: Duration,
+}
+
+/// a ledger node.
+struct SlowNode {
+    node: Mutex<LedgerNode>,
+    mesh: OnceLock<Arc<Mesh>>,
+    spawner: Spawner,
+    pace: Pace,
+    questions: Sender<(ConnectionId, Box<LedgerAsk>)>,
+}
+
+/// what a connection brings to the node.
+struct Inbox(Arc<SlowNode>);
+
+impl SlowNode {
+    async fn run(self: Arc<Self>, questions: Receiver<(ConnectionId, Box<LedgerAsk>)>) {
+        while let Ok((from, ask)) = questions.recv().await {
+            if !self.pace.work.is_zero() {
+                async_io::Timer::after(self.pace.work).await;
+            }
+            if self.pace.delay.is_zero() {
+                self.answer(from, &ask);
+                continue;
+            }
+            let own = Arc::clone(&self);
+            self.spawner.detach(async move {
+                async_io::Timer::after(own.pace.delay).await;
+                own.answer(from, &ask);
+            });
+        }
+    }
+
+    fn answer(self: &Arc<Self>, from: ConnectionId, ask: &LedgerAsk) {
+        let actions = self.node.lock().expect("the node answers").ask(0, from, ask);
+        self.perform(actions);
+    }
+
+    fn perform(self: &Arc<Self>, actions: Vec<NodeAction>) {
+        for action in actions {
+            match action {
+                NodeAction::Answer { to, answer } => {
+                    let mesh = self.mesh.get().expect("the mesh is set before anyone connects");
+                    // A caller that is gone took its question along.
+                    let _ = mesh.reply_on(to, MeshMessage::LedgerAnswer(answer));
+                }
+                NodeAction::Append { number, .. } => {
+                    let own = Arc::clone(self);
+                    self.spawner.detach(async move {
+                        async_io::Timer::after(own.pace.sync).await;
+                        let actions = own.node.lock().expect("the node answers").synced(number);
+                        own.perform(actions);
+                    });
+                }
+                NodeAction::ViewChanged | NodeAction::Struck { .. } => {}
+            }
+        }
+    }
+}
+
+impl MeshHandler for Inbox {
+    fn on_message(&self, from: &PeerIdentity, message: MeshMessage) {
+        if let MeshMessage::LedgerAsk(ask) = message {
+            // The node lives as long as the test.
+            let _ = self.0.questions.try_send((from.connection, Box::new(ask)));
+        }
+    }
+
+    fn on_closed(&self, _: &PeerIdentity) {}
+}
+
+/// hands answers to the client of a door.
+struct Answers(Arc<LedgerClient>);
+
+impl MeshHandler for Answers {
+    fn on_message(&self, _: &PeerIdentity, message: MeshMessage) {
+        if let MeshMessage::LedgerAnswer(answer) = message {
+            self.0.on_answer(answer);
+        }
+    }
+
+    fn on_closed(&self, peer: &PeerIdentity) {
+        self.0.on_closed(peer.connection);
+    }
+}
+
+fn start_mesh(spawner: &Spawner, name: &str, handler: Arc<dyn MeshHandler>) -> Arc<Mesh> {
+    let settings = MeshSettings {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        cluster: "test".to_owned(),
+        key: "01".repeat(32).parse::<MeshKey>().expect("a key"),
+        incarnation: Incarnation::start_now(),
+        name: name.to_owned(),
+        limits: MeshLimits::of_fleet(),
+    };
+    Mesh::start(spawner.clone(), settings, Arc::new(Timeline::new(name)), handler).expect("the mesh listens")
+}
+
+fn member(name: &str, mesh: &Mesh) -> LedgerMember {
+    LedgerMember {
+        name: name.to_owned(),
+        disk: format!("disk-{name}"),
+        mesh: mesh.local_address().to_string(),
+    }
+}
+
+/// starts a node for each pace, of which one disk may be lost, and returns the view that they follow.
+pub fn start_nodes(spawner: &Spawner, paces: &[Pace]) -> LedgerView {
+    let mut view = empty_view(1);
+    let mut nodes = Vec::new();
+    for (number, pace) in paces.iter().enumerate() {
+        let name = format!("n{number}");
+        let own = OwnIdentity { name: name.clone(), disk: format!("disk-{name}") };
+        let (questions, asked) = async_channel::unbounded();
+        let node = Arc::new(SlowNode {
+            node: Mutex::new(LedgerNode::new(own, empty_view(1))),
+            mesh: OnceLock::new(),
+            spawner: spawner.clone(),
+            pace: *pace,
+            questions,
+        });
+        spawner.detach(Arc::clone(&node).run(asked));
+        let mesh = start_mesh(spawner, &name, Arc::new(Inbox(Arc::clone(&node))));
+        view = with_member(&view, &member(&name, &mesh));
+        node.mesh.set(mesh).unwrap_or_else(|_| unreachable!("the node has one mesh"));
+        nodes.push(node);
+    }
+    for node in nodes {
+        let mut state = node.node.lock().expect("the node answers");
+        let mut actions = state.adopt(&view);
+        actions.extend(state.caught_up());
+        drop(state);
+        node.perform(actions);
+    }
+    view
+}
+
+/// a door's side of the ledger that follows a view.
+pub fn start_client(spawner: &Spawner, view: &LedgerView) -> Arc<LedgerClient> {
+    let client = Arc::new(LedgerClient::new(1, slog::Logger::root(slog::Discard, slog::o!())));
+    client.set_mesh(start_mesh(spawner, "door", Arc::new(Answers(Arc::clone(&client)))));
+    client.adopt(view);
+    client
+}
+
+/// the first turn of a program.
+pub fn turn(program: &str) -> TurnStart {
+    TurnStart {
+        program: program.to_owned(),
+        request: format!("{program}-a"),
+        line: None,
+        budget_tokens: 1_000,
+        most_tokens: 100,
+        previous: None,
+    }
+}
