Ask slow ledger nodes no more often than quick ones

Cause: doors took each wait beyond 30 and 60 ms for a lost node. A turn whose answers came later began its round again, at all members, and looked again at its budget, every 60 ms until its caller left. Nodes that were slow because they were busy were given ten times the work, which kept them slow when the load was gone: a metastable failure. The end of a turn was repeated every 400 ms likewise.

Change: nothing is asked twice of a node whose connection lives. A door is patient with a member for twice as long as members take on the whole, those it has asked in vain included (AnswerTimes, smoothed as in RFC 6298): one that is slow or gone among quick ones still costs 30 ms, and if all are slow no more of them are asked. Copies to further members come out of a budget of a tenth of the turns. Members that lag or whose connection broke are passed over from the start; a round beside them asks as many members as a write needs, and all only when one is late. The second look at a budget waits twice as long each time and asks what has come to store the turn meanwhile.

Histories of the ledger pass with doors that ask few members beside a lost one (tests/ledger_world).

--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,6 +7,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
@@ -14,9 +16,12 @@
 use slog::info;
 use slog::warn;
 
+use crate::dispatch::RetryBudget;
 use crate::ledger::AskCounts;
 use crate::ledger::AskKind;
 use crate::ledger::empty_view;
+use crate::ledger_client::AnswerTimes;
+use crate::ledger_client::AwaitedStep;
 use crate::mesh::ConnectionId;
 use crate::mesh::Mesh;
 use crate::rendezvous;
@@ -34,6 +39,10 @@
 /// age at which a question is forgotten whose answers never came; above all waits for answers.
 const FORGET_MS: u64 = 10_000;
 
+/// part of the questions of turns that may be sent to further members while some are slow, so that copies cannot keep
+/// an overload going.
+const COPIES_PERCENT: u32 = 10;
+
 /// something heard about a question.
 #[derive(Debug)]
 pub struct Heard {
@@ -60,6 +69,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct NodeRow {
     heard_ms: u64,
+    /// whether a connection to it was lost since.
+    is_cut_off: bool,
     /// whether it has all that its disk should hold, so that its "unknown" counts.
     complete: bool,
 }
@@ -73,6 +84,9 @@
     last_id: AtomicU64,
     /// questions since the counts were last taken.
     counts: Mutex<AskCounts>,
+    times: Mutex<AnswerTimes>,
+    /// copies of questions to further members.
+    copies: Mutex<RetryBudget>,
     /// when enough nodes were last known to answer; 0 for never.
     reached_ms: AtomicU64,
     started: Instant,
@@ -88,6 +102,20 @@
     /// answers that are still to come.
     answers_left: u32,
     sent_ms: u64,
+    /// whether the only answer is given once a record is on disk.
+    awaits_sync: bool,
+    /// whether the node has answered, though it has more to say.
+    is_heard: bool,
+}
+
+impl Asked {
+    /// whether this step is still to come.
+    fn awaits(&self, step: AwaitedStep) -> bool {
+        match step {
+            AwaitedStep::Answer => !self.awaits_sync && !self.is_heard,
+            AwaitedStep::Sync => self.awaits_sync || self.answers_left > 1 || self.is_heard,
+        }
+    }
 }
 
 impl LedgerClient {
@@ -100,6 +128,8 @@
             nodes: Mutex::default(),
             last_id: AtomicU64::new(0),
             counts: Mutex::default(),
+            times: Mutex::default(),
+            copies: Mutex::new(RetryBudget::new(COPIES_PERCENT)),
             reached_ms: AtomicU64::new(0),
             started: Instant::now(),
             log,
@@ -178,9 +208,12 @@
     /// Also tells whether the first ones of the program are among those that answer.
     pub(super) fn ranked(&self, view: &LedgerView, program: &str) -> (Vec<LedgerMember>, bool) {
         let now_ms = self.now_ms();
+        let lagging = self.lagging(view);
         let nodes = self.nodes.lock().expect("nodes lock poisoned");
         let is_near = |member: &LedgerMember| {
-            nodes.get(&member.name).is_some_and(|row| row.complete && now_ms < row.heard_ms + REACHABLE_MS)
+            let row = nodes.get(&member.name);
+            row.is_some_and(|row| row.complete && !row.is_cut_off && now_ms < row.heard_ms + REACHABLE_MS)
+                && !lagging.contains(&member.name)
         };
         let mut ranked = rendezvous::ranked(program, view.members.iter(), |member| &member.name);
         let first_near = ranked.iter().take(view.quorum().write()).all(|member| is_near(member));
@@ -190,6 +223,50 @@
         (ranked.into_iter().cloned().collect(), first_near)
     }
 
+    /// how long a round waits for a step of the members that it has asked before it asks others as well.
+    pub(super) fn patience(&self, view: &LedgerView, step: AwaitedStep) -> Duration {
+        let members = names(view);
+        let oldest_ms = self.oldest_ms(&members, step);
+        let times = self.times.lock().expect("times lock poisoned");
+        Duration::from_millis(times.patience_ms(&members, step, &oldest_ms))
+    }
+
+    /// members that answer far later than the others.
+    fn lagging(&self, view: &LedgerView) -> BTreeSet<String> {
+        let members = names(view);
+        let oldest_ms = self.oldest_ms(&members, AwaitedStep::Answer);
+        let times = self.times.lock().expect("times lock poisoned");
+        let lagging = times.lagging(&members, &oldest_ms);
+        let lagging = members.iter().zip(lagging).filter(|(_, lags)| *lags);
+        lagging.map(|(name, _)| (*name).to_owned()).collect()
+    }
+
+    /// how long the oldest question to each member has waited for a step.
+    fn oldest_ms(&self, members: &[&str], step: AwaitedStep) -> Vec<u64> {
+        let now_ms = self.now_ms();
+        let all = self.asked.lock().expect("asked lock poisoned");
+        let mut oldest_ms = vec![0; members.len()];
+        for asked in all.values().filter(|asked| asked.awaits(step)) {
+            if let Some(position) = members.iter().position(|member| *member == asked.member) {
+                oldest_ms[position] = now_ms.saturating_sub(asked.sent_ms).max(oldest_ms[position]);
+            }
+        }
+        oldest_ms
+    }
+
+    /// takes a copy of questions to further members out of the budget, when there is one.
+    pub(super) fn try_copy(&self) -> bool {
+        let may_copy = self.copies.lock().expect("copies lock poisoned").try_retry();
+        metrics::counter!("door_ledger_copies_total", "allowed" => if may_copy { "yes" } else { "no" })
+            .increment(1);
+        may_copy
+    }
+
+    /// counts a question that a turn cannot do without, which earns a part of a copy.
+    pub(super) fn count_first(&self) {
+        self.copies.lock().expect("copies lock poisoned").first_attempt();
+    }
+
     /// asks a member; what is heard goes to `sender`. `false` if the question could not be sent.
     pub fn ask(
         &self,
@@ -210,7 +287,11 @@
         metrics::counter!("ledger_asks_total", "kind" => kind).increment(1);
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let about_program = !matches!(request, LedgerRequest::History(_));
+        let awaits_sync =
+            matches!(request, LedgerRequest::Finish(_) | LedgerRequest::Push(_) | LedgerRequest::Strikes(_));
         let asked = Asked {
+            awaits_sync,
+            is_heard: false,
             about_program,
             member: member.name.clone(),
             turn: turn.map(str::to_owned),
@@ -268,6 +349,13 @@
             return;
         };
         asked.answers_left -= 1;
+        let step = match answer.reply {
+            LedgerReply::Stored(_) => AwaitedStep::Sync,
+            _ => AwaitedStep::Answer,
+        };
+        asked.is_heard = true;
+        let took_ms = now_ms.saturating_sub(asked.sent_ms);
+        self.times.lock().expect("times lock poisoned").took(&asked.member, step, took_ms);
         let ended = asked.answers_left == 0 || matches!(answer.reply, LedgerReply::Stale(_));
         let heard = Heard {
             member: asked.member.clone(),
@@ -287,6 +375,7 @@
         let mut nodes = self.nodes.lock().expect("nodes lock poisoned");
         let row = nodes.entry(member.to_owned()).or_default();
         row.heard_ms = now_ms;
+        row.is_cut_off = false;
         match event {
             HeardEvent::Reply(LedgerReply::News(news)) => row.complete = news.complete,
             HeardEvent::Reply(LedgerReply::Account(account)) => row.complete = account.complete,
@@ -297,10 +386,12 @@
     /// takes note that a connection is gone with the questions on it.
     pub fn on_closed(&self, connection: ConnectionId) {
         let mut all = self.asked.lock().expect("asked lock poisoned");
+        let mut nodes = self.nodes.lock().expect("nodes lock poisoned");
         all.retain(|_, asked| {
             if asked.connection != Some(connection) {
                 return true;
             }
+            nodes.entry(asked.member.clone()).or_default().is_cut_off = true;
             let heard = Heard {
                 member: asked.member.clone(),
                 turn: asked.turn.clone(),
@@ -323,3 +414,7 @@
         self.started.elapsed().as_millis() as u64
     }
 }
+
+fn names(view: &LedgerView) -> Vec<&str> {
+    view.members.iter().map(|member| member.name.as_str()).collect()
+}
--- a/src/ledger_client/finish.rs
+++ b/src/ledger_client/finish.rs
@@ -1,63 +1,66 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_io::Timer;
 use flamingo_edge::timeout;
 
+use crate::ledger_client::AwaitedStep;
 use crate::ledger_client::LedgerClient;
 use crate::ledger_client::round::Progress;
 use crate::ledger_client::round::Round;
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerRequest;
 
-/// wait for a member's disk before the other members are asked as well: several syncs of a slow disk.
-const STORE_ELSEWHERE_AFTER: Duration = Duration::from_millis(60);
-/// wait before all members are asked again: enough for what is on its way to arrive.
-const ASK_AGAIN_AFTER: Duration = Duration::from_millis(400);
+/// pause before the members of another view are asked, or the same ones after too few could be reached: a connection
+/// that broke is open again after a few round trips.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
 
 /// the records are not on enough disks in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotStored;
 
+/// how a round of questions ended.
+enum Ended {
+    Stored,
+    /// another view is in force, or too few members can be reached.
+    AskAgain,
+    TooLate,
+}
+
 impl LedgerClient {
     /// stores the end of a turn on enough disks, trying until `deadline`.
     pub async fn finish(&self, finish: LedgerFinish, deadline: Instant) -> Result<(), NotStored> {
+        self.count_first();
         let request = LedgerRequest::Finish(finish.clone());
         loop {
-            let started = Instant::now();
-            if self.try_finish(&finish.program, &request, deadline.min(started + ASK_AGAIN_AFTER)).await {
-                return Ok(());
-            }
-            if Instant::now() >= deadline {
-                return Err(NotStored);
-            }
-            // Merging a record twice changes nothing, so all members may be asked again.
-            let pause = STORE_ELSEWHERE_AFTER.saturating_sub(started.elapsed());
-            async_io::Timer::after(pause).await;
+            match self.try_finish(&finish.program, &request, deadline).await {
+                Ended::Stored => return Ok(()),
+                Ended::TooLate => return Err(NotStored),
+                // Merging a record twice changes nothing, so all members may be asked again.
+                Ended::AskAgain => Timer::after(ASK_AGAIN_AFTER).await,
+            };
         }
     }
 
-    /// asks the members of the view in force until enough have stored the record, or it is time to ask again.
-    async fn try_finish(&self, program: &str, request: &LedgerRequest, until: Instant) -> bool {
+    /// asks the members of the view in force until enough have stored the record.
+    async fn try_finish(&self, program: &str, request: &LedgerRequest, deadline: Instant) -> Ended {
         let mut round = Round::new(self, program, None, false);
-        let elsewhere_at = Instant::now() + STORE_ELSEWHERE_AFTER;
+        let began = Instant::now();
         while !round.gather.is_stored() {
-            let now = Instant::now();
-            if now >= until {
-                return false;
+            if Instant::now() >= deadline {
+                return Ended::TooLate;
             }
-            let few = now < elsewhere_at;
-            let count = if few { round.view.quorum().write() } else { round.view.members.len() };
-            round.ask(self, count, None, |_| request.clone());
-            let wake = if few { elsewhere_at.min(until) } else { until };
-            let Some(Ok(heard)) = timeout(wake.saturating_duration_since(now), round.receiver.recv()).await
-            else {
+            let wake = self.widen_when_late(&mut round, AwaitedStep::Sync, began).min(deadline);
+            round.ask(self, round.width(), None, |_| request.clone());
+            let wait = wake.saturating_duration_since(Instant::now());
+            let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
                 continue;
             };
             match round.hear(self, heard, request) {
                 Progress::Goes => {}
-                Progress::NewView | Progress::Hopeless => return false,
+                Progress::NewView | Progress::Hopeless => return Ended::AskAgain,
             }
         }
-        true
+        Ended::Stored
     }
 }
--- a/src/ledger_client/mod.rs
+++ b/src/ledger_client/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! Owns the questions under way to ledger nodes and the view that the door follows.
 
+mod answer_times;
 mod client;
 mod finish;
 mod reservation;
 mod round;
 
+pub use answer_times::AnswerTimes;
+pub use answer_times::AwaitedStep;
 pub use client::Heard;
 pub use client::HeardEvent;
 pub use client::LedgerClient;
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -7,6 +7,8 @@
 
 use crate::ledger::Decision;
 use crate::ledger::History;
+use crate::ledger_client::AwaitedStep;
+use crate::ledger_client::Heard;
 use crate::ledger_client::LedgerClient;
 use crate::ledger_client::round::Progress;
 use crate::ledger_client::round::Round;
@@ -19,11 +21,8 @@
 ///
 /// Many round trips between availability zones; a caller that is refused then can still come back in time.
 const BEGIN_LIMIT: Duration = Duration::from_millis(700);
-/// wait before the other members are asked as well: several round trips between availability zones.
-const ASK_OTHERS_AFTER: Duration = Duration::from_millis(30);
-/// wait for a member's disk before the other members are asked as well: several syncs of a slow disk.
-const STORE_ELSEWHERE_AFTER: Duration = Duration::from_millis(60);
-
+/// least time between two looks whether a round is late: a round trip between availability zones.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
 /// pause before too few members are asked again: a connection that broke is open again after a few round trips.
 const LOST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -99,18 +98,24 @@
 enum Again {
     /// another view is in force.
     NewView,
-    /// one of the first members is lost or slow.
-    Away,
+    /// one of the first members is lost, or a turn was reserved elsewhere.
+    Lost,
+    /// one of the members is later than the others.
+    Late,
+    /// too few members can be reached.
+    Hopeless,
 }
 
 impl LedgerClient {
     /// reserves the tokens of a turn and fetches what was said before.
     pub async fn begin(&self, start: TurnStart) -> Begun {
         self.count_turn();
+        self.count_first();
         let deadline = Instant::now() + BEGIN_LIMIT;
-        let mut is_away = false;
+        let (mut is_away, mut is_wide) = (false, false);
         loop {
             let mut round = Round::new(self, &start.program, start.previous.as_deref(), is_away);
+            round.is_wide = is_wide;
             if !round.has_quorum() {
                 return Begun::Unsure("the ledger has too few nodes");
             }
@@ -121,7 +126,10 @@
                     return Begun::Go { history, home, reservation };
                 }
                 Look::Stop(begun) => return begun,
-                Look::Again(why) => is_away |= why == Again::Away,
+                Look::Again(why) => {
+                    is_away |= why != Again::NewView;
+                    is_wide |= why == Again::Late;
+                }
             }
         }
     }
@@ -129,14 +137,26 @@
     fn ask_begin(&self, round: &mut Round, start: &TurnStart) {
         let first = round.first().map(str::to_owned);
         let is_away = round.is_away;
-        round.ask(self, round.begin_count(), start.previous.as_deref(), |member| {
+        round.ask(self, round.width(), start.previous.as_deref(), |member| {
             LedgerRequest::Begin(start.message(first.as_deref() == Some(member), is_away))
         });
     }
 
+    /// has a round ask all members once it is later than usual, as far as the budget of copies allows; returns when to
+    /// look again.
+    pub(super) fn widen_when_late(&self, round: &mut Round, step: AwaitedStep, began: Instant) -> Instant {
+        let now = Instant::now();
+        let patience_ends = began + self.patience(&round.view, step);
+        if !round.is_wide && now >= patience_ends {
+            round.is_wide = self.try_copy();
+        }
+        // Patience grows while all members are late, so it is looked at again.
+        patience_ends.max(now + if round.is_wide { BEGIN_LIMIT } else { LOOK_EVERY })
+    }
+
     /// gathers answers until the turn may start or not.
     async fn first_look(&self, round: &mut Round, start: &TurnStart, deadline: Instant) -> Look {
-        let patience_ends = Instant::now() + ASK_OTHERS_AFTER;
+        let began = Instant::now();
         let mut searched: BTreeSet<String> = BTreeSet::new();
         self.ask_begin(round, start);
         loop {
@@ -147,21 +167,24 @@
             if now >= deadline {
                 return Look::Stop(Begun::Unsure("the ledger does not answer in time"));
             }
-            let is_late = now >= patience_ends;
-            if !round.is_away && (is_late || round.has_lost()) {
-                return Look::Again(Again::Away);
+            if !round.is_away && round.has_lost() {
+                return Look::Again(Again::Lost);
+            }
+            let wake = self.widen_when_late(round, AwaitedStep::Answer, began).min(deadline);
+            if round.is_wide && !round.is_away {
+                return Look::Again(Again::Late);
             }
+            self.ask_begin(round, start);
             if let History::Gap(turn) = round.gather.history() {
                 // The member asked first was asked for the whole history; the others only if it cannot help.
                 let may_still_come = start.previous.as_ref() == Some(&turn) && !round.has_heard_first();
-                if (is_late || !may_still_come) && searched.insert(turn.clone()) {
+                if (round.is_wide || !may_still_come) && searched.insert(turn.clone()) {
                     let history = LedgerRequest::History(LedgerHistory { turn: turn.clone() });
                     round.ask_more(self, Some(&turn), &history);
                 }
             }
-            let wake = if is_late { deadline } else { patience_ends.min(deadline) };
-            let Some(Ok(heard)) = timeout(wake.saturating_duration_since(now), round.receiver.recv()).await
-            else {
+            let wait = wake.saturating_duration_since(now);
+            let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
                 continue;
             };
             let again = LedgerRequest::Begin(start.message(true, round.is_away));
@@ -182,87 +205,119 @@
     /// that store them: of turns that begin at the same time, the one stored last sees all others.
     pub async fn confirm(&self, reservation: Reservation, deadline: Instant) -> Result<(), NotConfirmed> {
         let Reservation { start, round } = reservation;
-        let fits = async {
-            let mut round = round;
-            loop {
-                let Some(why) = self.wait_stored(&mut round, &start).await else {
-                    // The replica has begun: a node that only starts again is worth waiting for.
-                    Timer::after(LOST_PAUSE).await;
-                    round = Round::new(self, &start.program, None, true);
-                    self.ask_begin(&mut round, &start);
-                    continue;
-                };
-                if why.is_none() && round.is_settled() {
-                    return Some(round.gather.held_tokens() <= start.budget_tokens);
-                }
-                // A turn that saw one reserved elsewhere has to be seen as such by others before it looks again.
-                if why.is_none()
-                    && round.is_away
-                    && let Some(fits) = self.look_again(&start, &round).await
-                {
-                    return Some(fits);
-                }
-                let is_away = round.is_away || why != Some(Again::NewView);
-                round = Round::new(self, &start.program, None, is_away);
-                self.ask_begin(&mut round, &start);
-            }
-        };
-        match timeout(deadline.saturating_duration_since(Instant::now()), fits).await.flatten() {
+        match timeout(deadline.saturating_duration_since(Instant::now()), self.fits(&start, round)).await {
             Some(true) => Ok(()),
             Some(false) => Err(NotConfirmed::OverBudget),
             None => Err(NotConfirmed::NotStored),
         }
     }
 
-    /// waits until enough members have the reservation on disk, or says why the round starts again; the outer
-    /// `None` means that too few members are left to ask in this round.
-    async fn wait_stored(&self, round: &mut Round, start: &TurnStart) -> Option<Option<Again>> {
-        let patience_ends = Instant::now() + STORE_ELSEWHERE_AFTER;
+    /// whether the turn fits into the budget, once it is stored.
+    async fn fits(&self, start: &TurnStart, mut round: Round) -> bool {
+        loop {
+            let why = match self.wait_stored(&mut round, start).await {
+                Ok(()) if round.is_settled() => return round.gather.held_tokens() <= start.budget_tokens,
+                // A turn that saw one reserved elsewhere has to be seen as such by others before it looks again.
+                Ok(()) if !round.is_away => Again::Lost,
+                Ok(()) => match self.look_again(start, &mut round).await {
+                    Ok(fits) => return fits,
+                    Err(why) => why,
+                },
+                Err(why) => why,
+            };
+            if why == Again::Hopeless {
+                // The replica has begun: a node that only starts again is worth waiting for.
+                Timer::after(LOST_PAUSE).await;
+            }
+            let is_away = round.is_away || why != Again::NewView;
+            let is_wide = round.is_wide || why == Again::Late;
+            round = Round::new(self, &start.program, None, is_away);
+            round.is_wide = is_wide;
+            self.ask_begin(&mut round, start);
+        }
+    }
+
+    /// waits until enough members have the reservation on disk; the error says why the round starts again.
+    async fn wait_stored(&self, round: &mut Round, start: &TurnStart) -> Result<(), Again> {
+        let began = Instant::now();
         while !round.gather.is_stored() {
-            let now = Instant::now();
-            if !round.is_away && (now >= patience_ends || round.has_lost()) {
-                return Some(Some(Again::Away));
+            if !round.is_away && round.has_lost() {
+                return Err(Again::Lost);
+            }
+            let wake = self.widen_when_late(round, AwaitedStep::Sync, began);
+            if round.is_wide && !round.is_away {
+                return Err(Again::Late);
             }
-            // All members have been asked once one is late; then there is nothing to do but wait.
-            let next = round.receiver.recv();
-            let heard =
-                if round.is_away { Some(next.await) } else { timeout(patience_ends - now, next).await };
-            let Some(heard) = heard else {
+            self.ask_begin(round, start);
+            let wait = wake.saturating_duration_since(Instant::now());
+            let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
                 continue;
             };
             let again = LedgerRequest::Begin(start.message(false, round.is_away));
-            match round.hear(self, heard.ok()?, &again) {
+            hear(self, round, heard, &again)?;
+        }
+        Ok(())
+    }
+
+    /// whether the tokens held by all turns of the program fit into the budget, by members that store this one; the
+    /// error says why the round starts again.
+    async fn look_again(&self, start: &TurnStart, stored: &mut Round) -> Result<bool, Again> {
+        let mut wait = self.patience(&stored.view, AwaitedStep::Answer);
+        loop {
+            if let Some(fits) = self.look_once(start, stored, wait).await? {
+                return Ok(fits);
+            }
+            // A member that stores the turn is late: more that store it are worth asking, and each look waits longer.
+            wait *= 2;
+            if !stored.is_wide && self.try_copy() {
+                stored.is_wide = true;
+                self.ask_begin(stored, start);
+            }
+            let again = LedgerRequest::Begin(start.message(false, true));
+            match stored.hear_arrived(self, &again) {
                 Progress::Goes => {}
-                Progress::NewView => return Some(Some(Again::NewView)),
-                Progress::Hopeless => return None,
+                Progress::NewView => return Err(Again::NewView),
+                Progress::Hopeless => return Err(Again::Hopeless),
             }
         }
-        Some(None)
     }
 
-    /// whether the tokens held by all turns fit into the budget, by members that store this one; `None` if those
-    /// are lost or slow.
-    async fn look_again(&self, start: &TurnStart, stored: &Round) -> Option<bool> {
+    /// asks the members that store the turn; `None` if they are late.
+    async fn look_once(
+        &self,
+        start: &TurnStart,
+        stored: &Round,
+        wait: Duration,
+    ) -> Result<Option<bool>, Again> {
         let spent = LedgerRequest::Spent(LedgerSpent { program: start.program.clone() });
-        let patience_ends = Instant::now() + STORE_ELSEWHERE_AFTER;
+        let ends = Instant::now() + wait;
         let mut round = Round::new(self, &start.program, None, true);
         round.keep_only(|name| stored.gather.stored_at().any(|stored_at| stored_at == name));
         round.ask(self, round.view.members.len(), None, |_| spent.clone());
         loop {
             match round.gather.decision(start.budget_tokens) {
-                Decision::Within => return Some(true),
-                Decision::Spent => return Some(false),
+                Decision::Within => return Ok(Some(true)),
+                Decision::Spent => return Ok(Some(false)),
                 Decision::Open => {}
             }
-            let wait = patience_ends.saturating_duration_since(Instant::now());
-            let heard = timeout(wait, round.receiver.recv()).await?.ok()?;
-            if round.hear(self, heard, &spent) != Progress::Goes {
-                return None;
-            }
+            let wait = ends.saturating_duration_since(Instant::now());
+            let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
+                return Ok(None);
+            };
+            hear(self, &mut round, heard, &spent)?;
         }
     }
 }
 
+/// takes what was heard; the error says why a round starts again.
+fn hear(client: &LedgerClient, round: &mut Round, heard: Heard, again: &LedgerRequest) -> Result<(), Again> {
+    match round.hear(client, heard, again) {
+        Progress::Goes => Ok(()),
+        Progress::NewView => Err(Again::NewView),
+        Progress::Hopeless => Err(Again::Hopeless),
+    }
+}
+
 impl TurnStart {
     fn message(&self, wants_history: bool, away: bool) -> LedgerBegin {
         LedgerBegin {
--- a/src/ledger_client/round.rs
+++ b/src/ledger_client/round.rs
@@ -26,6 +26,8 @@
     ranked: Vec<LedgerMember>,
     /// whether other members than the first ones of the program are asked.
     pub is_away: bool,
+    /// whether all members are asked, and not only as many as a write needs.
+    pub is_wide: bool,
     asked: BTreeSet<String>,
     /// members whose connection is gone, or that could not be asked.
     lost: BTreeSet<String>,
@@ -55,6 +57,7 @@
             gather: Gather::new(&view, previous),
             ranked,
             is_away: is_away || !first_near,
+            is_wide: false,
             view,
             sender,
             receiver,
@@ -74,10 +77,21 @@
         self.ranked.first().map(|member| member.name.as_str())
     }
 
-    /// members that a beginning is sent to: as many as a write needs, or all once one of those failed.
-    pub fn begin_count(&self) -> usize {
+    /// members that a question is sent to: as many as a write and a read need, or all of a wide round.
+    pub fn width(&self) -> usize {
         let quorum = self.view.quorum();
-        if self.is_away { self.view.members.len() } else { quorum.write().max(quorum.read()) }
+        if self.is_wide { self.view.members.len() } else { quorum.write().max(quorum.read()) }
+    }
+
+    /// takes what has arrived already.
+    pub fn hear_arrived(&mut self, client: &LedgerClient, again: &LedgerRequest) -> Progress {
+        while let Ok(heard) = self.receiver.try_recv() {
+            let progress = self.hear(client, heard, again);
+            if progress != Progress::Goes {
+                return progress;
+            }
+        }
+        Progress::Goes
     }
 
     /// whether a member that was asked is lost.
@@ -101,7 +115,7 @@
         self.first().is_none_or(|name| self.answered.contains(name) || self.lost.contains(name))
     }
 
-    /// asks members until `count` that are not lost were asked.
+    /// asks members until `count` that are not lost were asked; asks nobody twice.
     pub fn ask(
         &mut self,
         client: &LedgerClient,
--- a/tests/ledger_world/door.rs
+++ b/tests/ledger_world/door.rs
@@ -50,6 +50,10 @@
     searched: BTreeSet<String>,
     /// whether other members than the first ones of the program are asked.
     pub is_away: bool,
+    /// whether all members are asked, and not only as many as a write and a read need.
+    pub is_wide: bool,
+    /// how far the members that are asked in place of the first ones lie behind these.
+    pub away_shift: usize,
     /// members that had the reservation on disk when the turn looked again.
     stored_at: BTreeSet<String>,
 }
@@ -75,6 +79,8 @@
             view,
             searched: BTreeSet::new(),
             is_away: false,
+            is_wide: false,
+            away_shift: 0,
             stored_at: BTreeSet::new(),
         }
     }
@@ -102,8 +108,12 @@
         if self.stage == Stage::Look {
             members.retain(|member| self.stored_at.contains(&member.name));
         }
-        let takes_few = matches!(self.stage, Stage::Begin | Stage::Store) && !self.is_away;
-        if takes_few {
+        let begins = matches!(self.stage, Stage::Begin | Stage::Store);
+        if begins && self.is_away {
+            let count = members.len().max(1);
+            members.rotate_left(self.away_shift % count);
+        }
+        if begins && !self.is_wide {
             let quorum = self.view.quorum();
             members.truncate(quorum.write().max(quorum.read()));
         }
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -391,7 +391,8 @@
         self.begin(door, Turn::new(program, request, previous, self.budget_tokens, TURN_TOKENS));
     }
 
-    fn begin(&mut self, door: usize, turn: Turn) {
+    fn begin(&mut self, door: usize, mut turn: Turn) {
+        turn.away_shift = self.rng.random_range(0..5);
         self.turns.push((door, turn, 0));
         // A door that knows no view reads it from the platform.
         if self.door_views[door].members.is_empty() && self.store_up {
@@ -407,7 +408,7 @@
         turn.stage_ends_ms = self.now_ms + STAGE_LIMIT_MS;
         let question = turn.restart(&view);
         let round = *round;
-        let may_go_away = matches!(turn.stage, Stage::Begin | Stage::Store) && !turn.is_away;
+        let may_go_away = matches!(turn.stage, Stage::Begin | Stage::Store) && !turn.is_wide;
         let asked = turn.asked();
         for member in asked {
             self.ask_one(index, &member.name, question.clone());
@@ -506,8 +507,10 @@
         if *current != round || turn.stage == Stage::Done {
             return;
         }
-        let may_go_away = matches!(turn.stage, Stage::Begin | Stage::Store) && !turn.is_away;
+        let may_go_away = matches!(turn.stage, Stage::Begin | Stage::Store) && !turn.is_wide;
         if turn.stage == Stage::Finish || may_go_away {
+            // First others than the first members, then all.
+            turn.is_wide |= may_go_away && turn.is_away;
             turn.is_away |= may_go_away;
             self.restart_turn(index);
             return;
