Tell a silent ledger no more than one that answers

Cause: a door that had not heard of the ledger for 0.9 s reported every 80 ms in place of 250 ms, and asked the nodes that its settings name for the view every 150 ms, whether the last report and question were answered or not. A ledger that is too busy to answer within that time is told three times as much by all doors at once.

Change: a node is told again once it has answered, its connection is lost, or two seconds are over. A door that waits for the ledger to come back still looks every 80 ms whether a node may be told.

--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -12,6 +12,7 @@
 use crate::door::door::LeavingSource;
 use crate::door::follow;
 use crate::door::ledger_search::LedgerSearch;
+use crate::ledger::AskKind;
 use crate::ledger::empty_view;
 use crate::ledger_client::Heard;
 use crate::ledger_client::HeardEvent;
@@ -69,6 +70,9 @@
     let (sender, heard) = async_channel::unbounded();
     for seed in &door.settings.ledger_seeds {
         let member = LedgerMember { name: seed.to_string(), disk: String::new(), mesh: seed.to_string() };
+        if door.ledger.is_asking(&member.name, AskKind::Spent) {
+            continue;
+        }
         // The door's view is older than any, so that the answer is the node's view.
         let spent = LedgerRequest::Spent(LedgerSpent { program: String::new() });
         door.ledger.ask(&member, 0, spent, None, &sender);
@@ -103,6 +107,9 @@
         // Each door is told of the others by one node, and different doors by different ones.
         let informant = door.ledger.first_near(&view, &report.name);
         for member in &view.members {
+            if door.ledger.is_asking(&member.name, AskKind::Report) {
+                continue;
+            }
             report.marks = door.marks(&member.name);
             report.strikes_mark = door.poison().marks.get(&member.name).cloned();
             report.wants_fleet = informant.as_deref() == Some(&member.name);
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -39,6 +39,8 @@
 /// age at which a question is forgotten whose answers never came; above all waits for answers.
 const FORGET_MS: u64 = 10_000;
 
+/// time after which something is told again though the answer is still owed.
+const TELL_AGAIN_MS: u64 = 2_000;
 /// part of the questions of turns that may be sent to further members while some are slow, so that copies cannot keep
 /// an overload going.
 const COPIES_PERCENT: u32 = 10;
@@ -95,6 +97,7 @@
 
 struct Asked {
     member: String,
+    kind: AskKind,
     turn: Option<String>,
     about_program: bool,
     connection: Option<ConnectionId>,
@@ -254,6 +257,18 @@
         oldest_ms
     }
 
+    /// whether a member still owes the answer to a question of this kind.
+    ///
+    /// What is told again and again waits for that, so that a node with more to do than it can is not given more. A
+    /// connection that has gone silent is given up by the mesh; the limit is for whatever that does not see.
+    pub fn is_asking(&self, member: &str, kind: AskKind) -> bool {
+        let now_ms = self.now_ms();
+        let all = self.asked.lock().expect("asked lock poisoned");
+        all.values().any(|asked| {
+            asked.member == member && asked.kind == kind && now_ms < asked.sent_ms + TELL_AGAIN_MS
+        })
+    }
+
     /// takes a copy of questions to further members out of the budget, when there is one.
     pub(super) fn try_copy(&self) -> bool {
         let may_copy = self.copies.lock().expect("copies lock poisoned").try_retry();
@@ -283,13 +298,14 @@
         };
         let kind = AskKind::from(&request);
         self.counts.lock().expect("counts lock poisoned").add(kind);
-        let kind: &'static str = kind.into();
-        metrics::counter!("ledger_asks_total", "kind" => kind).increment(1);
+        let name: &'static str = kind.into();
+        metrics::counter!("ledger_asks_total", "kind" => name).increment(1);
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let about_program = !matches!(request, LedgerRequest::History(_));
         let awaits_sync =
             matches!(request, LedgerRequest::Finish(_) | LedgerRequest::Push(_) | LedgerRequest::Strikes(_));
         let asked = Asked {
+            kind,
             awaits_sync,
             is_heard: false,
             about_program,
--- a/tests/fleet/node.rs
+++ b/tests/fleet/node.rs
@@ -30,6 +30,7 @@
     callers: SocketAddr,
     readiness: SocketAddr,
     directory: SocketAddr,
+    metrics: Option<SocketAddr>,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -44,6 +45,7 @@
 
     /// starts a front door.
     pub fn door(folder: &Path, mut settings: Value) -> Self {
+        settings["metrics"] = json!(free_address().to_string());
         settings["door"] = json!({
             "callers": free_address().to_string(), "readiness": free_address().to_string(),
             "directory": free_address().to_string(),
@@ -67,6 +69,7 @@
             callers: address("callers"),
             readiness: address("readiness"),
             directory: address("directory"),
+            metrics: settings["metrics"].as_str().map(|text| text.parse().expect("an address")),
             settings: path,
             log: folder.join(format!("{name}.log")),
             name,
@@ -137,6 +140,13 @@
         client::get(self.readiness, "/readyz").status
     }
 
+    /// value of a counter of the process; 0 before it was first counted.
+    pub fn metric(&self, name: &str) -> u64 {
+        let text = client::get(self.metrics.expect("the process serves metrics"), "/metrics").body;
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0, |value| value.trim().parse().expect("a whole number"))
+    }
+
     /// doors that the directory names.
     pub fn resolve(&self) -> Vec<String> {
         let path = format!("/resolve?name={HOST}&region=region&zone=zone-a");
--- a/tests/fleet_slow.rs
+++ b/tests/fleet_slow.rs
@@ -42,3 +42,25 @@
         assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
     }
 }
+
+/// Doors told a ledger that did not answer three times as much, and kept it too busy to answer.
+#[test]
+fn silent_ledger_is_told_no_more() {
+    let fleet = Fleet::start("silent-ledger", 1);
+    let reports = || fleet.doors[0].metric("ledger_asks_total{kind=\"report\"}");
+    let reports_of = |span: Duration| {
+        let before = reports();
+        std::thread::sleep(span);
+        reports() - before
+    };
+    let span = Duration::from_secs(3);
+    let at_rest = reports_of(span);
+    for node in &fleet.ledgers {
+        node.signal("STOP");
+    }
+    let silent = reports_of(span);
+    for node in &fleet.ledgers {
+        node.signal("CONT");
+    }
+    assert!(silent <= at_rest, "{silent} reports to a silent ledger, {at_rest} to one that answers");
+}
