Ask the ledger again once nodes that could not be reached may be back

A round whose questions could not even be sent heard of nothing, and nothing but a timer had it begun again. The end of a turn was given up after 4 s though all nodes were back after half a second; the first look at a budget waited 700 ms to be refused.

Change: a round that has too few members left ends at once. Ends and confirmations begin another after their pause; a turn that has not begun is refused at once, so that its caller can come back. A second look at a budget replaces members that its questions were lost on without a copy out of the budget.

end_of_a_turn_outlasts_an_outage failed before (NotStored after 4 s) and passes.

--- a/src/ledger_client/finish.rs
+++ b/src/ledger_client/finish.rs
@@ -52,6 +52,9 @@
             }
             let wake = self.widen_when_late(&mut round, AwaitedStep::Sync, began).min(deadline);
             round.ask(self, round.width(), None, |_| request.clone());
+            if round.is_hopeless() {
+                return Ended::AskAgain;
+            }
             let wait = wake.saturating_duration_since(Instant::now());
             let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
                 continue;
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -26,6 +26,9 @@
 /// pause before too few members are asked again: a connection that broke is open again after a few round trips.
 const LOST_PAUSE: Duration = Duration::from_millis(50);
 
+/// why a turn is refused while nodes are gone.
+const TOO_FEW_NODES: &str = "too few ledger nodes can be reached";
+
 /// what a turn asks of the ledger.
 #[derive(Clone, Debug)]
 pub struct TurnStart {
@@ -184,6 +187,9 @@
                 return Look::Again(Again::Late);
             }
             self.ask_begin(round, start);
+            if round.is_hopeless() {
+                return Look::Stop(Begun::Unsure(TOO_FEW_NODES));
+            }
             if let History::Gap(turn) = round.gather.history() {
                 // The member asked first was asked for the whole history; the others only if it cannot help.
                 let may_still_come = start.previous.as_ref() == Some(&turn) && !round.has_heard_first();
@@ -200,9 +206,7 @@
             match round.hear(self, heard, &again) {
                 Progress::Goes => {}
                 Progress::NewView => return Look::Again(Again::NewView),
-                Progress::Hopeless => {
-                    return Look::Stop(Begun::Unsure("too few ledger nodes can be reached"));
-                }
+                Progress::Hopeless => return Look::Stop(Begun::Unsure(TOO_FEW_NODES)),
             }
         }
     }
@@ -258,6 +262,9 @@
                 return Err(Again::Late);
             }
             self.ask_begin(round, start);
+            if round.is_hopeless() {
+                return Err(Again::Hopeless);
+            }
             let wait = wake.saturating_duration_since(Instant::now());
             let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
                 continue;
@@ -278,10 +285,8 @@
             }
             // A member that stores the turn is late: more that store it are worth asking, and each look waits longer.
             wait *= 2;
-            if !stored.is_wide && self.try_copy() {
-                stored.is_wide = true;
-                self.ask_begin(stored, start);
-            }
+            stored.is_wide = stored.is_wide || self.try_copy();
+            self.ask_begin(stored, start);
             let again = LedgerRequest::Begin(start.message(false, true));
             match stored.hear_arrived(self, &again) {
                 Progress::Goes => {}
@@ -295,7 +300,7 @@
     async fn look_once(
         &self,
         start: &TurnStart,
-        stored: &Round,
+        stored: &mut Round,
         wait: Duration,
     ) -> Result<Option<bool>, Again> {
         let spent = LedgerRequest::Spent(LedgerSpent { program: start.program.clone() });
@@ -311,6 +316,7 @@
             }
             let wait = ends.saturating_duration_since(Instant::now());
             let Some(Ok(heard)) = timeout(wait, round.receiver.recv()).await else {
+                stored.take_lost(&round);
                 return Ok(None);
             };
             hear(self, &mut round, heard, &spent)?;
--- a/src/ledger_client/round.rs
+++ b/src/ledger_client/round.rs
@@ -178,9 +178,18 @@
             }
             HeardEvent::Reply(LedgerReply::Records(_) | LedgerReply::News(_)) => {}
         }
-        let left = self.view.members.len() - self.lost.len();
+        if self.is_hopeless() { Progress::Hopeless } else { Progress::Goes }
+    }
+
+    /// whether too few members are left.
+    pub fn is_hopeless(&self) -> bool {
         let quorum = self.view.quorum();
-        if left < quorum.read().max(quorum.write()) { Progress::Hopeless } else { Progress::Goes }
+        self.view.members.len() - self.lost.len() < quorum.read().max(quorum.write())
+    }
+
+    /// takes note of the members that another round has lost.
+    pub fn take_lost(&mut self, other: &Self) {
+        self.lost.extend(other.lost.iter().cloned());
     }
 
     fn teach(&mut self, client: &LedgerClient, name: &str, again: &LedgerRequest) {
