Play ledger nodes that stall in turn

What callers saw: 502 answer_lost in place of a whole stream, as stop_finishes_streams in KNOWN-RED.txt failed once.

nodes_that_stall_in_turn_lose_no_answer, real processes: each of three ledger nodes stops for 120 ms and works for 24 ms, a third of that apart. Stalls of all nodes at once (slow_ledger_is_waited_for) had not shown it, as answers then come in bunches.

Not shown: that stop_finishes_streams failed for this.

--- a/tests/fleet_slow.rs
+++ b/tests/fleet_slow.rs
@@ -43,6 +43,38 @@
     }
 }
 
+/// Turns whose reservations waited for nodes that stalled in turn ended without an answer, though their replica had run
+/// them.
+#[test]
+fn nodes_that_stall_in_turn_lose_no_answer() {
+    let fleet = Fleet::start("stalls-in-turn", 1);
+    let ends = AtomicBool::new(false);
+    let answers = std::thread::scope(|scope| {
+        for (position, node) in fleet.ledgers.iter().enumerate() {
+            let ends = &ends;
+            scope.spawn(move || {
+                std::thread::sleep(STALL / 3 * position as u32);
+                while !ends.load(Ordering::Relaxed) {
+                    node.signal("STOP");
+                    std::thread::sleep(STALL);
+                    node.signal("CONT");
+                    std::thread::sleep(STALL / 5);
+                }
+            });
+        }
+        let ask = |number: u32| {
+            let program = format!("program-{number}");
+            fleet.doors[0].send(&Ask::turn("/kept/t", &format!("turn-{number}"), "x", &program, 10_000, 100))
+        };
+        let answers: Vec<_> = (0..60).map(ask).collect();
+        ends.store(true, Ordering::Relaxed);
+        answers
+    });
+    for answer in answers {
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    }
+}
+
 /// Doors told a ledger that did not answer three times as much, and kept it too busy to answer.
 #[test]
 fn silent_ledger_is_told_no_more() {
