Log each run that ends without an answer

What a door believes of such a run decides whether its request is sent to another replica, but it left no trace: the logs of a request that goes from replica to replica could not tell a content that is not recognised from runs that weigh nothing. Now a line and a counter (door_runs_suspected_total) name the content, the replica and the request.

Seen with it on: eight silent replicas, each suspected by the door that had the run, one content, no strike.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -227,6 +227,9 @@
 
     /// suspects a run that ended without an answer of having ended its replica.
     pub fn suspect(&self, run: ReplicaRun) {
+        metrics::counter!("door_runs_suspected_total").increment(1);
+        info!(self.log, "run ended without an answer; its replica is suspected to have ended";
+            "request" => &run.request, "content" => &run.content, "replica" => &run.replica);
         self.poison().suspects.add(self.now_ms(), run, false);
     }
 
