--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -41,8 +41,17 @@
     }
 
     /// breaks an answer off; the replica may end there.
-    fn break_off(&self, connection: &Connection, ends: bool) {
-        if ends { self.end(connection) } else { connection.abort() }
+    fn break_off(&self, connection: &Connection, ends: Option<EndStage>) {
+        match ends {
+            None => {}
+            Some(EndStage::InBodyAndBack) => {
+                let mut state = lock(&self.state);
+                state.ends += 1;
+                state.restarts += 1;
+            }
+            Some(EndStage::BeforeHead | EndStage::InBody | EndStage::Silent) => self.close(),
+        }
+        connection.abort();
     }
 
     /// stops listening under a request.
@@ -89,9 +98,10 @@
         incoming.connection.abort();
         return Response::new(StatusCode::InternalServerError);
     }
-    if expected.is_some_and(|expected| expected != options.id) {
+    let replica_id = lock(state).id.clone();
+    if expected.is_some_and(|expected| expected != replica_id) {
         let mut response = Response::new(StatusCode::MisdirectedRequest);
-        response.insert_header("x-instance-id", options.id.as_str());
+        response.insert_header("x-instance-id", replica_id.as_str());
         return response;
     }
     if fault == ReplicaFault::Shed {
@@ -131,7 +141,7 @@
             return Response::new(StatusCode::InternalServerError);
         }
         // The break of the body below ends the replica.
-        Some(EndStage::InBody) => {}
+        Some(EndStage::InBody | EndStage::InBodyAndBack) => {}
     }
     let is_short = fault == ReplicaFault::Short || (ends.is_some() && options.events == 0);
     let mut response = match fault {
@@ -151,7 +161,7 @@
                 (_, Some(_)) => Some(skip.unwrap_or(0) + 1),
                 _ => None,
             };
-            stream(&parts, Break { after: breaks_after, ends: ends.is_some() }, index, skip, &incoming)
+            stream(&parts, Break { after: breaks_after, ends }, index, skip, &incoming)
         }
         _ => {
             Timer::after(Duration::from_millis(options.step_ms)).await;
@@ -165,7 +175,7 @@
         let (parts, connection) = (parts.clone(), incoming.connection.clone());
         parts.tasks.clone().detach(async move {
             Timer::after(SHORT_ANSWER_TIME).await;
-            parts.break_off(&connection, ends.is_some());
+            parts.break_off(&connection, ends);
         });
     }
     let echoed = if fault == ReplicaFault::Foreign { "another" } else { &id };
@@ -176,11 +186,11 @@
     response
 }
 
-/// where a stream breaks off, and whether the replica ends there.
+/// where a stream breaks off, and how the replica ends there.
 #[derive(Clone, Copy)]
 struct Break {
     after: Option<usize>,
-    ends: bool,
+    ends: Option<EndStage>,
 }
 
 fn stream(parts: &Parts, breaks: Break, index: usize, skip: Option<usize>, incoming: &Incoming) -> Response {
--- a/crates/standins/src/replica/faults.rs
+++ b/crates/standins/src/replica/faults.rs
@@ -34,6 +34,8 @@
     BeforeHead,
     /// its connection is reset after the head and a part of the body, or one event.
     InBody,
+    /// as `InBody`, and the next process listens at the address at once.
+    InBodyAndBack,
     /// its connection stays open without a byte, as after a loss of power.
     Silent,
 }
--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -20,7 +20,7 @@
 /// settings of a replica stand-in.
 #[derive(Clone, Debug)]
 pub struct ReplicaOptions {
-    /// id under which it is listed.
+    /// id under which its first process is listed.
     pub id: String,
     /// service that it belongs to.
     pub service: String,
@@ -61,7 +61,9 @@
     pub is_down: bool,
     /// times that a request ended it.
     pub ends: usize,
-    restarts: u64,
+    /// id of the current process.
+    pub id: String,
+    pub restarts: u64,
 }
 
 /// the listening socket, shared with the requests that may end the replica.
@@ -79,9 +81,10 @@
 impl ReplicaStandin {
     /// starts a replica on a free port.
     pub fn start(spawner: &Spawner, options: ReplicaOptions) -> Result<Self> {
+        let state = State { id: options.id.clone(), ..State::default() };
         let mut replica = Self {
             options: Arc::new(options),
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
             host: Arc::default(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         };
@@ -115,6 +118,16 @@
         Ok(true)
     }
 
+    /// starts again under a new id at the same address if it has ended; returns the id of the process before.
+    pub fn restart_as(&self, spawner: &Spawner, id: &str) -> Result<Option<String>> {
+        if !self.is_down() {
+            return Ok(None);
+        }
+        let previous = std::mem::replace(&mut lock(&self.state).id, id.to_owned());
+        self.restart(spawner)?;
+        Ok(Some(previous))
+    }
+
     /// times that a request ended the replica.
     pub fn ends(&self) -> usize {
         lock(&self.state).ends
@@ -135,8 +148,13 @@
     }
 
     /// id under which it is listed.
-    pub fn id(&self) -> &str {
-        &self.options.id
+    pub fn id(&self) -> String {
+        lock(&self.state).id.clone()
+    }
+
+    /// whether it has ended and was not started again.
+    pub fn is_down(&self) -> bool {
+        lock(&self.state).is_down
     }
 
     /// treats requests in this way from now on.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -103,6 +103,24 @@
         if events > 0 { self.models.push(replica) } else { self.tools.push(replica) }
     }
 
+    /// replaces replicas that a request has ended: the entry of each goes, and its next process is listed
+    /// under a new id.
+    pub fn replace_replicas(&self) {
+        for replica in self.replicas().filter(|replica| replica.is_down()) {
+            let next_id = format!("{}-{}", replica.id(), replica.ends());
+            let previous = replica.restart_as(&self.spawner, &next_id).expect("the replica restarts");
+            self.delete_object(&format!("servers/{}", previous.expect("it was down")));
+            self.register_replica(replica, "ready");
+        }
+    }
+
+    /// writes the entries of all replicas again, as their next heartbeats do.
+    pub fn register_replicas(&self) {
+        for replica in self.replicas() {
+            self.register_replica(replica, "ready");
+        }
+    }
+
     /// restarts replicas that a request has ended, and registers them again.
     pub fn restart_replicas(&self) {
         for replica in self.replicas() {
@@ -168,6 +186,13 @@
             .expect("the platform stores the object");
     }
 
+    fn delete_object(&self, key: &str) {
+        self.platform
+            .control()
+            .with_store(|store| store.delete(key))
+            .expect("the platform deletes the object");
+    }
+
     /// publishes a configuration with these routes, as the operators do; returns its version.
     pub fn put_config(&mut self, routes: &Value) -> u64 {
         self.config_version += 2;
--- a/tests/fleet_poison.rs
+++ b/tests/fleet_poison.rs
@@ -21,8 +21,12 @@
 
 /// a fleet with five replicas of each service, which end while running a deadly request.
 fn start(name: &str, stage: EndStage) -> Fleet {
+    start_with(name, stage, 5)
+}
+
+fn start_with(name: &str, stage: EndStage, replicas: usize) -> Fleet {
     let mut fleet = Fleet::start(name, 2);
-    for number in 3..=5 {
+    for number in 3..=replicas {
         fleet.add_replica(&format!("model-{number}"), "models", fleet::EVENTS);
         fleet.add_replica(&format!("tool-{number}"), "tools", 0);
     }
@@ -176,3 +180,59 @@
     assert_eq!(send(&fleet, 0, &request("author").attempt(ATTEMPTS)), 503);
     assert_eq!(send(&fleet, 0, &request("reader")), 200);
 }
+
+/// number of replicas and attempts where nothing but the strike limit ends the series.
+const MANY: usize = 8;
+/// interval between attempts that come before a silent replica is missed.
+const FAST_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// sends `MANY` attempts through alternating doors; `after` runs between them.
+fn send_many(fleet: &Fleet, request: &ClientRequest, after: impl Fn(&Fleet)) -> Vec<u16> {
+    let request = request.clone().with("X-Deadline-Ms", SHORT_DEADLINE_MS);
+    let mut statuses = Vec::new();
+    for number in 1..=MANY {
+        statuses.push(fleet.doors[number % 2].send(&request.attempt(number as u32)).status);
+        after(fleet);
+    }
+    statuses
+}
+
+/// Guards against taking a replica that fell silent for innocent because it came back under a new id.
+#[test_case(&post_request(); "letter")]
+#[test_case(&get_request(); "look")]
+#[test_case(&stream_request(); "stream")]
+fn poison_counts_replicas_that_return_under_a_new_id(request: &ClientRequest) {
+    let fleet = start_with(&format!("poison-new-id-{}", request.id), EndStage::Silent, MANY);
+    let statuses = send_many(&fleet, request, |fleet| {
+        std::thread::sleep(PROPAGATION_TIME);
+        fleet.replace_replicas();
+        std::thread::sleep(PROPAGATION_TIME);
+    });
+    assert_eq!(fleet.ends(), STRIKE_LIMIT, "{statuses:?}");
+    assert_eq!(statuses[STRIKE_LIMIT..], [503; MANY - STRIKE_LIMIT]);
+}
+
+/// Guards against counting silent replicas only once their entries have lapsed, when the request has reached
+/// others meanwhile.
+#[test_case(&post_request(); "letter")]
+#[test_case(&get_request(); "look")]
+fn poison_counts_silent_replicas_that_stay_listed(request: &ClientRequest) {
+    let fleet = start_with(&format!("poison-listed-{}", request.id), EndStage::Silent, MANY);
+    let statuses = send_many(&fleet, request, |_| std::thread::sleep(FAST_INTERVAL));
+    assert_eq!(fleet.ends(), STRIKE_LIMIT, "{statuses:?}");
+    assert_eq!(statuses[STRIKE_LIMIT..], [503; MANY - STRIKE_LIMIT]);
+}
+
+/// Guards against taking a replica for alive because its next process listens at the address before the list
+/// names it.
+#[test_case(&post_request(); "letter")]
+#[test_case(&get_request(); "look")]
+fn poison_counts_replicas_that_listen_again_at_once(request: &ClientRequest) {
+    let fleet = start_with(&format!("poison-back-{}", request.id), EndStage::InBodyAndBack, MANY);
+    let statuses = send_many(&fleet, request, |fleet| {
+        std::thread::sleep(PROPAGATION_TIME);
+        fleet.register_replicas();
+        std::thread::sleep(PROPAGATION_TIME);
+    });
+    assert_eq!(fleet.ends(), STRIKE_LIMIT, "{statuses:?}");
+}
