Let a run with an unknown outcome weigh until its replica is heard again

What callers saw: a request that ends each replica that runs it was sent on, attempt after attempt, with 504 or 502 each; every attempt cost a replica.

Cause: a run weighed nothing until the end of its replica was shown. Replicas that fall silent and return under a new id, stay listed, or listen again before the list names their next process show nothing in time, and the request was back within a second. What is not known counted as innocence.

Evidence: one content and no strike in the logs of both doors; contradicts that the content is not recognised and that strikes are lost on their way.

Change: a run that ends without an answer, or waits for a replica that is silent towards the door, is unresolved and weighs like a victim. Doors tell ledger nodes of such runs with each report, and nodes pass on those of contents that reach the limit, also of doors that died. A run is cleared by an answer over a connection that the same process had before the run, or over a later one if no restart is listed for 3 s. Doors ask the replicas of held contents for their health once a second. A held content is refused with 503 suspected and Retry-After 1, or poisoned once three replicas are known to have ended.

Why it works: no way of ending leaves a run without weight, whatever the evidence, and only the process that had the run can clear it.

Tests of suspects take the time at which a run began and whether the list is current; what they check is unchanged.

--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -23,6 +23,9 @@
 /// time after which the connection of a short answer ends.
 const SHORT_ANSWER_TIME: Duration = Duration::from_millis(50);
 
+/// path of the health check.
+const HEALTH_PATH: &str = "/healthz";
+
 /// what the requests of a replica share.
 #[derive(Clone)]
 pub(super) struct Parts {
@@ -70,7 +73,7 @@
 /// answers a request as the replica's fault says.
 pub(super) async fn answer(parts: Parts, incoming: Incoming) -> Response {
     let state = Arc::clone(&parts.state);
-    lock(&state).asked += 1;
+    lock(&state).asked += usize::from(incoming.request.url().path() != HEALTH_PATH);
     let mut response = run(parts, incoming).await;
     if lock(&state).is_leaving {
         response.insert_header("server-leaving", "1");
@@ -99,6 +102,11 @@
         return Response::new(StatusCode::InternalServerError);
     }
     let replica_id = lock(state).id.clone();
+    if target == HEALTH_PATH {
+        let mut response = Response::new(StatusCode::Ok);
+        response.insert_header("x-instance-id", replica_id.as_str());
+        return response;
+    }
     if expected.is_some_and(|expected| expected != replica_id) {
         let mut response = Response::new(StatusCode::MisdirectedRequest);
         response.insert_header("x-instance-id", replica_id.as_str());
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -110,11 +110,21 @@
                 AnswerClass::Foreign => Some(AttemptResult::Indeterminate(Indeterminate::Foreign)),
             };
             let idle_timeout = keep_alive_timeout(response.headers());
+            match head {
+                AnswerClass::Usable | AnswerClass::NotRun => {
+                    door.replica_answered(&lease.pick.id, lease.pick.started_unix_ms, connection.opened);
+                }
+                AnswerClass::OtherReplica | AnswerClass::Foreign => {}
+            }
             if let Some(result) = result {
                 record_outcome(door, &lease, &result);
-                lease.mark_resolved();
+                // An answer to another request leaves the outcome of this one unknown.
+                if head != AnswerClass::Foreign {
+                    lease.mark_resolved();
+                }
                 return result;
             }
+            lease.record_progress();
             door.replicas().record_outcome(door.now_ms(), lease.pick.key, Outcome::Answered);
             AttemptResult::Head(Box::new(PendingAnswer { response, connection, lease, idle_timeout }))
         }
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -61,12 +61,8 @@
             if self.request.remaining().is_zero() {
                 return Err(if self.indeterminate_count > 0 { Refusal::TimedOut } else { Refusal::TooLate });
             }
-            if self.door.is_poisoned(self.request, self.route) {
-                return Err(if self.indeterminate_count > 0 {
-                    Refusal::AnswerLost
-                } else {
-                    Refusal::Poisoned
-                });
+            if let Some(hold) = self.door.hold(self.request, self.route) {
+                return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
             let Some(pick) =
                 self.door.pick(&self.service, self.request.affinity(self.route), &self.tried_replicas)
@@ -195,6 +191,10 @@
         Some(Ok(body)) => body,
     };
     lease.mark_resolved();
+    door.replica_answered(&lease.pick.id, lease.pick.started_unix_ms, connection.opened);
+    if parts.status.is_success() {
+        door.request_succeeded(request);
+    }
     door.pool_connection(connection, &lease.pick, idle_timeout);
     drop(lease);
     let mut response = Response::new(full_body(body));
--- a/src/door/connections.rs
+++ b/src/door/connections.rs
@@ -40,6 +40,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     read_limit: ReadLimit,
+    /// when it was opened.
+    pub opened: Instant,
     _driver: Task<()>,
 }
 
@@ -138,7 +140,7 @@
             // Errors are reported by the request in flight.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, read_limit, _driver: driver })
+        Ok(Self { address, sender, read_limit, opened: Instant::now(), _driver: driver })
     }
 
     /// sends a request and waits for the response head.
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -7,13 +7,13 @@
 mod attempt;
 mod call;
 mod connections;
-mod content;
 mod daemon;
 #[expect(clippy::module_inception, reason = "the main type of the folder has the folder's name")]
 mod door;
 mod entry;
 mod fleet_view;
 mod follow;
+mod health_check;
 mod lease;
 mod ledger_discovery;
 mod mesh_inbox;
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -7,6 +7,7 @@
 
 use crate::door::answer::DoorBody;
 use crate::door::answer::plain_text;
+use crate::poison::Hold;
 
 /// why a request ends without an answer from a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
@@ -26,6 +27,9 @@
     TooLate,
     /// the content of the request has reached the strike limit: it ended several replicas.
     Poisoned,
+    /// the content of the request would reach the strike limit if the replicas of all runs with an unknown
+    /// outcome have ended.
+    Suspected,
     /// the ledger could not decide on the turn, or became unreachable only a moment ago.
     LedgerUnsure,
     /// the ledger is overloaded.
@@ -51,6 +55,15 @@
     TimedOut,
 }
 
+impl From<Hold> for Refusal {
+    fn from(hold: Hold) -> Self {
+        match hold {
+            Hold::Struck => Self::Poisoned,
+            Hold::Suspected => Self::Suspected,
+        }
+    }
+}
+
 impl Refusal {
     /// the HTTP status; 503 guarantees that the request has not run and never will.
     pub fn status(self) -> StatusCode {
@@ -61,6 +74,7 @@
             | Self::Unreachable
             | Self::TooLate
             | Self::Poisoned
+            | Self::Suspected
             | Self::LedgerUnsure
             | Self::LedgerBusy { .. }
             | Self::LedgerAway => StatusCode::SERVICE_UNAVAILABLE,
@@ -88,6 +102,8 @@
             Self::AllFull => Some(0.15),
             Self::TooLate => Some(0.0),
             Self::Poisoned => Some(600.0),
+            // The replicas in question are checked within a second.
+            Self::Suspected => Some(1.0),
             _ => None,
         }
     }
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -11,6 +11,7 @@
 use crate::door::door::Door;
 use crate::door::door::LeavingSource;
 use crate::door::follow;
+use crate::door::health_check::check_health;
 use crate::door::ledger_discovery::LedgerDiscovery;
 use crate::ledger::AskKind;
 use crate::ledger::empty_view;
@@ -34,6 +35,8 @@
 const UNREACHABLE_REPORT_INTERVAL: Duration = Duration::from_millis(80);
 /// timeout before strikes are sent to a node again: many syncs of a slow disk.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+/// interval between checks of the replicas of runs with an unknown outcome.
+const SUSPECT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// interval between queries to the seed nodes from the settings.
 const SEED_QUERY_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -88,6 +91,7 @@
     door.spawner.detach(apply_replies(Arc::clone(&door), replies));
     let mut was_unreachable = true;
     let mut lateness = Lateness::default();
+    let mut checked = Instant::now();
     loop {
         // Separate statements, as each holds the lock of the table until its end.
         let loads = door.replicas().local_loads();
@@ -104,6 +108,7 @@
             loads,
             strikes_mark: None,
             leaving,
+            unresolved: door.poison().reportable(),
         };
         let view = door.ledger.view();
         // One node sends this door the state of the others; the choice spreads doors over the nodes.
@@ -121,7 +126,8 @@
         }
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
-        door.poison().expire(door.now_ms());
+        door.expire_poison();
+        check_suspects(&door, &mut checked);
         send_strikes(&door, &view);
         door.connections.expire();
         // While the ledger is unreachable, shorter intervals detect its return sooner.
@@ -136,6 +142,18 @@
     }
 }
 
+/// checks the replicas on which it depends whether a content stays held.
+fn check_suspects(door: &Arc<Door>, checked: &mut Instant) {
+    if checked.elapsed() < SUSPECT_CHECK_INTERVAL {
+        return;
+    }
+    *checked = Instant::now();
+    let runs = door.poison().runs_to_check();
+    for run in runs {
+        door.spawner.detach(check_health(Arc::clone(door), run));
+    }
+}
+
 /// sends strikes that this door observed to the ledger nodes until a write quorum has stored them.
 fn send_strikes(door: &Arc<Door>, view: &Arc<LedgerView>) {
     if door.poison().pending.is_empty() {
@@ -214,6 +232,7 @@
                     door.record_strike(strike, &heard.member);
                 }
                 door.poison().marks.insert(heard.member.clone(), news.strikes_mark.clone());
+                door.poison().set_remote(door.now_ms(), &heard.member, news.unresolved);
                 if news.tells_fleet {
                     door.replicas().set_remote_loads(&news.loads);
                 }
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -8,8 +8,8 @@
 
 use crate::clock::Deadline;
 use crate::clock::Moment;
-use crate::door::content::Content;
 use crate::platform::CallerRequest;
+use crate::poison::Content;
 use crate::routing::Affinity;
 use crate::routing::RequestKind;
 use crate::routing::Route;
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -140,6 +140,7 @@
                 if let Some(id) = event.id() {
                     self.last_event = Some(id.to_owned());
                 }
+                self.run.lease.record_progress();
                 let fits = self.account.as_mut().is_none_or(|account| account.record_event(&event));
                 return if fits { StreamStep::Event(event.bytes) } else { StreamStep::Overlong };
             }
@@ -160,7 +161,7 @@
 
     /// resumes the stream at another replica after the last relayed event; `false` if that is not possible.
     async fn resume(&mut self, replica_ended: bool) -> bool {
-        if !self.route.resumable || self.door.is_poisoned(&self.request, &self.route) {
+        if !self.route.resumable || self.door.hold(&self.request, &self.route).is_some() {
             return false;
         }
         // A run whose replica ended does not count as an attempt.
@@ -201,6 +202,8 @@
     fn finish(self) {
         let ActiveRun { connection, mut lease, idle_timeout, .. } = self.run;
         lease.mark_resolved();
+        self.door.replica_answered(&lease.pick.id, lease.pick.started_unix_ms, connection.opened);
+        self.door.request_succeeded(&self.request);
         self.door.pool_connection(connection, &lease.pick, idle_timeout);
     }
 
--- a/src/fleet/door_registry.rs
+++ b/src/fleet/door_registry.rs
@@ -182,6 +182,7 @@
             loads: Vec::new(),
             strikes: Vec::new(),
             leaving: Vec::new(),
+            unresolved: Vec::new(),
             strikes_mark: StrikesMark { start: String::new(), number: 0 },
             mirrors: Vec::new(),
         }
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -3,6 +3,7 @@
 
 use crate::fleet::DoorRegistry;
 use crate::fleet::Mirror;
+use crate::fleet::UnresolvedRuns;
 use crate::fleet::WatchUpdate;
 use crate::ledger::CatchUp;
 use crate::ledger::LedgerNode;
@@ -127,6 +128,8 @@
     node: LedgerNode,
     own: LedgerMember,
     board: DoorRegistry,
+    /// runs of doors that may have ended their replicas.
+    unresolved: UnresolvedRuns,
     /// platform objects that doors read from this node, by prefix.
     mirrors: BTreeMap<String, Mirror>,
     /// id of this process start.
@@ -151,6 +154,7 @@
             node: LedgerNode::new(identity, empty),
             own,
             board: DoorRegistry::new(start),
+            unresolved: UnresolvedRuns::default(),
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
             peers: Peers::default(),
@@ -228,6 +232,8 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
+        self.unresolved.report(now_ms, report);
+        news.unresolved = self.unresolved.for_door(report, self.node.store().strikes());
         (news.strikes, news.strikes_mark) = self.strikes_after(report.strikes_mark.as_ref());
         news.complete = self.node.is_complete();
         let mark = |prefix: &str| report.marks.iter().find(|mark| mark.prefix == prefix);
@@ -318,6 +324,7 @@
             self.last_expiry_ms = now_ms;
             self.node.expire(now_ms);
             self.board.expire(now_ms);
+            self.unresolved.expire(now_ms);
             for mirror in self.mirrors.values_mut() {
                 mirror.expire(now_ms);
             }
--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -294,6 +294,11 @@
         self.strikes.victim_count(content)
     }
 
+    /// the strikes against each content.
+    pub fn strikes(&self) -> &Strikes {
+        &self.strikes
+    }
+
     /// live strikes.
     pub fn strike_count(&self) -> usize {
         self.strike_numbers.len()
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -60,6 +60,7 @@
 }
 
 /// outcome of an ask.
+#[expect(clippy::large_enum_variant, reason = "nearly all outcomes are replies; a box would save nothing")]
 #[derive(Debug)]
 pub enum AskOutcome {
     /// the member's reply.
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -1,10 +1,15 @@
 //! headers of requests: parsed from callers, and set towards replicas.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::HeaderMap;
+use hyper::Request;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::header::PROXY_AUTHENTICATE;
@@ -120,6 +125,11 @@
     headers
 }
 
+/// a health check, whose answer names the replica; an error if `path` is not a URI path.
+pub fn health_request(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    Request::get(path).header(HOST, address.to_string()).body(Full::default())
+}
+
 /// copies headers, without the hop-by-hop ones.
 pub(super) fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -74,6 +74,7 @@
     name: String,
     /// limit of connections to one replica, over all its callers.
     max_conns: Option<u32>,
+    health_path: Option<String>,
     engine: Option<EngineWire>,
 }
 
@@ -155,6 +156,7 @@
         Self {
             name: wire.name,
             max_connections: wire.max_conns.unwrap_or(u32::MAX),
+            health_path: wire.health_path,
             engine: wire.engine.map(EngineSpec::from),
         }
     }
--- a/src/platform/replica_answer.rs
+++ b/src/platform/replica_answer.rs
@@ -20,7 +20,7 @@
 const RESPONSE_SIGNATURE: &str = "x-response-signature";
 /// `1` in the answers of a replica that is shutting down.
 const SERVER_LEAVING: &str = "server-leaving";
-/// id of the answering replica, in answers to requests meant for another one.
+/// id of the answering replica, in answers to health checks and to requests meant for another one.
 const INSTANCE_ID: &str = "x-instance-id";
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -63,7 +63,7 @@
     values.flat_map(|value| value.split(',')).any(|value| value.trim() == "1")
 }
 
-/// id of the replica that answered a request meant for another one.
+/// id of the replica that answered a health check or a request meant for another one.
 pub fn answering_replica(headers: &HeaderMap) -> Option<String> {
     header_text(headers, INSTANCE_ID)
 }
--- /dev/null
+++ b/src/poison/active_runs.rs
@@ -0,0 +1,100 @@
+use std::cell::OnceCell;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::poison::Content;
+use crate::poison::LifeSign;
+use crate::poison::ReplicaRun;
+
+/// silence of a replica after which a run counts as unresolved: several times as long as a busy replica is
+/// silent on all its connections.
+const OVERDUE_MS: u64 = 1_000;
+
+new_key_type! {
+    /// key of a run that has not ended.
+    pub struct RunKey;
+}
+
+/// runs that have not ended.
+#[derive(Debug, Default)]
+pub struct ActiveRuns {
+    runs: SlotMap<RunKey, ActiveRun>,
+}
+
+/// a run that has not ended.
+#[derive(Debug)]
+pub struct ActiveRun {
+    content: Content,
+    /// digest of the content, computed when it is first needed.
+    digest: OnceCell<String>,
+    request: String,
+    replica: String,
+    started_unix_ms: u64,
+    /// when it began.
+    pub begun_ms: u64,
+    /// when the replica process last sent a byte, of this answer or of another one.
+    heard_ms: u64,
+}
+
+impl ActiveRuns {
+    /// adds a run that begins now.
+    pub fn begin(
+        &mut self,
+        now_ms: u64,
+        content: Content,
+        request: String,
+        replica: String,
+        started_unix_ms: u64,
+    ) -> RunKey {
+        self.runs.insert(ActiveRun {
+            content,
+            digest: OnceCell::new(),
+            request,
+            replica,
+            started_unix_ms,
+            begun_ms: now_ms,
+            heard_ms: now_ms,
+        })
+    }
+
+    /// handles a part of the run's answer.
+    pub fn record_progress(&mut self, now_ms: u64, key: RunKey) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.heard_ms = now_ms;
+        }
+    }
+
+    /// handles an answer to another request.
+    pub fn record_life_sign(&mut self, now_ms: u64, sign: &LifeSign<'_>) {
+        for run in self.runs.values_mut() {
+            let is_replica = run.replica == sign.replica && run.started_unix_ms == sign.started_unix_ms;
+            if is_replica && sign.is_same_process(run.begun_ms) {
+                run.heard_ms = now_ms;
+            }
+        }
+    }
+
+    /// removes a run that has ended.
+    pub fn remove(&mut self, key: RunKey) -> Option<ActiveRun> {
+        self.runs.remove(key)
+    }
+
+    /// runs whose replicas have been silent for so long that they may have ended.
+    pub fn overdue(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
+        let is_overdue = move |run: &&ActiveRun| now_ms >= run.heard_ms + OVERDUE_MS;
+        self.runs.values().filter(is_overdue).map(ActiveRun::to_replica_run)
+    }
+}
+
+impl ActiveRun {
+    /// what identifies the run.
+    pub fn to_replica_run(&self) -> ReplicaRun {
+        ReplicaRun {
+            content: self.digest.get_or_init(|| self.content.digest()).clone(),
+            request: self.request.clone(),
+            replica: self.replica.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+}
--- a/src/door/content.rs
+++ b/src/poison/content.rs
@@ -4,7 +4,7 @@
 
 /// the part of a request that determines its effect on a replica, independent of caller and request id.
 #[derive(Clone, Debug)]
-pub(super) struct Content {
+pub struct Content {
     method: Method,
     host: Option<String>,
     /// path and query.
@@ -33,6 +33,11 @@
         }
     }
 
+    /// whether the content stands for one request rather than for all requests with its path.
+    pub fn is_specific(&self) -> bool {
+        !self.body.is_empty() || self.caller.is_some()
+    }
+
     /// identifies the content in logs, in the ledger and at other doors: 32 hexadecimal digits.
     pub fn digest(&self) -> String {
         let mut hasher = blake3::Hasher::new();
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,14 +1,26 @@
 //! poison requests, which crash the replicas that run them: counts victims by content and tells which
 //! contents are held, that is, refused.
 //!
+//! A run that is neither answered nor known to have ended its replica weighs like a victim until the replica
+//! process that had it shows a sign of life.
+//!
 //! Owns the state of one process. No I/O; time is passed in. See docs/design/poison.md.
 
+mod active_runs;
+mod content;
+mod hold;
+mod life_sign;
 mod pending_strikes;
 mod poison_state;
 mod run;
 mod strikes;
 mod suspect_runs;
 
+pub use active_runs::ActiveRuns;
+pub use active_runs::RunKey;
+pub use content::Content;
+pub use hold::Hold;
+pub use life_sign::LifeSign;
 pub use pending_strikes::PendingStrikes;
 pub use poison_state::PoisonState;
 pub use run::Evidence;
--- a/src/poison/pending_strikes.rs
+++ b/src/poison/pending_strikes.rs
@@ -31,6 +31,11 @@
         self.strikes.push(Row { strike, stored_at: BTreeSet::new() });
     }
 
+    /// all pending strikes, oldest first.
+    pub fn strikes(&self) -> impl Iterator<Item = &PoisonStrike> {
+        self.strikes.iter().map(|row| &row.strike)
+    }
+
     /// strikes to send to a node now; empty while a request to it is in flight.
     pub fn next_batch(&mut self, epoch: u64, node: &str) -> Vec<PoisonStrike> {
         self.set_epoch(epoch);
--- a/src/poison/run.rs
+++ b/src/poison/run.rs
@@ -16,10 +16,10 @@
 }
 
 impl ReplicaRun {
-    /// the strike against the content, for a replica that is known to have ended.
-    pub fn into_strike(self) -> PoisonStrike {
+    /// the strike against the content, if the replica has ended.
+    pub fn to_strike(&self) -> PoisonStrike {
         let Self { content, request, replica, started_unix_ms } = self;
-        PoisonStrike { content, victim: format!("{replica}/{started_unix_ms}/{request}") }
+        PoisonStrike { content: content.clone(), victim: format!("{replica}/{started_unix_ms}/{request}") }
     }
 }
 
--- a/src/poison/strikes.rs
+++ b/src/poison/strikes.rs
@@ -46,6 +46,11 @@
         self.contents.get(content).map_or(0, |row| row.victims.len())
     }
 
+    /// replicas that ended while running a content.
+    pub fn victims(&self, content: &str) -> impl Iterator<Item = &str> {
+        self.contents.get(content).into_iter().flat_map(|row| &row.victims).map(String::as_str)
+    }
+
     /// whether no content has a victim.
     pub fn is_empty(&self) -> bool {
         self.contents.is_empty()
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -1,14 +1,21 @@
 use crate::poison::Evidence;
+use crate::poison::LifeSign;
 use crate::poison::ReplicaRun;
 
-/// how long after an unanswered run the end of its replica counts against the content.
+/// how long after an unanswered run the end of its replica is evidence against the content.
 ///
 /// A replica that crashes silently is missed after a few heartbeats and restarted some seconds later.
-const SUSPICION_MS: u64 = 15_000;
-/// limit of watched runs; beyond it, the oldest is dropped.
+const EVIDENCE_MS: u64 = 15_000;
+/// how long an unanswered run weighs if nothing clears it: as long as a victim.
+const RETENTION_MS: u64 = 600_000;
+/// time after a run within which an answer that left the replica before the run ended may still arrive.
+const IN_FLIGHT_MS: u64 = 100;
+/// time in which a restarted replica is listed with its new start: a few heartbeats.
+const LISTING_MS: u64 = 3_000;
+/// limit of watched runs; beyond it, the oldest is dropped, cleared ones first.
 const MAX_RUNS: usize = 4_096;
 
-/// runs without an answer whose replicas may have ended.
+/// runs that ended without an answer, whose replicas may have ended.
 #[derive(Debug, Default)]
 pub struct SuspectRuns {
     /// oldest first.
@@ -18,18 +25,42 @@
 #[derive(Debug)]
 struct Suspicion {
     run: ReplicaRun,
+    begun_ms: u64,
     since_ms: u64,
     /// whether the replica's address did not answer a probe after the run.
     is_silent: bool,
+    /// whether the end of the replica is too late to be evidence.
+    is_evidence_late: bool,
+    standing: Standing,
+}
+
+/// what is known of the replica process since the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// nothing.
+    Unknown,
+    /// a process answers under the replica's id, which may have started since.
+    Answering { since_ms: u64 },
+    /// the same process has answered since.
+    Cleared,
 }
 
 impl SuspectRuns {
-    /// watches the replica of a run; `is_silent` if its address did not answer a probe after the run.
-    pub fn add(&mut self, now_ms: u64, run: ReplicaRun, is_silent: bool) {
+    /// watches the replica of a run that began at `begun_ms` and ended now; `is_silent` if its address did not
+    /// answer a probe after the run.
+    pub fn add(&mut self, now_ms: u64, begun_ms: u64, run: ReplicaRun, is_silent: bool) {
         if self.runs.len() >= MAX_RUNS {
-            self.runs.remove(0);
+            let cleared = self.runs.iter().position(|suspicion| suspicion.standing == Standing::Cleared);
+            self.runs.remove(cleared.unwrap_or(0));
         }
-        self.runs.push(Suspicion { run, since_ms: now_ms, is_silent });
+        self.runs.push(Suspicion {
+            run,
+            begun_ms,
+            since_ms: now_ms,
+            is_silent,
+            is_evidence_late: false,
+            standing: Standing::Unknown,
+        });
     }
 
     /// handles a process start of a replica; returns the runs of its earlier processes.
@@ -40,7 +71,8 @@
 
     /// handles the removal of a replica's entry; returns the runs after which it was silent.
     ///
-    /// Entries are removed for other reasons too, so a run that was only slow or abandoned does not count.
+    /// Entries are removed for other reasons too, so a run that was only slow or abandoned is no strike; it
+    /// stays suspected.
     pub fn replica_gone(&mut self, replica: &str) -> Vec<(ReplicaRun, Evidence)> {
         self.confirm(replica, Evidence::Gone, |suspicion| suspicion.is_silent)
     }
@@ -51,13 +83,74 @@
         evidence: Evidence,
         is_evidence: impl Fn(&Suspicion) -> bool,
     ) -> Vec<(ReplicaRun, Evidence)> {
-        let is_confirmed =
-            |suspicion: &mut Suspicion| suspicion.run.replica == replica && is_evidence(suspicion);
+        let is_confirmed = |suspicion: &mut Suspicion| {
+            suspicion.run.replica == replica && !suspicion.is_evidence_late && is_evidence(suspicion)
+        };
         self.runs.extract_if(.., is_confirmed).map(|suspicion| (suspicion.run, evidence)).collect()
     }
 
-    /// drops runs whose replicas have not ended within the time limit.
-    pub fn expire(&mut self, now_ms: u64) {
-        self.runs.retain(|suspicion| now_ms < suspicion.since_ms + SUSPICION_MS);
+    /// handles an answer of a replica; returns the runs that it clears.
+    pub fn replica_answered(&mut self, now_ms: u64, sign: &LifeSign<'_>) -> Vec<ReplicaRun> {
+        let mut cleared = Vec::new();
+        for suspicion in &mut self.runs {
+            let run = &suspicion.run;
+            if run.replica != sign.replica
+                || run.started_unix_ms != sign.started_unix_ms
+                || now_ms < suspicion.since_ms + IN_FLIGHT_MS
+            {
+                continue;
+            }
+            match suspicion.standing {
+                Standing::Cleared => {}
+                Standing::Unknown | Standing::Answering { .. }
+                    if sign.is_same_process(suspicion.begun_ms) =>
+                {
+                    suspicion.standing = Standing::Cleared;
+                    cleared.push(run.clone());
+                }
+                Standing::Unknown => suspicion.standing = Standing::Answering { since_ms: now_ms },
+                Standing::Answering { .. } => {}
+            }
+        }
+        cleared
+    }
+
+    /// clears all runs of a content that a replica has run to a successful end.
+    pub fn content_succeeded(&mut self, content: &str) {
+        for suspicion in self.runs.iter_mut().filter(|suspicion| suspicion.run.content == content) {
+            suspicion.standing = Standing::Cleared;
+        }
+    }
+
+    /// runs that are not cleared.
+    pub fn unresolved(&self) -> impl Iterator<Item = &ReplicaRun> {
+        let unresolved = self.runs.iter().filter(|suspicion| suspicion.standing != Standing::Cleared);
+        unresolved.map(|suspicion| &suspicion.run)
+    }
+
+    /// drops runs whose time limit has passed, and returns those that it clears: their replicas have answered
+    /// for so long that a restart would be listed. `is_list_current` tells whether the list can show one.
+    pub fn expire(&mut self, now_ms: u64, is_list_current: bool) -> Vec<ReplicaRun> {
+        let mut cleared = Vec::new();
+        for suspicion in &mut self.runs {
+            suspicion.is_evidence_late = now_ms >= suspicion.since_ms + EVIDENCE_MS;
+            let Standing::Answering { since_ms } = &mut suspicion.standing else {
+                continue;
+            };
+            if !is_list_current {
+                *since_ms = now_ms;
+            } else if now_ms >= *since_ms + LISTING_MS {
+                suspicion.standing = Standing::Cleared;
+                cleared.push(suspicion.run.clone());
+            }
+        }
+        self.runs.retain(|suspicion| {
+            let keep_ms = match suspicion.standing {
+                Standing::Cleared => EVIDENCE_MS,
+                Standing::Unknown | Standing::Answering { .. } => RETENTION_MS,
+            };
+            now_ms < suspicion.since_ms + keep_ms
+        });
+        cleared
     }
 }
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -219,6 +219,22 @@
         Some(ReplicaPick { key, id, address, started_unix_ms, running })
     }
 
+    /// address of a replica if this start of it is listed.
+    pub fn address(&self, id: &str, started_unix_ms: u64) -> Option<SocketAddr> {
+        let entry = self.entry(id)?;
+        (entry.started_unix_ms == started_unix_ms).then_some(entry.address)
+    }
+
+    /// service of a listed replica.
+    pub fn service(&self, id: &str) -> Option<&str> {
+        self.entry(id).map(|entry| entry.service.as_str())
+    }
+
+    fn entry(&self, id: &str) -> Option<&ReplicaEntry> {
+        let key = self.by_id.get(id)?;
+        self.replicas.get(*key).map(|replica| &replica.entry)
+    }
+
     /// ends a request in flight to a replica.
     pub fn release(&mut self, key: ReplicaId) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -5,6 +5,8 @@
     pub name: String,
     /// connections that one replica accepts, summed over all doors.
     pub max_connections: u32,
+    /// path of the health check of its replicas; `None` if they have none.
+    pub health_path: Option<String>,
     /// capacity of its model engines; `None` for services that run no model.
     pub engine: Option<EngineSpec>,
 }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -469,6 +469,9 @@
     pub started: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub strikes_mark: ::std::option::Option<StrikesMark>,
+    ///runs without an answer whose replicas it has not heard since, as strikes that they may be
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub unresolved: ::std::vec::Vec<PoisonStrike>,
     ///whether the answer should tell of the other doors; one ledger node is asked for that
     pub wants_fleet: bool,
     ///availability zone
@@ -692,6 +695,9 @@
     pub strikes_mark: StrikesMark,
     ///whether doors and loads are told
     pub tells_fleet: bool,
+    ///such runs of other doors, of contents that may have ended several replicas
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub unresolved: ::std::vec::Vec<PoisonStrike>,
 }
 ///a program's state is dropped
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -200,8 +200,8 @@
         let config = json!({
             "version": self.config_version, "routes": routes,
             "services": [
-                { "name": "models", "max_conns": 100, "engine": engine },
-                { "name": "tools", "max_conns": 100 },
+                { "name": "models", "max_conns": 100, "health_path": "/healthz", "engine": engine },
+                { "name": "tools", "max_conns": 100, "health_path": "/healthz" },
             ],
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": 100_000,
--- a/tests/fleet_poison.rs
+++ b/tests/fleet_poison.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use std::net::TcpStream;
 use std::time::Duration;
 
 use flamingo_standins::replica::EndStage;
@@ -236,3 +237,57 @@
     });
     assert_eq!(fleet.ends(), STRIKE_LIMIT, "{statuses:?}");
 }
+
+/// Guards against runs that weigh nothing as long as their callers wait.
+#[test]
+fn poison_counts_runs_under_way_at_silent_replicas() {
+    let fleet = start_with("poison-waiting", EndStage::Silent, MANY);
+    let request = post_request();
+    let waiting: Vec<TcpStream> = (1..=MANY)
+        .map(|number| {
+            let stream = fleet.open(number % 2, &request.attempt(number as u32));
+            std::thread::sleep(Duration::from_millis(2_000));
+            stream
+        })
+        .collect();
+    assert_eq!(fleet.ends(), STRIKE_LIMIT, "{waiting:?}");
+}
+
+/// Guards against forgetting the unresolved runs of a door that is killed.
+#[test]
+fn poison_runs_of_a_killed_door_still_weigh() {
+    let mut fleet = start_with("poison-killed-door", EndStage::Silent, MANY);
+    let request = post_request().with("X-Deadline-Ms", SHORT_DEADLINE_MS);
+    for number in 1..=MANY {
+        fleet.doors[0].send(&request.attempt(number as u32));
+        std::thread::sleep(PROPAGATION_TIME);
+        fleet.doors[0].kill();
+        fleet.doors[0].start();
+        fleet.wait("the door is ready again", || fleet.doors[0].get_readiness() == 200);
+        std::thread::sleep(PROPAGATION_TIME);
+    }
+    assert_eq!(fleet.ends(), STRIKE_LIMIT);
+}
+
+/// Guards against holding an innocent request whose answers were lost by replicas that are alive.
+#[test]
+fn unanswered_request_is_served_once_its_replicas_answer() {
+    let fleet = start("poison-innocent", EndStage::BeforeHead);
+    let request = post_request().with("X-Deadline-Ms", SHORT_DEADLINE_MS);
+    let innocent =
+        ClientRequest::post("/send/letter", "innocent", "innocent").with("X-Deadline-Ms", SHORT_DEADLINE_MS);
+    fleet.set_faults(ReplicaFault::Mute);
+    for number in 1..=STRIKE_LIMIT as u32 {
+        assert_eq!(fleet.doors[0].send(&innocent.attempt(number)).status, 504);
+    }
+    fleet.set_faults(ReplicaFault::None);
+    let refused = fleet.doors[0].send(&innocent.attempt(4));
+    assert_eq!((refused.status, refused.body.as_str()), (503, "suspected"));
+    assert_eq!(refused.header("retry-after"), Some("1"));
+    assert_eq!(fleet.doors[0].send(&request).status, 200, "other requests are served");
+    let mut attempts = 4;
+    fleet.wait("the innocent request is served", || {
+        attempts += 1;
+        fleet.doors[1].send(&innocent.attempt(attempts)).status == 200
+    });
+}
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -104,6 +104,7 @@
         wants_fleet: true,
         doors_mark: None,
         leaving,
+        unresolved: Vec::new(),
     };
     let mut registry = DoorRegistry::default();
     registry.report(0, &report("a", vec![LeavingReplica { age_ms: 30, ..leaving("r", Some(1)) }]));
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -1,8 +1,14 @@
-//! evidence on which an unanswered run counts against its content.
+//! evidence on which an unanswered run counts against its content, or is cleared.
 
+use bytes::Bytes;
+use flamingostand::poison::ActiveRuns;
+use flamingostand::poison::Content;
 use flamingostand::poison::Evidence;
+use flamingostand::poison::LifeSign;
 use flamingostand::poison::ReplicaRun;
 use flamingostand::poison::SuspectRuns;
+use hyper::Method;
+use hyper::Uri;
 
 fn run(replica: &str, request: &str) -> ReplicaRun {
     ReplicaRun {
@@ -17,8 +23,8 @@
 #[test]
 fn restart_counts_runs_of_the_previous_process() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, run("a", "1"), false);
-    suspects.add(0, run("b", "2"), false);
+    suspects.add(0, 0, run("a", "1"), false);
+    suspects.add(0, 0, run("b", "2"), false);
     assert_eq!(suspects.replica_started("a", 101), [(run("a", "1"), Evidence::Restarted)]);
     assert!(suspects.replica_started("a", 102).is_empty(), "a run counts once");
 }
@@ -27,7 +33,7 @@
 #[test]
 fn heartbeat_of_the_same_process_counts_nothing() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, run("a", "1"), true);
+    suspects.add(0, 0, run("a", "1"), true);
     assert!(suspects.replica_started("a", 100).is_empty());
     assert_eq!(suspects.replica_started("a", 101).len(), 1);
 }
@@ -36,8 +42,8 @@
 #[test]
 fn gone_entry_counts_only_silent_replicas() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, run("a", "slow"), false);
-    suspects.add(0, run("a", "silent"), true);
+    suspects.add(0, 0, run("a", "slow"), false);
+    suspects.add(0, 0, run("a", "silent"), true);
     assert_eq!(suspects.replica_gone("a"), [(run("a", "silent"), Evidence::Gone)]);
 }
 
@@ -45,16 +51,73 @@
 #[test]
 fn old_runs_expire() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, run("a", "1"), true);
-    suspects.expire(14_999);
-    suspects.add(14_999, run("a", "2"), true);
-    suspects.expire(15_000);
+    suspects.add(0, 0, run("a", "1"), true);
+    suspects.expire(14_999, true);
+    suspects.add(14_999, 14_999, run("a", "2"), true);
+    suspects.expire(15_000, true);
     assert_eq!(suspects.replica_started("a", 101), [(run("a", "2"), Evidence::Restarted)]);
 }
 
 /// Guards against counting two runs of one request as one victim.
 #[test]
 fn victims_of_one_request_differ_by_replica() {
-    assert_ne!(run("a", "1").into_strike(), run("b", "1").into_strike());
-    assert_eq!(run("a", "1").into_strike(), run("a", "1").into_strike());
+    assert_ne!(run("a", "1").to_strike(), run("b", "1").to_strike());
+    assert_eq!(run("a", "1").to_strike(), run("a", "1").to_strike());
+}
+
+/// an answer of replica `a` over a connection that was opened at `connected_ms`.
+fn answer(connected_ms: u64) -> LifeSign<'static> {
+    LifeSign { replica: "a", started_unix_ms: 100, connected_ms }
+}
+
+/// Guards against holding a content because of replicas that go on answering others.
+#[test]
+fn answer_of_the_same_process_clears_a_run() {
+    let mut suspects = SuspectRuns::default();
+    suspects.add(1_000, 500, run("a", "1"), false);
+    suspects.add(1_000, 500, run("b", "2"), false);
+    assert_eq!(suspects.replica_answered(1_100, &answer(500)), [run("a", "1")]);
+    assert_eq!(suspects.unresolved().collect::<Vec<_>>(), [&run("b", "2")]);
+    assert_eq!(suspects.replica_started("a", 101).len(), 1, "a restart soon after still counts");
+}
+
+/// Guards against taking an answer for a sign of life that left the replica before the run ended it.
+#[test]
+fn answer_on_its_way_clears_nothing() {
+    let mut suspects = SuspectRuns::default();
+    suspects.add(1_000, 500, run("a", "1"), false);
+    assert!(suspects.replica_answered(1_099, &answer(0)).is_empty());
+    assert_eq!(suspects.unresolved().count(), 1);
+}
+
+/// Guards against clearing a run by an answer of the replica's next process, which may have the same id.
+#[test]
+fn later_connection_clears_a_run_only_once_a_restart_would_be_listed() {
+    let mut suspects = SuspectRuns::default();
+    suspects.add(1_000, 500, run("a", "1"), false);
+    assert!(suspects.replica_answered(2_000, &answer(501)).is_empty());
+    assert!(suspects.expire(4_999, true).is_empty());
+    assert!(suspects.expire(5_000, false).is_empty(), "the list shows no restart while it is out of date");
+    assert!(suspects.expire(7_999, true).is_empty());
+    assert_eq!(suspects.expire(8_000, true), [run("a", "1")]);
+    assert_eq!(suspects.unresolved().count(), 0);
+}
+
+/// Guards against runs that weigh nothing while their callers wait for a silent replica.
+#[test]
+fn run_at_a_silent_replica_is_overdue() {
+    let content = |name: &'static str| {
+        Content::new(&Method::POST, None, &Uri::from_static("/p"), &Bytes::from_static(name.as_bytes()), None)
+    };
+    let mut active = ActiveRuns::default();
+    let first = active.begin(0, content("x"), "1".to_owned(), "a".to_owned(), 100);
+    active.begin(500, content("y"), "2".to_owned(), "a".to_owned(), 100);
+    assert_eq!(active.overdue(999).count(), 0);
+    assert_eq!(active.overdue(1_000).map(|run| run.request).collect::<Vec<_>>(), ["1"]);
+    active.record_life_sign(1_200, &answer(600));
+    assert_eq!(active.overdue(1_500).count(), 2, "a later process may have opened that connection");
+    active.record_life_sign(1_600, &answer(300));
+    assert_eq!(active.overdue(1_600).map(|run| run.request).collect::<Vec<_>>(), ["1"]);
+    active.record_progress(1_700, first);
+    assert_eq!(active.overdue(2_500).count(), 0);
 }
--- /dev/null
+++ b/tests/poison_world/mod.rs
@@ -0,0 +1,401 @@
+//! doors, ledger nodes and replicas in virtual time, around one content that ends each replica that runs it.
+
+use bytes::Bytes;
+use flamingostand::fleet::UnresolvedRuns;
+use flamingostand::poison::Content;
+use flamingostand::poison::Evidence;
+use flamingostand::poison::LifeSign;
+use flamingostand::poison::PoisonState;
+use flamingostand::poison::ReplicaRun;
+use flamingostand::poison::RunKey;
+use flamingostand::poison::Strikes;
+use flamingostand::schema::DoorReport;
+use flamingostand::schema::PoisonStrike;
+use hyper::Method;
+use hyper::Uri;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const STEP_MS: u64 = 50;
+const DURATION_MS: u64 = 60_000;
+const REPORT_INTERVAL_MS: u64 = 250;
+/// time after the third end from which on runs count as late.
+const CONTACT_MS: u64 = 3_000;
+const DOORS: usize = 9;
+const NODES: usize = 3;
+const REPLICAS: usize = 12;
+/// time within which a door passes on what it knows, even if reports are lost; it is not restarted earlier.
+const SETTLE_MS: u64 = 2_000;
+
+/// how a replica ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    /// its connection is reset, and its address refuses.
+    Refused,
+    /// its connection is reset, and the next process listens at once.
+    Back,
+    /// nothing more comes from it.
+    Silent,
+    /// nothing more comes after the head of the answer.
+    SilentAfterHead,
+}
+
+#[derive(Debug)]
+struct Door {
+    poison: PoisonState,
+    name: String,
+    started: u64,
+    waiting: Vec<Waiting>,
+    report_at_ms: u64,
+    busy_until_ms: u64,
+}
+
+/// a run whose caller waits.
+#[derive(Debug)]
+struct Waiting {
+    run: RunKey,
+    until_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Node {
+    unresolved: UnresolvedRuns,
+    strikes: Strikes,
+    known: Vec<PoisonStrike>,
+}
+
+#[derive(Debug)]
+struct Replica {
+    id: String,
+    started: u64,
+    /// what the list says of it; `None` while it has no entry.
+    listed: Option<(String, u64)>,
+    process_since_ms: u64,
+    back_at_ms: Option<u64>,
+    unlisted_at_ms: Option<u64>,
+    listed_at_ms: Option<u64>,
+}
+
+/// one history.
+pub struct World {
+    random: SmallRng,
+    now_ms: u64,
+    lost_permille: u64,
+    restart_interval_ms: u64,
+    attempt_interval_ms: u64,
+    timeout_ms: u64,
+    keeps_entries: bool,
+    doors: Vec<Door>,
+    nodes: Vec<Node>,
+    replicas: Vec<Replica>,
+    attempts: u64,
+    ends_ms: Vec<u64>,
+    runs_ms: Vec<u64>,
+    was_held: bool,
+}
+
+impl World {
+    pub fn new(seed: u64, lost_permille: u64, restart_interval_ms: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let doors =
+            (0..DOORS).map(|number| Door::new(format!("door-{number}"), number as u64 * 27)).collect();
+        let replicas = (0..REPLICAS).map(|number| Replica::new(format!("replica-{number}"))).collect();
+        Self {
+            now_ms: 0,
+            lost_permille,
+            restart_interval_ms,
+            attempt_interval_ms: [300, 1_000, 1_400, 5_000][random.random_range(0..4)],
+            timeout_ms: [400, 3_000, 6_000][random.random_range(0..3)],
+            keeps_entries: random.random_bool(0.3),
+            random,
+            doors,
+            nodes: (0..NODES).map(|_| Node::default()).collect(),
+            replicas,
+            attempts: 0,
+            ends_ms: Vec::new(),
+            runs_ms: Vec::new(),
+            was_held: false,
+        }
+    }
+
+    /// plays the whole history.
+    pub fn play(&mut self) {
+        while self.now_ms < DURATION_MS {
+            self.now_ms += STEP_MS;
+            self.move_replicas();
+            self.answer_others();
+            self.end_waiting();
+            if self.random.random_range(0..self.attempt_interval_ms) < STEP_MS {
+                self.attempt();
+            }
+            if self.restart_interval_ms > 0 && self.random.random_range(0..self.restart_interval_ms) < STEP_MS
+            {
+                self.restart_door();
+            }
+            for door in 0..DOORS {
+                self.report(door);
+            }
+        }
+    }
+
+    /// runs that began later than the contact time after the third end.
+    pub fn late_runs(&self) -> usize {
+        let third_ms = self.ends_ms.get(2).copied().unwrap_or(u64::MAX - CONTACT_MS);
+        self.runs_ms.iter().filter(|began_ms| **began_ms > third_ms + CONTACT_MS).count()
+    }
+
+    pub fn was_held(&self) -> bool {
+        self.was_held
+    }
+
+    pub fn summary(&self) -> String {
+        format!(
+            "{} late; attempts every {} ms, timeout {} ms, entries stay: {}, ends at {:?}, runs at {:?}",
+            self.late_runs(),
+            self.attempt_interval_ms,
+            self.timeout_ms,
+            self.keeps_entries,
+            self.ends_ms,
+            self.runs_ms
+        )
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.random.random_range(0..1_000) < self.lost_permille
+    }
+
+    fn attempt(&mut self) {
+        let number = self.random.random_range(0..DOORS);
+        let content = content();
+        let door = &self.doors[number];
+        if door.poison.hold(&content.digest()).is_some() {
+            self.was_held = true;
+            return;
+        }
+        let listed: Vec<usize> =
+            (0..REPLICAS).filter(|index| self.replicas[*index].listed.is_some()).collect();
+        if listed.is_empty() {
+            return;
+        }
+        let index = listed[self.random.random_range(0..listed.len())];
+        let replica = &self.replicas[index];
+        let (id, started) = replica.listed.clone().expect("it is listed");
+        // A dead replica refuses, and a later process under another id says that it is not meant.
+        if replica.back_at_ms.is_some() || replica.id != id {
+            return;
+        }
+        self.attempts += 1;
+        self.runs_ms.push(self.now_ms);
+        self.ends_ms.push(self.now_ms);
+        let request = format!("attempt-{}", self.attempts);
+        let poison = &mut self.doors[number].poison;
+        let run = poison.active.begin(self.now_ms, content, request, id, started);
+        let end =
+            [End::Refused, End::Back, End::Silent, End::SilentAfterHead][self.random.random_range(0..4)];
+        self.end_replica(index, end);
+        let door = &mut self.doors[number];
+        door.busy_until_ms = self.now_ms + self.timeout_ms + SETTLE_MS;
+        match end {
+            End::Refused => {
+                let ended = door.poison.active.remove(run).expect("it runs").to_replica_run();
+                door.strike(self.now_ms, &ended);
+            }
+            End::Back => door.suspect(self.now_ms, run),
+            End::Silent => door.waiting.push(Waiting { run, until_ms: self.now_ms + self.timeout_ms }),
+            End::SilentAfterHead => {
+                door.poison.active.record_progress(self.now_ms, run);
+                door.waiting.push(Waiting { run, until_ms: self.now_ms + self.timeout_ms });
+            }
+        }
+    }
+
+    fn end_replica(&mut self, index: usize, end: End) {
+        let down_ms = match end {
+            End::Back => 0,
+            End::Refused | End::Silent | End::SilentAfterHead => self.random.random_range(500..6_000),
+        };
+        let back_at_ms = self.now_ms + down_ms;
+        let keeps_id = self.random.random_bool(0.3);
+        let replica = &mut self.replicas[index];
+        replica.back_at_ms = Some(back_at_ms);
+        if !keeps_id {
+            replica.id = format!("{}-{}", replica.id, self.now_ms);
+        }
+        let lapse_ms = self.random.random_range(1_000..4_500);
+        replica.unlisted_at_ms = (!keeps_id && !self.keeps_entries).then_some(self.now_ms + lapse_ms);
+        replica.listed_at_ms = Some(back_at_ms + self.random.random_range(0..1_500));
+        if matches!(end, End::Back) {
+            self.move_replicas();
+        }
+    }
+
+    fn move_replicas(&mut self) {
+        let now_ms = self.now_ms;
+        for index in 0..REPLICAS {
+            let replica = &mut self.replicas[index];
+            if replica.back_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
+                replica.back_at_ms = None;
+                replica.process_since_ms = now_ms;
+                replica.started += 1;
+            }
+            if replica.unlisted_at_ms.take_if(|at_ms| now_ms >= *at_ms).is_some()
+                && let Some((id, _)) = replica.listed.take()
+            {
+                for door in &mut self.doors {
+                    let ended = door.poison.suspects.replica_gone(&id);
+                    door.strike_all(now_ms, &ended);
+                }
+            }
+            let replica = &mut self.replicas[index];
+            if replica.listed_at_ms.take_if(|at_ms| now_ms >= *at_ms).is_some() {
+                replica.listed = Some((replica.id.clone(), replica.started));
+                for door in &mut self.doors {
+                    let ended = door.poison.suspects.replica_started(&replica.id, replica.started);
+                    door.strike_all(now_ms, &ended);
+                }
+            }
+        }
+    }
+
+    /// replicas answer other requests, over connections of any age that their processes have seen.
+    fn answer_others(&mut self) {
+        for door in &mut self.doors {
+            let index = self.random.random_range(0..REPLICAS);
+            let replica = &self.replicas[index];
+            let Some((id, started)) = &replica.listed else {
+                continue;
+            };
+            if replica.back_at_ms.is_some() || replica.id != *id {
+                continue;
+            }
+            let connected_ms = self.random.random_range(replica.process_since_ms..=self.now_ms);
+            let sign = LifeSign { replica: id, started_unix_ms: *started, connected_ms };
+            door.poison.replica_answered(self.now_ms, &sign);
+        }
+    }
+
+    fn end_waiting(&mut self) {
+        for door in &mut self.doors {
+            let timed_out = door.waiting.extract_if(.., |waiting| self.now_ms >= waiting.until_ms);
+            for waiting in Vec::from_iter(timed_out) {
+                door.suspect(self.now_ms, waiting.run);
+            }
+        }
+    }
+
+    fn restart_door(&mut self) {
+        let number = self.random.random_range(0..DOORS);
+        let door = &self.doors[number];
+        if self.now_ms < door.busy_until_ms {
+            return;
+        }
+        let mut restarted = Door::new(door.name.clone(), self.now_ms);
+        restarted.started = door.started + 1;
+        self.doors[number] = restarted;
+    }
+
+    /// a door reports to all nodes, and one of them answers.
+    fn report(&mut self, number: usize) {
+        if self.now_ms < self.doors[number].report_at_ms {
+            return;
+        }
+        self.doors[number].report_at_ms = self.now_ms + REPORT_INTERVAL_MS;
+        self.doors[number].poison.expire(self.now_ms, true);
+        let report = self.doors[number].report();
+        for index in 0..NODES {
+            if self.is_lost() {
+                continue;
+            }
+            let node = &mut self.nodes[index];
+            node.unresolved.report(self.now_ms, &report);
+            for strike in self.doors[number].poison.pending.next_batch(1, &index.to_string()) {
+                let new = node.strikes.add(self.now_ms, &strike).is_some();
+                if new {
+                    node.known.push(strike.clone());
+                }
+                self.doors[number].poison.pending.acknowledge(1, &index.to_string(), &[strike], 2);
+            }
+            if self.is_lost() {
+                continue;
+            }
+            let node = &self.nodes[index];
+            let poison = &mut self.doors[number].poison;
+            for strike in &node.known {
+                poison.strikes.add(self.now_ms, strike);
+            }
+            let unresolved = node.unresolved.for_door(&report, &node.strikes);
+            poison.set_remote(self.now_ms, &index.to_string(), unresolved);
+        }
+    }
+}
+
+impl Door {
+    fn new(name: String, report_at_ms: u64) -> Self {
+        Self {
+            poison: PoisonState::default(),
+            name,
+            started: 1,
+            waiting: Vec::new(),
+            report_at_ms,
+            busy_until_ms: 0,
+        }
+    }
+
+    fn suspect(&mut self, now_ms: u64, run: RunKey) {
+        let Some(ended) = self.poison.active.remove(run) else {
+            return;
+        };
+        self.poison.suspects.add(now_ms, ended.begun_ms, ended.to_replica_run(), false);
+        self.poison.update_local(now_ms);
+    }
+
+    fn strike_all(&mut self, now_ms: u64, ended: &[(ReplicaRun, Evidence)]) {
+        for (run, _) in ended {
+            self.strike(now_ms, run);
+        }
+    }
+
+    fn strike(&mut self, now_ms: u64, run: &ReplicaRun) {
+        let strike = run.to_strike();
+        self.poison.pending.add(strike.clone());
+        self.poison.strikes.add(now_ms, &strike);
+        self.poison.update_local(now_ms);
+    }
+
+    fn report(&self) -> DoorReport {
+        DoorReport {
+            callers: self.name.clone(),
+            doors_mark: None,
+            leaving: Vec::new(),
+            loads: Vec::new(),
+            marks: Vec::new(),
+            name: self.name.clone(),
+            ready: true,
+            started: self.started.to_string(),
+            strikes_mark: None,
+            unresolved: self.poison.reportable(),
+            wants_fleet: true,
+            zone: String::new(),
+        }
+    }
+}
+
+impl Replica {
+    fn new(id: String) -> Self {
+        Self {
+            listed: Some((id.clone(), 1)),
+            id,
+            started: 1,
+            process_since_ms: 0,
+            back_at_ms: None,
+            unlisted_at_ms: None,
+            listed_at_ms: None,
+        }
+    }
+}
+
+fn content() -> Content {
+    let body = Bytes::from_static(b"deadly");
+    Content::new(&Method::POST, Some("host"), &Uri::from_static("/path"), &body, None)
+}
