Divide the rate limit of a replica among all doors

Cause: no door read the limit.

Change: doors read it in each answer and tell each other with the reports to ledger nodes. A door's share is its recent demand over that of all doors; an equal part holds until the sums are known, and half of it without reports. As requests come at random, shares are raised while all doors together send less than the limit. Programs whose prompts a limited replica has cached use the share first, new programs go where there is no limit, a request that finds only busy replicas besides waits up to 300 ms, and what no replica takes is refused with 503 limited and the time until one does. All that reaches a replica counts.

Why it works: the parts are parts of one sum, whatever the number of doors, and nothing is lent twice: a door that is cut off falls below its equal part while the others take its share over.

--- a/crates/edge/src/token_bucket.rs
+++ b/crates/edge/src/token_bucket.rs
@@ -25,6 +25,24 @@
         Self::new((rate_per_s - burst).max(rate_per_s / 2.0), burst)
     }
 
+    /// changes the rate and the capacity from `now` on; tokens that are there stay.
+    pub fn set_rate(&mut self, now: Duration, rate_per_s: f64, capacity: f64) {
+        self.fill(now);
+        self.rate_per_s = rate_per_s;
+        self.capacity = capacity;
+    }
+
+    /// takes all tokens that are there.
+    pub fn drain(&mut self) {
+        self.tokens = self.tokens.min(0.0);
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let gained = now.saturating_sub(self.filled_at).as_secs_f64() * self.rate_per_s;
+        self.tokens = (self.tokens + gained).min(self.capacity);
+        self.filled_at = self.filled_at.max(now);
+    }
+
     /// takes `amount` tokens at once, or returns how long to wait until they are there.
     pub fn take(&mut self, now: Duration, amount: f64) -> Result<(), Duration> {
         self.reserve(now, amount, Duration::ZERO).map(|_| ())
@@ -33,9 +51,7 @@
     /// reserves `amount` tokens and returns when they are there; nothing is reserved when that is later than
     /// `max_wait`, and the wait is the error.
     pub fn reserve(&mut self, now: Duration, amount: f64, max_wait: Duration) -> Result<Duration, Duration> {
-        let gained = now.saturating_sub(self.filled_at).as_secs_f64() * self.rate_per_s;
-        self.tokens = (self.tokens + gained).min(self.capacity);
-        self.filled_at = self.filled_at.max(now);
+        self.fill(now);
         let missing = (amount - self.tokens).max(0.0);
         let wait_s = missing / self.rate_per_s.max(f64::MIN_POSITIVE);
         let wait = Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64()));
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -20,8 +20,10 @@
 use crate::platform::classify_answer;
 use crate::platform::is_leaving;
 use crate::platform::keep_alive_timeout;
+use crate::platform::rate_notice;
 use crate::platform::replica_headers;
 use crate::routing::Outcome;
+use crate::routing::RateNotice;
 use crate::schema::LeavingReplica;
 
 /// result of one attempt at one replica, up to the response head.
@@ -112,6 +114,11 @@
             let idle_timeout = keep_alive_timeout(response.headers());
             match head {
                 AnswerClass::Usable | AnswerClass::NotRun => {
+                    let notice = rate_notice(response.headers());
+                    // A rejection is not bound to name the limit.
+                    if head == AnswerClass::Usable || notice != RateNotice::Unlimited {
+                        door.record_limit(&lease.pick, notice);
+                    }
                     door.replica_answered(&lease.pick.id, lease.pick.started_unix_ms, connection.opened);
                 }
                 AnswerClass::OtherReplica | AnswerClass::Foreign => {}
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_io::Timer;
 use flamingo_edge::timeout;
 use hyper::Response;
 use slog::info;
@@ -19,6 +20,7 @@
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
 use crate::platform::caller_headers;
+use crate::routing::NoPick;
 use crate::routing::Outcome;
 use crate::routing::ReplicaId;
 use crate::routing::RequestKind;
@@ -27,6 +29,9 @@
 /// attempts that replicas may decline without running the request before it is refused.
 const MAX_NOT_RUN: u32 = 4;
 
+/// total time that a request waits for limited replicas: less than a caller needs to come back after a refusal.
+const MAX_LIMIT_WAIT: Duration = Duration::from_millis(300);
+
 /// the attempts of one request.
 pub(super) struct Attempts<'a> {
     door: &'a Arc<Door>,
@@ -38,6 +43,8 @@
     indeterminate_count: u32,
     not_run: u32,
     last_not_run: Option<NotRun>,
+    /// time spent waiting for limited replicas.
+    limit_wait: Duration,
 }
 
 impl<'a> Attempts<'a> {
@@ -52,6 +59,7 @@
             indeterminate_count: 0,
             not_run: 0,
             last_not_run: None,
+            limit_wait: Duration::ZERO,
         })
     }
 
@@ -64,10 +72,15 @@
             if let Some(hold) = self.door.hold(self.request, self.route) {
                 return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
-            let Some(pick) =
-                self.door.pick(&self.service, self.request.affinity(self.route), &self.tried_replicas)
-            else {
-                return Err(self.no_replica_left());
+            let affinity = self.request.affinity(self.route);
+            let max_wait = MAX_LIMIT_WAIT.saturating_sub(self.limit_wait);
+            let pick = match self.door.pick(&self.service, affinity, &self.tried_replicas, max_wait) {
+                Ok(pick) => pick,
+                Err(NoPick::NoReplica) => return Err(self.no_replica_left()),
+                Err(NoPick::Limited { retry_after }) => {
+                    self.wait_for_limit(retry_after).await?;
+                    continue;
+                }
             };
             self.tried_replicas.push(pick.key);
             let replica = pick.id.clone();
@@ -139,6 +152,19 @@
         leaves_time.then(|| Duration::from_millis(limit_ms))
     }
 
+    /// waits until a limited replica takes a request again; an error if that is too long.
+    async fn wait_for_limit(&mut self, retry_after: Duration) -> Result<(), Refusal> {
+        self.limit_wait += retry_after;
+        if self.limit_wait <= MAX_LIMIT_WAIT && retry_after < self.request.remaining() {
+            Timer::after(retry_after).await;
+            return Ok(());
+        }
+        if self.indeterminate_count > 0 {
+            return Err(Refusal::AnswerLost);
+        }
+        Err(Refusal::Limited { retry_after_ms: retry_after.as_millis() as u64 })
+    }
+
     fn no_replica_left(&self) -> Refusal {
         match self.last_not_run {
             _ if self.indeterminate_count > 0 => Refusal::AnswerLost,
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwapOption;
 use flamingo_edge::Spawner;
 use slog::Logger;
+use slog::debug;
 use slog::info;
 
 use crate::door::FleetView;
@@ -31,13 +32,17 @@
 use crate::poison::RunKey;
 use crate::routing::Affinity;
 use crate::routing::AttemptTimeouts;
+use crate::routing::LimitChange;
+use crate::routing::NoPick;
 use crate::routing::PickCriteria;
+use crate::routing::RateNotice;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
 use crate::routing::ReplicaTable;
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::schema::LeavingReplica;
+use crate::schema::LimitShare;
 use crate::schema::MirrorMark;
 use crate::schema::PoisonStrike;
 use crate::settings::DoorAddresses;
@@ -149,8 +154,14 @@
     }
 
     /// selects a replica and counts the request as in flight there until the lease is dropped.
-    pub fn pick(&self, service: &str, affinity: Affinity<'_>, avoid: &[ReplicaId]) -> Option<ReplicaPick> {
-        let wanted = PickCriteria { service, zone: &self.settings.instance.zone, affinity };
+    pub fn pick(
+        &self,
+        service: &str,
+        affinity: Affinity<'_>,
+        avoid: &[ReplicaId],
+        max_wait: Duration,
+    ) -> Result<ReplicaPick, NoPick> {
+        let wanted = PickCriteria { service, zone: &self.settings.instance.zone, affinity, max_wait };
         self.replicas().pick(self.now_ms(), &wanted, avoid)
     }
 
@@ -181,6 +192,41 @@
         self.table.store(Some(Arc::new(table)));
     }
 
+    /// handles the rate limit that an answer of a replica names, or does not name any more.
+    pub fn record_limit(&self, pick: &ReplicaPick, notice: RateNotice) {
+        if notice == RateNotice::Unreadable {
+            metrics::counter!("door_unreadable_limits_total").increment(1);
+            debug!(self.log, "rate limit in an answer cannot be read; ignored"; "replica" => &pick.id);
+        }
+        let change = self.replicas().observe_limit(self.now_ms(), pick, notice);
+        if let Some(change) = change {
+            self.log_limit(&pick.id, change, "answer");
+        }
+    }
+
+    /// applies the shares of replicas' rate limits that a ledger node told.
+    pub fn apply_limit_shares(&self, shares: &[LimitShare]) {
+        let others = self.fleet().ready_count(&self.addresses.callers.to_string());
+        let changes = {
+            let mut replicas = self.replicas();
+            replicas.set_door_count(others + 1);
+            replicas.apply_limit_shares(self.now_ms(), shares)
+        };
+        for (replica, change) in changes {
+            self.log_limit(&replica, change, "door");
+        }
+    }
+
+    fn log_limit(&self, replica: &str, change: LimitChange, source: &'static str) {
+        metrics::counter!("door_limit_changes_total", "source" => source).increment(1);
+        match change {
+            LimitChange::Set(limit_per_s) => info!(self.log, "replica limits its requests";
+                "replica" => replica, "limit_per_s" => limit_per_s, "source" => source),
+            LimitChange::Lifted => info!(self.log, "replica no longer limits its requests";
+                "replica" => replica, "source" => source),
+        }
+    }
+
     /// records that a replica is leaving.
     pub fn record_leaving(&self, leaving: &LeavingReplica, origin: LeavingSource<'_>) {
         let is_first_hand = matches!(origin, LeavingSource::Answer { .. });
--- a/src/door/fleet_view.rs
+++ b/src/door/fleet_view.rs
@@ -42,6 +42,12 @@
         self.mark.as_ref()
     }
 
+    /// number of other doors that are ready, by their last reports.
+    pub fn ready_count(&self, own_callers: &str) -> usize {
+        let others = self.doors.values().map(|known| &known.row);
+        others.filter(|row| row.ready && !row.silent && row.callers != own_callers).count()
+    }
+
     /// applies an update from a ledger node.
     pub fn update(&mut self, now_ms: u64, news: &FleetNews) {
         if !news.tells_fleet {
--- a/src/door/health_check.rs
+++ b/src/door/health_check.rs
@@ -28,6 +28,7 @@
             return;
         }
     };
+    door.replicas().charge_limit(door.now_ms(), &run.replica, run.started_unix_ms);
     let check = async {
         let mut connection = Connection::open(&door.spawner, address).await.ok()?;
         let answer = connection.send(request).await.ok()?;
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -21,6 +21,11 @@
     NoReplica,
     /// all replicas that were tried rejected the request as overloaded.
     AllFull,
+    /// the replicas take no more requests of this door now.
+    Limited {
+        /// when one of them does.
+        retry_after_ms: u64,
+    },
     /// the last replica that was tried could not be reached.
     Unreachable,
     /// the deadline passed before a replica ran the request.
@@ -71,6 +76,7 @@
             Self::NoConfiguration
             | Self::NoReplica
             | Self::AllFull
+            | Self::Limited { .. }
             | Self::Unreachable
             | Self::TooLate
             | Self::Poisoned
@@ -92,7 +98,9 @@
         match self {
             // Another door very likely still reaches the ledger that this one has just lost.
             Self::LedgerUnsure => Some(0.1),
-            Self::LedgerBusy { retry_after_ms } => Some(retry_after_ms as f64 / 1_000.0),
+            Self::LedgerBusy { retry_after_ms } | Self::Limited { retry_after_ms } => {
+                Some(retry_after_ms as f64 / 1_000.0)
+            }
             // All doors may have just started: shorter retries would use up the caller's attempts before a
             // configuration and the ledger are available.
             Self::NoConfiguration | Self::LedgerAway => Some(0.6),
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -96,6 +96,7 @@
         // Separate statements, as each holds the lock of the table until its end.
         let loads = door.replicas().local_loads();
         let leaving = door.replicas().local_leaving(door.now_ms());
+        let limits = door.replicas().limit_uses(door.now_ms());
         let mut report = DoorReport {
             marks: Vec::new(),
             wants_fleet: false,
@@ -109,6 +110,7 @@
             strikes_mark: None,
             leaving,
             unresolved: door.poison().reportable(),
+            limits,
         };
         let view = door.ledger.view();
         // One node sends this door the state of the others; the choice spreads doors over the nodes.
@@ -235,6 +237,7 @@
                 door.poison().set_remote(door.now_ms(), &heard.member, news.unresolved);
                 if news.tells_fleet {
                     door.replicas().set_remote_loads(&news.loads);
+                    door.apply_limit_shares(&news.limits);
                 }
                 for mirror in news.mirrors {
                     follow::apply_news(&door, &heard.member, mirror);
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -177,7 +177,7 @@
         };
         self.failed_replicas.push(self.run.lease.pick.key);
         let affinity = self.request.affinity(&self.route);
-        let Some(pick) = self.door.pick(&service, affinity, &self.failed_replicas) else {
+        let Ok(pick) = self.door.pick(&service, affinity, &self.failed_replicas, Duration::ZERO) else {
             return false;
         };
         let lease = Lease::new(&self.door, pick, &self.request);
--- a/src/fleet/door_registry.rs
+++ b/src/fleet/door_registry.rs
@@ -183,6 +183,7 @@
             strikes: Vec::new(),
             leaving: Vec::new(),
             unresolved: Vec::new(),
+            limits: Vec::new(),
             strikes_mark: StrikesMark { start: String::new(), number: 0 },
             mirrors: Vec::new(),
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod door_registry;
 mod essential_tasks;
+mod limit_shares;
 mod list_watch;
 mod merged_mirror;
 mod mirror;
@@ -12,6 +13,7 @@
 
 pub use door_registry::DoorRegistry;
 pub use essential_tasks::EssentialTasks;
+pub use limit_shares::LimitShares;
 pub use list_watch::ListWatch;
 pub use list_watch::WatchUpdate;
 pub use merged_mirror::MergedMirror;
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeSet;
 
 use crate::fleet::DoorRegistry;
+use crate::fleet::LimitShares;
 use crate::fleet::Mirror;
 use crate::fleet::UnresolvedRuns;
 use crate::fleet::WatchUpdate;
@@ -130,6 +131,8 @@
     board: DoorRegistry,
     /// runs of doors that may have ended their replicas.
     unresolved: UnresolvedRuns,
+    /// rate limits of replicas, and what doors would use of them.
+    limits: LimitShares,
     /// platform objects that doors read from this node, by prefix.
     mirrors: BTreeMap<String, Mirror>,
     /// id of this process start.
@@ -155,6 +158,7 @@
             own,
             board: DoorRegistry::new(start),
             unresolved: UnresolvedRuns::default(),
+            limits: LimitShares::default(),
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
             peers: Peers::default(),
@@ -233,6 +237,10 @@
         };
         let mut news = self.board.report(now_ms, report);
         self.unresolved.report(now_ms, report);
+        self.limits.report(now_ms, report);
+        if report.wants_fleet {
+            news.limits = self.limits.for_door(now_ms, &report.name);
+        }
         news.unresolved = self.unresolved.for_door(report, self.node.store().strikes());
         (news.strikes, news.strikes_mark) = self.strikes_after(report.strikes_mark.as_ref());
         news.complete = self.node.is_complete();
@@ -325,6 +333,7 @@
             self.node.expire(now_ms);
             self.board.expire(now_ms);
             self.unresolved.expire(now_ms);
+            self.limits.expire(now_ms);
             for mirror in self.mirrors.values_mut() {
                 mirror.expire(now_ms);
             }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -45,6 +45,7 @@
 pub use replica_answer::classify_answer;
 pub use replica_answer::is_leaving;
 pub use replica_answer::keep_alive_timeout;
+pub use replica_answer::rate_notice;
 pub use replica_list::REPLICA_PREFIX;
 pub use replica_list::parse_replica;
 pub use replica_list::replica_id;
--- a/src/platform/replica_answer.rs
+++ b/src/platform/replica_answer.rs
@@ -11,6 +11,7 @@
 
 use crate::platform::caller_request::header_text;
 use crate::platform::caller_request::without_hop_by_hop;
+use crate::routing::RateNotice;
 
 const REQUEST_ID: &str = "x-request-id";
 /// set if the replica has not executed the request; but for status 421, no other header or status says so.
@@ -20,6 +21,9 @@
 const RESPONSE_SIGNATURE: &str = "x-response-signature";
 /// `1` in the answers of a replica that is shutting down.
 const SERVER_LEAVING: &str = "server-leaving";
+/// decimal number: requests a second that the answering replica takes from all doors together. It holds for as
+/// long as answers carry it.
+const SERVER_LIMIT: &str = "server-limit";
 /// id of the answering replica, in answers to health checks and to requests meant for another one.
 const INSTANCE_ID: &str = "x-instance-id";
 const KEEP_ALIVE: &str = "keep-alive";
@@ -63,6 +67,22 @@
     values.flat_map(|value| value.split(',')).any(|value| value.trim() == "1")
 }
 
+/// the rate limit that an answer names; the lowest of several. Negative and infinite numbers are none.
+pub fn rate_notice(headers: &HeaderMap) -> RateNotice {
+    let mut notice = RateNotice::Unlimited;
+    for value in headers.get_all(SERVER_LIMIT) {
+        let text = value.to_str().unwrap_or_default().trim();
+        let limit_per_s = text.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
+        notice = match (notice, limit_per_s) {
+            (RateNotice::Limited(lowest), Some(limit_per_s)) => RateNotice::Limited(limit_per_s.min(lowest)),
+            (_, Some(limit_per_s)) => RateNotice::Limited(limit_per_s),
+            (RateNotice::Limited(lowest), None) => RateNotice::Limited(lowest),
+            (_, None) => RateNotice::Unreadable,
+        };
+    }
+    notice
+}
+
 /// id of the replica that answered a health check or a request meant for another one.
 pub fn answering_replica(headers: &HeaderMap) -> Option<String> {
     header_text(headers, INSTANCE_ID)
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod attempt_timeouts;
 mod leaving;
 mod pick;
+mod rate_limits;
 mod replica_table;
 mod route;
 mod route_table;
@@ -13,6 +14,9 @@
 pub use attempt_timeouts::AttemptTimeouts;
 pub use pick::Affinity;
 pub use pick::PickCriteria;
+pub use rate_limits::LimitChange;
+pub use rate_limits::RateNotice;
+pub use replica_table::NoPick;
 pub use replica_table::Outcome;
 pub use replica_table::ReplicaEntry;
 pub use replica_table::ReplicaId;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::rendezvous;
 use crate::routing::replica_table::Replica;
 
@@ -25,6 +27,8 @@
     pub zone: &'a str,
     /// preference among the replicas of the service.
     pub affinity: Affinity<'a>,
+    /// how long the request may wait for a limited replica rather than go to a busy one.
+    pub max_wait: Duration,
 }
 
 /// which earlier requests make a replica faster for this one.
@@ -70,6 +74,30 @@
     }
 }
 
+/// whether requests wait for a slot of a replica.
+pub(super) fn is_busy(replica: &Replica) -> bool {
+    replica.load() >= KEEP_ALL_SHARE
+}
+
+/// the candidates for a new home without rate limits, if they have room; `None` if all candidates count.
+///
+/// A program sends further turns to its home, which a limited replica would not take.
+pub(super) fn without_limit<'a>(
+    criteria: &PickCriteria<'_>,
+    candidates: &[&'a Replica],
+    is_limited: impl Fn(&Replica) -> bool,
+) -> Option<Vec<&'a Replica>> {
+    let Affinity::Program { home } = criteria.affinity else {
+        return None;
+    };
+    if home.is_some_and(|home| candidates.iter().any(|replica| replica.entry.id == home)) {
+        return None;
+    }
+    let spare = candidates.iter().copied();
+    let spare: Vec<&Replica> = spare.filter(|replica| !is_limited(replica) && !is_busy(replica)).collect();
+    (!spare.is_empty()).then_some(spare)
+}
+
 /// load, as a share of the slots, from which on a replica does not keep a program.
 fn keep_limit(random: u64, candidates: &[&Replica]) -> f64 {
     let keep_all = KEEP_ALL_SHARE.max(KEEP_ALL_OVER_MEAN * mean_load(candidates));
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -9,7 +10,12 @@
 use crate::routing::PickCriteria;
 use crate::routing::leaving::LeavingReplicas;
 use crate::routing::pick;
+use crate::routing::rate_limits::LimitChange;
+use crate::routing::rate_limits::RateLimits;
+use crate::routing::rate_limits::RateNotice;
 use crate::schema::LeavingReplica;
+use crate::schema::LimitShare;
+use crate::schema::LimitUse;
 use crate::schema::ReplicaUse;
 
 /// how long an entry that disappeared around a platform outage is still used.
@@ -76,6 +82,30 @@
     pub running: u32,
 }
 
+/// why no replica can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPick {
+    /// no usable replica is known that was not tried.
+    NoReplica,
+    /// the replicas take no more requests of this door now.
+    Limited {
+        /// time until one of them does.
+        retry_after: Duration,
+    },
+}
+
+impl NoPick {
+    /// the same, if a replica of the service may also take a request after a backoff.
+    fn or_after(self, backoff: Option<Duration>) -> Self {
+        match self {
+            Self::NoReplica => Self::NoReplica,
+            Self::Limited { retry_after } => {
+                Self::Limited { retry_after: backoff.map_or(retry_after, |backoff| backoff.min(retry_after)) }
+            }
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Replica {
     pub entry: ReplicaEntry,
@@ -117,6 +147,7 @@
     replicas: SlotMap<ReplicaId, Replica>,
     by_id: HashMap<String, ReplicaId>,
     leaving: LeavingReplicas,
+    limits: RateLimits,
     /// state of the pseudorandom numbers that break ties between replicas.
     random: u64,
 }
@@ -180,6 +211,7 @@
     /// drops entries whose grace period after an outage has passed, and old announcements of leaving.
     pub fn expire(&mut self, now_ms: u64) {
         self.leaving.expire(now_ms);
+        self.limits.expire(now_ms);
         let replicas = &mut self.replicas;
         self.by_id.retain(|_, key| {
             let keeps = replicas
@@ -198,7 +230,7 @@
         now_ms: u64,
         criteria: &PickCriteria<'_>,
         avoid: &[ReplicaId],
-    ) -> Option<ReplicaPick> {
+    ) -> Result<ReplicaPick, NoPick> {
         let usable = self.replicas.iter().filter(|(key, replica)| {
             replica.entry.service == criteria.service
                 && replica.is_usable(now_ms, &self.leaving)
@@ -207,16 +239,19 @@
         let usable: Vec<&Replica> = usable.map(|(_, replica)| replica).collect();
         let ready: Vec<&Replica> =
             usable.iter().copied().filter(|replica| now_ms >= replica.retry_at_ms).collect();
+        let in_backoff = usable.iter().filter(|replica| now_ms < replica.retry_at_ms);
+        let backoff = in_backoff.map(|replica| Duration::from_millis(replica.retry_at_ms - now_ms)).min();
         // A replica in backoff is better than none: it may be the only one, and have recovered already.
-        let candidates = if ready.is_empty() { &usable } else { &ready };
+        let candidates = if ready.is_empty() { usable } else { ready };
         self.random = next_random(self.random);
-        let id = pick::best(criteria, self.random, candidates)?.entry.id.clone();
-        let key = *self.by_id.get(&id)?;
-        let replica = self.replicas.get_mut(key)?;
+        let id = best_within_limits(now_ms, criteria, self.random, candidates, &mut self.limits)
+            .map_err(|no_pick| no_pick.or_after(backoff))?;
+        let key = *self.by_id.get(&id).ok_or(NoPick::NoReplica)?;
+        let replica = self.replicas.get_mut(key).ok_or(NoPick::NoReplica)?;
         replica.local_running += 1;
         let running = replica.local_running + replica.remote_running;
         let ReplicaEntry { address, started_unix_ms, .. } = replica.entry;
-        Some(ReplicaPick { key, id, address, started_unix_ms, running })
+        Ok(ReplicaPick { key, id, address, started_unix_ms, running })
     }
 
     /// address of a replica if this start of it is listed.
@@ -258,6 +293,37 @@
         }
     }
 
+    /// handles the rate limit that an answer of a replica names; returns what changes by it.
+    pub fn observe_limit(
+        &mut self,
+        now_ms: u64,
+        pick: &ReplicaPick,
+        notice: RateNotice,
+    ) -> Option<LimitChange> {
+        self.limits.observe(now_ms, &pick.id, pick.started_unix_ms, notice)
+    }
+
+    /// replaces this door's shares of the limits of replicas; returns the replicas whose limits change.
+    pub fn apply_limit_shares(&mut self, now_ms: u64, shares: &[LimitShare]) -> Vec<(String, LimitChange)> {
+        self.limits.apply_shares(now_ms, shares)
+    }
+
+    /// sets the number of ready doors, this one included, among which limits are divided where reports are
+    /// missing.
+    pub fn set_door_count(&mut self, door_count: usize) {
+        self.limits.set_door_count(door_count);
+    }
+
+    /// limits of replicas and this door's demand, to be reported to other doors.
+    pub fn limit_uses(&self, now_ms: u64) -> Vec<LimitUse> {
+        self.limits.uses(now_ms)
+    }
+
+    /// counts a request that is sent outside of `pick` against a replica's limit, such as a health check.
+    pub fn charge_limit(&mut self, now_ms: u64, id: &str, started_unix_ms: u64) {
+        self.limits.charge(now_ms, id, started_unix_ms);
+    }
+
     /// records that a replica is leaving; `is_local` if it told this door, not another one. `true` if that
     /// was not known.
     ///
@@ -306,6 +372,34 @@
     }
 }
 
+/// the best candidate whose rate limit leaves this door a request, which is taken.
+fn best_within_limits(
+    now_ms: u64,
+    criteria: &PickCriteria<'_>,
+    random: u64,
+    mut candidates: Vec<&Replica>,
+    limits: &mut RateLimits,
+) -> Result<String, NoPick> {
+    let mut wait: Option<Duration> = None;
+    loop {
+        let spare = pick::without_limit(criteria, &candidates, |replica| {
+            limits.is_confirmed(now_ms, &replica.entry.id, replica.entry.started_unix_ms)
+        });
+        let Some(best) = pick::best(criteria, random, spare.as_deref().unwrap_or(&candidates)) else {
+            return Err(wait.map_or(NoPick::NoReplica, |retry_after| NoPick::Limited { retry_after }));
+        };
+        if let Some(retry_after) = wait.filter(|wait| *wait <= criteria.max_wait && pick::is_busy(best)) {
+            return Err(NoPick::Limited { retry_after });
+        }
+        match limits.take(now_ms, &best.entry.id, best.entry.started_unix_ms) {
+            Ok(()) => return Ok(best.entry.id.clone()),
+            Err(longer) => wait = Some(wait.map_or(longer, |shortest| shortest.min(longer))),
+        }
+        let refused = &best.entry.id;
+        candidates.retain(|replica| replica.entry.id != *refused);
+    }
+}
+
 /// the next pseudorandom number after `random`.
 fn next_random(random: u64) -> u64 {
     xxh3_64(&random.to_le_bytes())
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -457,6 +457,9 @@
     pub doors_mark: ::std::option::Option<DoorsMark>,
     ///replicas that said that they leave, to this door
     pub leaving: ::std::vec::Vec<LeavingReplica>,
+    ///limits that replicas named, and how much of them it would use
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub limits: ::std::vec::Vec<LimitUse>,
     ///requests that it has under way
     pub loads: ::std::vec::Vec<ReplicaUse>,
     ///how far it knows the mirrors of the node that it reports to
@@ -684,6 +687,9 @@
     pub doors_mark: ::std::option::Option<DoorsMark>,
     ///replicas that said to other doors that they leave
     pub leaving: ::std::vec::Vec<LeavingReplica>,
+    ///limits of replicas, with the part of the door that asks
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub limits: ::std::vec::Vec<LimitShare>,
     ///requests under way at each replica, through other doors than the one that asks
     pub loads: ::std::vec::Vec<ReplicaUse>,
     ///news of the platform
@@ -1439,6 +1445,42 @@
         }
     }
 }
+///the limit of a replica, as all doors know it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitShare {
+    ///time since an answer last said so
+    pub age_ms: u64,
+    ///the same of all doors together
+    pub all_demand_per_s: f64,
+    ///requests a second that all doors together send to it
+    pub all_sent_per_s: f64,
+    ///requests a second that it takes from all doors together; absent once the limit is over
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub limit_per_s: ::std::option::Option<f64>,
+    ///requests a second that the door that asks would send to it
+    pub own_demand_per_s: f64,
+    ///id of the replica
+    pub replica: ::std::string::String,
+    ///start of its process
+    pub started_unix_ms: u64,
+}
+///the limit of a replica, as a door knows it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitUse {
+    ///time since an answer last said so
+    pub age_ms: u64,
+    ///requests a second that the door would send to it
+    pub demand_per_s: f64,
+    ///requests a second that it takes from all doors together; absent once the limit is over
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub limit_per_s: ::std::option::Option<f64>,
+    ///id of the replica
+    pub replica: ::std::string::String,
+    ///requests a second that the door sends to it
+    pub sent_per_s: f64,
+    ///start of its process
+    pub started_unix_ms: u64,
+}
 ///addresses as IP and port
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ListenSettings {
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use flamingo_standins::replica::ReplicaStandin;
+use fleet::Answer;
 use fleet::ClientRequest;
 use fleet::Fleet;
 
@@ -40,6 +41,18 @@
     })
 }
 
+/// sends this many letters at the same moment.
+fn send_at_once(fleet: &Fleet, count: usize) -> Vec<Answer> {
+    let send = |number: usize| {
+        let id = format!("at-once-{number}");
+        fleet.doors[number % 2].send(&ClientRequest::post("/send/letter", &id, &id))
+    };
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..count).map(|number| scope.spawn(move || send(number))).collect();
+        callers.into_iter().map(|caller| caller.join().expect("a caller ends")).collect()
+    })
+}
+
 /// the most requests that reached a replica in one window, later than the contact time after the first.
 fn most_in_a_window(replica: &ReplicaStandin) -> usize {
     let times = replica.asked_at();
@@ -81,11 +94,8 @@
     let served = statuses.iter().filter(|status| **status == 200).count();
     assert!(served >= DURATION.as_secs() as usize * LIMIT_PER_S as usize, "{served} served: {statuses:?}");
     assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
-    let refused = (0..100).map(|number| {
-        let id = format!("refused-{number}");
-        fleet.doors[0].send(&ClientRequest::post("/send/letter", &id, &id))
-    });
-    let refused = refused.into_iter().find(|answer| answer.status == 503).expect("one is refused");
+    let answers = send_at_once(&fleet, 30);
+    let refused = answers.into_iter().find(|answer| answer.status == 503).expect("one is refused");
     assert_eq!(refused.body, "limited");
     assert!(refused.header("retry-after").is_some_and(|text| text.parse::<f64>().is_ok()));
 }
@@ -102,11 +112,10 @@
     }
     let mut number = 0;
     fleet.wait("both doors serve all requests", || {
-        let all_served = (0..20).all(|_| {
+        (0..20).all(|_| {
             number += 1;
             let id = format!("after-{number}");
             fleet.doors[number % 2].send(&ClientRequest::post("/send/letter", &id, &id)).status == 200
-        });
-        all_served
+        })
     });
 }
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -16,6 +16,7 @@
         loads: vec![ReplicaUse { replica: "r1".to_owned(), running }],
         strikes_mark: None,
         leaving: Vec::new(),
+        limits: Vec::new(),
         unresolved: Vec::new(),
         marks: Vec::new(),
         wants_fleet: true,
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use std::time::Duration;
+
 use flamingostand::fleet::DoorRegistry;
 use flamingostand::routing::Affinity;
 use flamingostand::routing::PickCriteria;
@@ -15,7 +17,7 @@
 use rand::rngs::StdRng;
 
 const CRITERIA: PickCriteria<'_> =
-    PickCriteria { service: "models", zone: "zone-a", affinity: Affinity::None };
+    PickCriteria { service: "models", zone: "zone-a", affinity: Affinity::None, max_wait: Duration::ZERO };
 
 fn entry(id: &str, started_unix_ms: u64) -> ReplicaEntry {
     ReplicaEntry {
@@ -37,7 +39,7 @@
 fn usable(table: &mut ReplicaTable, now_ms: u64) -> BTreeSet<String> {
     let mut usable = BTreeSet::new();
     let mut tried = Vec::new();
-    while let Some(pick) = table.pick(now_ms, &CRITERIA, &tried) {
+    while let Ok(pick) = table.pick(now_ms, &CRITERIA, &tried) {
         tried.push(pick.key);
         usable.insert(pick.id);
     }
@@ -104,6 +106,7 @@
         wants_fleet: true,
         doors_mark: None,
         leaving,
+        limits: Vec::new(),
         unresolved: Vec::new(),
     };
     let mut registry = DoorRegistry::default();
--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -374,6 +374,7 @@
             ready: true,
             started: self.started.to_string(),
             strikes_mark: None,
+            limits: Vec::new(),
             unresolved: self.poison.reportable(),
             wants_fleet: true,
             zone: String::new(),
--- a/tests/replica_cache.rs
+++ b/tests/replica_cache.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use std::time::Duration;
+
 use flamingostand::rendezvous;
 use flamingostand::routing::Affinity;
 use flamingostand::routing::PickCriteria;
@@ -171,7 +173,8 @@
         let (engine, key) = match self.choice {
             Choice::Table => {
                 let affinity = Affinity::Program { home: self.homes.get(&program).map(String::as_str) };
-                let criteria = PickCriteria { service: "models", zone: "a", affinity };
+                let criteria =
+                    PickCriteria { service: "models", zone: "a", affinity, max_wait: Duration::ZERO };
                 let pick = self.tables[door].pick(now_ms, &criteria, &[]).expect("all replicas are up");
                 self.homes.insert(program, pick.id);
                 (usize::from(pick.address.port()), Some(pick.key))
--- a/tests/replica_spread.rs
+++ b/tests/replica_spread.rs
@@ -9,6 +9,8 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use std::time::Duration;
+
 use flamingostand::routing::Affinity;
 use flamingostand::routing::PickCriteria;
 use flamingostand::routing::ReplicaEntry;
@@ -130,7 +132,7 @@
             AffinityKind::Key => Affinity::Key(&program),
             AffinityKind::Nothing => Affinity::None,
         };
-        let criteria = PickCriteria { service: "models", zone: &zone, affinity };
+        let criteria = PickCriteria { service: "models", zone: &zone, affinity, max_wait: Duration::ZERO };
         let pick = self.doors[number].table.pick(now_ms, &criteria, &[]).expect("all replicas are up");
         let engine = &mut self.engines[usize::from(pick.address.port())];
         let turn = Turn { program, replica: pick.id, door: number, key: pick.key, sent_ms: now_ms };
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -1,6 +1,9 @@
 //! replica choice by one door's table, which knows the door's own requests and reports of the others'.
 
+use std::time::Duration;
+
 use flamingostand::routing::Affinity;
+use flamingostand::routing::NoPick;
 use flamingostand::routing::Outcome;
 use flamingostand::routing::PickCriteria;
 use flamingostand::routing::ReplicaEntry;
@@ -29,7 +32,7 @@
 
 fn criteria(affinity: Option<&str>) -> PickCriteria<'_> {
     let affinity = affinity.map_or(Affinity::None, Affinity::Key);
-    PickCriteria { service: "models", zone: "zone-1", affinity }
+    PickCriteria { service: "models", zone: "zone-1", affinity, max_wait: Duration::ZERO }
 }
 
 #[test]
@@ -75,7 +78,7 @@
 fn overloaded_replica_is_better_than_none() {
     let mut table = table(1);
     table.set_remote_loads(&[ReplicaUse { replica: "r1".to_owned(), running: 24 }]);
-    assert!(table.pick(0, &criteria(None), &[]).is_some());
+    assert!(table.pick(0, &criteria(None), &[]).is_ok());
 }
 
 #[test]
@@ -94,18 +97,18 @@
 fn leaving_or_removed_replica_is_not_chosen() {
     let mut table = table(2);
     table.upsert(ReplicaEntry { leaving: true, ..entry(1) });
-    assert_eq!(table.pick(0, &criteria(None), &[]).map(|pick| pick.id), Some("r2".to_owned()));
+    assert_eq!(table.pick(0, &criteria(None), &[]).map(|pick| pick.id), Ok("r2".to_owned()));
     table.remove(0, "r2", false);
-    assert_eq!(table.pick(0, &criteria(None), &[]), None);
+    assert_eq!(table.pick(0, &criteria(None), &[]), Err(NoPick::NoReplica));
 }
 
 #[test]
 fn entry_lapsed_in_an_outage_has_a_grace_period() {
     let mut table = table(1);
     table.remove(1_000, "r1", true);
-    assert!(table.pick(2_900, &criteria(None), &[]).is_some(), "the grace period of two seconds is not over");
+    assert!(table.pick(2_900, &criteria(None), &[]).is_ok(), "the grace period of two seconds is not over");
     table.expire(3_100);
-    assert_eq!(table.pick(3_100, &criteria(None), &[]), None);
+    assert_eq!(table.pick(3_100, &criteria(None), &[]), Err(NoPick::NoReplica));
 }
 
 #[test]
@@ -118,10 +121,10 @@
     }
     let other = table.pick(10, &criteria(None), &[]).expect("a replica");
     table.record_outcome(10, other.key, Outcome::ConnectionFailed);
-    assert!(table.pick(20, &criteria(None), &[]).is_some(), "a replica in backoff is better than none");
+    assert!(table.pick(20, &criteria(None), &[]).is_ok(), "a replica in backoff is better than none");
     assert_eq!(
         table.pick(20, &criteria(None), &[pick.key, other.key]),
-        None,
+        Err(NoPick::NoReplica),
         "replicas that were tried are avoided"
     );
 }
--- a/tests/unresolved_runs.rs
+++ b/tests/unresolved_runs.rs
@@ -20,6 +20,7 @@
         ready: true,
         started: started.to_owned(),
         strikes_mark: None,
+        limits: Vec::new(),
         unresolved: victims.iter().map(|name| victim(name)).collect(),
         wants_fleet: true,
         zone: String::new(),
