Read each entry of a platform reply by itself

What callers saw: after another writer had left an entry that is nested deeply or holds a number too large, replicas that were added got no requests any more, also after a restart.

Cause: a page of the list, and a watch, was parsed as one document, so that one value that the parser does not take failed the whole reply, again and again. The stand-in hid part of it: it showed null for such a value. It hands values on as they were written now.

Change: entries are kept as raw text and parsed one by one; the value goes on unparsed to who reads it.

--- a/crates/standins/src/platform/named_routes.rs
+++ b/crates/standins/src/platform/named_routes.rs
@@ -7,8 +7,11 @@
 use http_types::Method;
 use http_types::Response;
 use http_types::StatusCode;
+use serde::Serialize;
 use serde_json::Value;
 use serde_json::json as value;
+use serde_json::value::RawValue;
+use serde_json::value::to_raw_value;
 
 use super::Change;
 use super::Object;
@@ -61,18 +64,51 @@
 }
 
 /// an object as a reply shows it.
-pub(super) fn object(state: &State, object: &Object) -> Value {
+#[derive(Serialize)]
+pub(super) struct ObjectBody {
+    metadata: Value,
+    spec: Box<RawValue>,
+    status: Value,
+}
+
+#[derive(Serialize)]
+struct PageBody {
+    items: Vec<ObjectBody>,
+    has_more: bool,
+    current_rev: u64,
+}
+
+#[derive(Serialize)]
+struct EventBody {
+    object: ObjectBody,
+    removed: bool,
+}
+
+#[derive(Serialize)]
+struct ChangesBody {
+    events: Vec<EventBody>,
+    current_rev: u64,
+}
+
+/// an object as a reply shows it; its value is handed on as it was written, even if no parser takes it.
+pub(super) fn object(state: &State, object: &Object) -> ObjectBody {
     let (_, name) = object.key.split_once('/').unwrap_or(("", &object.key));
-    let spec: Value = serde_json::from_slice(&object.value).unwrap_or(Value::Null);
     let status = state.statuses.get(&object.key).cloned().unwrap_or(Value::Null);
     let metadata = value!({ "name": name, "revision": object.version, "finalizers": [], "deleting": false });
-    value!({ "metadata": metadata, "spec": spec, "status": status })
+    ObjectBody { metadata, spec: spec(&object.value), status }
+}
+
+/// a value as JSON; bytes that are no JSON are shown as text.
+fn spec(value: &[u8]) -> Box<RawValue> {
+    let text = String::from_utf8_lossy(value);
+    let shown = RawValue::from_string(text.clone().into_owned());
+    shown.or_else(|_| to_raw_value(&text)).expect("a text is valid JSON")
 }
 
 /// a page of a list.
 pub(super) fn page(state: &State, page: &Page) -> Response {
-    let items: Vec<Value> = page.objects.iter().map(|item| object(state, item)).collect();
-    json(StatusCode::Ok, &value!({ "items": items, "has_more": page.more, "current_rev": page.revision }))
+    let items = page.objects.iter().map(|item| object(state, item)).collect();
+    json(StatusCode::Ok, &PageBody { items, has_more: page.more, current_rev: page.revision })
 }
 
 /// the result of a watch.
@@ -80,10 +116,9 @@
     let event = |change: &Change| {
         let value = change.value.clone().unwrap_or_else(|| b"null".as_slice().into());
         let shown = Object { key: change.key.clone(), version: change.version, value };
-        value!({ "object": object(state, &shown), "removed": change.value.is_none() })
+        EventBody { object: object(state, &shown), removed: change.value.is_none() }
     };
-    let events: Vec<Value> = changes.iter().map(event).collect();
-    json(StatusCode::Ok, &value!({ "events": events, "current_rev": revision }))
+    json(StatusCode::Ok, &ChangesBody { events: changes.iter().map(event).collect(), current_rev: revision })
 }
 
 /// a call that the store refused.
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -213,7 +213,7 @@
     };
     drop(state);
     let response = match result {
-        Ok(_) if is_named => json(StatusCode::Ok, &written.unwrap_or_default()),
+        Ok(_) if is_named => json(StatusCode::Ok, &written),
         Err(error) if is_named => named_routes::failure(error),
         Ok(version) => {
             let mut response = Response::new(StatusCode::Ok);
--- a/src/platform/named_objects.rs
+++ b/src/platform/named_objects.rs
@@ -9,58 +9,81 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use serde_json::value::RawValue;
 
 use crate::platform::Change;
 use crate::platform::Object;
 use crate::platform::PlatformReply;
 use crate::platform::PlatformRequest;
 
+/// an object as it arrives.
+///
+/// Other writers may store values that no parser takes: nested deeply, or with numbers out of range. Each part is
+/// parsed by itself, so that one such value does not spoil the reply.
 #[derive(Deserialize)]
-struct NamedObject {
-    metadata: Metadata,
-    #[serde(default)]
-    spec: Value,
+struct NamedObject<'a> {
+    metadata: Metadata<'a>,
+    #[serde(borrow, default)]
+    spec: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
-struct Metadata {
+struct Metadata<'a> {
     name: String,
-    #[serde(default)]
-    revision: u64,
+    #[serde(borrow, default)]
+    revision: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
-struct ListBody {
-    items: Vec<NamedObject>,
+struct ListBody<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     has_more: bool,
     /// revision of the whole store, not of one object.
     current_rev: u64,
 }
 
 #[derive(Deserialize)]
-struct WatchBody {
-    events: Vec<WatchEvent>,
+struct WatchBody<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
     /// revision to continue the watch after.
     current_rev: u64,
 }
 
 #[derive(Deserialize)]
-struct WatchEvent {
-    object: NamedObject,
+struct WatchEvent<'a> {
+    #[serde(borrow)]
+    object: NamedObject<'a>,
     removed: bool,
 }
 
-impl NamedObject {
+impl NamedObject<'_> {
     fn key(&self, kind: &str) -> String {
         format!("{kind}/{}", self.metadata.name)
     }
 
+    fn revision(&self) -> u64 {
+        self.metadata.revision.and_then(|revision| revision.get().parse().ok()).unwrap_or(0)
+    }
+
     fn to_object(&self, kind: &str) -> Object {
-        let value = self.spec.to_string().into_bytes();
-        Object { key: self.key(kind), version: self.metadata.revision, value }
+        let value = self.spec.map_or("null", RawValue::get).as_bytes().to_vec();
+        Object { key: self.key(kind), version: self.revision(), value }
     }
 }
 
+/// parses the entries of a reply; those that are no objects with a name are left out and counted.
+fn readable<'a, T: Deserialize<'a>>(entries: &[&'a RawValue]) -> impl Iterator<Item = T> {
+    entries.iter().filter_map(|entry| {
+        let parsed = serde_json::from_str(entry.get()).ok();
+        if parsed.is_none() {
+            metrics::counter!("platform_unreadable_objects_total").increment(1);
+        }
+        parsed
+    })
+}
+
 /// encodes a call as an HTTP request.
 pub(super) fn encode(address: SocketAddr, request: &PlatformRequest) -> Result<Request, String> {
     match request {
@@ -74,18 +97,18 @@
         }
         PlatformRequest::Create { key, value } => {
             let (kind, name) = split_key(key)?;
-            let body = json!({ "metadata": { "name": name }, "spec": parse::<Value>(value)? });
+            let body = json!({ "metadata": { "name": name }, "spec": value_of(value)? });
             json_request(Method::Post, url(address, &[kind], &[])?, &body)
         }
         PlatformRequest::Update { key, value, version } => {
             let (kind, name) = split_key(key)?;
             let metadata = json!({ "name": name, "revision": version });
-            let body = json!({ "metadata": metadata, "spec": parse::<Value>(value)? });
+            let body = json!({ "metadata": metadata, "spec": value_of(value)? });
             json_request(Method::Put, url(address, &[kind, name], &[])?, &body)
         }
         PlatformRequest::SetStatus { key, value } => {
             let (kind, name) = split_key(key)?;
-            let body = json!({ "metadata": { "name": name }, "status": parse::<Value>(value)? });
+            let body = json!({ "metadata": { "name": name }, "status": value_of(value)? });
             json_request(Method::Put, url(address, &[kind, name, "status"], &[])?, &body)
         }
         PlatformRequest::List { prefix, after, .. } => {
@@ -104,28 +127,30 @@
 
 /// decodes the body of a successful reply.
 pub(super) fn decode(request: &PlatformRequest, body: &[u8]) -> Result<PlatformReply, String> {
+    // Bytes that are no UTF-8 spoil only the text that they are in.
+    let body = String::from_utf8_lossy(body);
     match request {
         PlatformRequest::Get { key } => {
-            let object: NamedObject = parse(body)?;
+            let object: NamedObject<'_> = parse(&body)?;
             Ok(PlatformReply::Object(object.to_object(split_key(key)?.0)))
         }
         PlatformRequest::Create { .. }
         | PlatformRequest::Update { .. }
         | PlatformRequest::SetStatus { .. } => {
-            let object: NamedObject = parse(body)?;
-            Ok(PlatformReply::Written { version: object.metadata.revision })
+            let object: NamedObject<'_> = parse(&body)?;
+            Ok(PlatformReply::Written { version: object.revision() })
         }
         PlatformRequest::Delete { .. } => Ok(PlatformReply::Deleted),
         PlatformRequest::List { prefix, .. } => {
             let kind = kind_of_prefix(prefix)?;
-            let page: ListBody = parse(body)?;
-            let objects = page.items.iter().map(|item| item.to_object(kind)).collect();
+            let page: ListBody<'_> = parse(&body)?;
+            let objects = readable(&page.items).map(|item: NamedObject<'_>| item.to_object(kind)).collect();
             Ok(PlatformReply::Page { objects, more: page.has_more, revision: page.current_rev })
         }
         PlatformRequest::Watch { prefix, .. } => {
             let kind = kind_of_prefix(prefix)?;
-            let watch: WatchBody = parse(body)?;
-            let changes = watch.events.iter().map(|event| {
+            let watch: WatchBody<'_> = parse(&body)?;
+            let changes = readable(&watch.events).map(|event: WatchEvent<'_>| {
                 let object = event.object.to_object(kind);
                 let value = (!event.removed).then_some(object.value);
                 Change { key: object.key, version: object.version, value }
@@ -151,8 +176,13 @@
     !segment.is_empty() && segment != "." && segment != ".." && segment.bytes().all(is_safe_byte)
 }
 
-fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, String> {
-    serde_json::from_slice(body).map_err(|error| error.to_string())
+fn parse<'a, T: Deserialize<'a>>(body: &'a str) -> Result<T, String> {
+    serde_json::from_str(body).map_err(|error| error.to_string())
+}
+
+/// the value of an object that is written.
+fn value_of(value: &[u8]) -> Result<Value, String> {
+    serde_json::from_slice(value).map_err(|error| error.to_string())
 }
 
 fn json_request(method: Method, url: Url, body: &Value) -> Result<Request, String> {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -176,12 +176,16 @@
     }
 
     fn put_object(&self, key: &str, spec: &Value) {
-        let value = spec.to_string();
+        self.put_bytes(key, spec.to_string().as_bytes());
+    }
+
+    /// writes an object whose value need not be JSON.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         self.platform
             .control()
             .with_store(|store| match store.get(key) {
-                Ok(object) => store.update(key, value.as_bytes(), object.version),
-                Err(_) => store.create(key, value.as_bytes()),
+                Ok(object) => store.update(key, value, object.version),
+                Err(_) => store.create(key, value),
             })
             .expect("the platform stores the object");
     }
