Attribute answers without an id only on a new connection

What callers saw: where a replica wrote an earlier refusal once more on a kept connection, a request that it was running ran at a second replica too, or its caller was told that it has not run.

Cause: a refusal without a request id was taken for the answer to the request that waited. Replicas echo the id, so that an answer with another id was recognised; one without any was trusted wherever it came.

Change: an answer without an id belongs to a request for certain only if it is the first on its connection. Later ones count as answers to another request: the outcome is unknown, a request that must not be repeated is answered 502, others go elsewhere.

The stand-in for replicas echoes the id in refusals, as the users' replicas do.

--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -117,11 +117,13 @@
     }
     if expected.is_some_and(|expected| expected != replica_id) {
         let mut response = Response::new(StatusCode::MisdirectedRequest);
+        response.insert_header("x-request-id", id.as_str());
         response.insert_header("x-instance-id", replica_id.as_str());
         return response;
     }
     if fault == ReplicaFault::Shed {
         let mut response = Response::new(StatusCode::ServiceUnavailable);
+        response.insert_header("x-request-id", id.as_str());
         response.insert_header("x-not-executed", "1");
         return response;
     }
--- a/crates/standins/src/replica/mod.rs
+++ b/crates/standins/src/replica/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod endless;
 mod faults;
+mod scripted;
 mod standin;
 
 pub use endless::EndlessPart;
@@ -10,6 +11,9 @@
 pub use faults::DEADLY;
 pub use faults::EndStage;
 pub use faults::ReplicaFault;
+pub use scripted::ScriptedAnswer;
+pub use scripted::ScriptedReplica;
+pub use scripted::ScriptedRequest;
 pub use standin::ReplicaOptions;
 pub use standin::ReplicaStandin;
 pub use standin::Run;
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -101,7 +101,8 @@
         }
         Some(Ok((connection, response))) => {
             let id = request.caller.id.as_deref();
-            let head = classify_answer(response.status(), response.headers(), id);
+            let head =
+                classify_answer(response.status(), response.headers(), id, connection.is_first_answer());
             if is_leaving(response.headers()) {
                 report_leaving(door, request, &lease, head, response.headers());
             }
--- a/src/door/connections.rs
+++ b/src/door/connections.rs
@@ -42,6 +42,8 @@
     read_limit: ReadLimit,
     /// when it was opened.
     pub opened: Instant,
+    /// answers whose heads have arrived.
+    answer_count: u32,
     _driver: Task<()>,
 }
 
@@ -140,7 +142,12 @@
             // Errors are reported by the request in flight.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, read_limit, opened: Instant::now(), _driver: driver })
+        Ok(Self { address, sender, read_limit, opened: Instant::now(), answer_count: 0, _driver: driver })
+    }
+
+    /// whether one answer has arrived, and none before it.
+    pub fn is_first_answer(&self) -> bool {
+        self.answer_count == 1
     }
 
     /// sends a request and waits for the response head.
@@ -152,6 +159,7 @@
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.read_limit.lift();
+                self.answer_count += 1;
                 Ok(response)
             }
             // hyper returns the request only if it has written no byte of it.
--- a/src/platform/replica_answer.rs
+++ b/src/platform/replica_answer.rs
@@ -42,9 +42,21 @@
 }
 
 /// classifies an answer to the request `id`.
-pub fn classify_answer(status: StatusCode, headers: &HeaderMap, id: Option<&str>) -> AnswerClass {
+///
+/// A replica may write an earlier answer once more. One without an id belongs to this request for certain only
+/// if it `is_first` on its connection.
+pub fn classify_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    id: Option<&str>,
+    is_first: bool,
+) -> AnswerClass {
     let echoed = header_text(headers, REQUEST_ID);
-    if echoed.is_some() && echoed.as_deref() != id {
+    let is_own = match &echoed {
+        Some(echoed) => Some(echoed.as_str()) == id,
+        None => is_first,
+    };
+    if !is_own {
         return AnswerClass::Foreign;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/tests/caller_headers.rs
+++ b/tests/caller_headers.rs
@@ -77,7 +77,7 @@
 #[test_case(200, &[("X-Request-Id", "a"), ("X-Response-Signature", "s"), ("Content-Encoding", "gzip")], AnswerClass::Foreign; "encoded")]
 fn answer_head_is_classified(status: u16, rows: &[(&str, &str)], expected: AnswerClass) {
     let status = StatusCode::from_u16(status).expect("a status");
-    assert_eq!(classify_answer(status, &headers(rows), Some("a")), expected);
+    assert_eq!(classify_answer(status, &headers(rows), Some("a"), true), expected);
 }
 
 #[test_case(&[], None; "says nothing")]
@@ -98,3 +98,14 @@
     let kept = caller_headers(&answer);
     assert_eq!(kept.keys().map(HeaderName::as_str).collect::<Vec<_>>(), ["x-response-signature"]);
 }
+
+/// Guards against taking an earlier answer that is written once more for the one to this request.
+#[test_case(503, &[("X-Not-Executed", "1"), ("X-Request-Id", "a")], AnswerClass::NotRun; "own refusal")]
+#[test_case(503, &[("X-Not-Executed", "1")], AnswerClass::Foreign; "refusal without id")]
+#[test_case(421, &[("X-Instance-Id", "i-2")], AnswerClass::Foreign; "another replica without id")]
+#[test_case(421, &[("X-Instance-Id", "i-2"), ("X-Request-Id", "a")], AnswerClass::OtherReplica; "another replica")]
+#[test_case(500, &[], AnswerClass::Foreign; "failure without id")]
+fn later_answer_is_classified(status: u16, rows: &[(&str, &str)], expected: AnswerClass) {
+    let status = StatusCode::from_u16(status).expect("a status");
+    assert_eq!(classify_answer(status, &headers(rows), Some("a"), false), expected);
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -20,6 +20,7 @@
 use flamingo_standins::replica::ReplicaFault;
 use flamingo_standins::replica::ReplicaOptions;
 use flamingo_standins::replica::ReplicaStandin;
+use flamingo_standins::replica::ScriptedReplica;
 use serde_json::Value;
 use serde_json::json;
 
@@ -190,6 +191,20 @@
             .expect("the platform stores the object");
     }
 
+    /// registers a replica that follows a script, and drains all others of its service but `kept`.
+    pub fn replace_with_scripted(&self, replica: &ScriptedReplica, service: &str, kept: &[&str]) {
+        self.put_object("servers/scripted", &replica.entry(service));
+        for other in self.replicas().filter(|other| other.service() == service) {
+            let state = if kept.contains(&other.id().as_str()) { "ready" } else { "draining" };
+            self.register_replica(other, state);
+        }
+    }
+
+    /// registers one more replica that follows a script.
+    pub fn add_scripted(&self, id: &str, replica: &ScriptedReplica, service: &str) {
+        self.put_object(&format!("servers/{id}"), &replica.entry(service));
+    }
+
     fn delete_object(&self, key: &str) {
         self.platform
             .control()
