Resume a stream only with an event stream, and try further replicas

What callers saw: where a stream broke off and the next replica answered with a page, or any success that is no event stream, its text came in the middle of the stream. Where it answered with a failure, the stream broke off although the route allowed another attempt.

Cause: a resumed answer was taken for the rest of the stream if its status was a success; the first answer that was none ended the stream.

Change: only a success of the type text/event-stream goes on with a stream. Other answers count as an attempt, and the next replica is tried within the attempts of the route.

--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -24,7 +24,9 @@
 use crate::door::request::DoorRequest;
 use crate::door::turn::TurnAccount;
 use crate::platform::caller_headers;
+use crate::platform::is_event_stream;
 use crate::routing::ReplicaId;
+use crate::routing::ReplicaPick;
 use crate::routing::Route;
 
 /// relays a stream of server-sent events from a replica to a caller.
@@ -161,41 +163,56 @@
 
     /// resumes the stream at another replica after the last relayed event; `false` if that is not possible.
     async fn resume(&mut self, replica_ended: bool) -> bool {
-        if !self.route.resumable || self.door.hold(&self.request, &self.route).is_some() {
-            return false;
-        }
         // A run whose replica ended does not count as an attempt.
         if !replica_ended {
             self.attempt_count += 1;
         }
-        if self.attempt_count > self.route.max_attempts {
-            return false;
-        }
-        let service = match self.route.backend(self.door.draw()) {
-            Some(service) => service.to_owned(),
-            None => return false,
-        };
         self.failed_replicas.push(self.run.lease.pick.key);
-        let affinity = self.request.affinity(&self.route);
-        let Ok(pick) = self.door.pick(&service, affinity, &self.failed_replicas, Duration::ZERO) else {
-            return false;
-        };
-        let lease = Lease::new(&self.door, pick, &self.request);
-        let result = attempt(&self.door, &self.request, lease, self.last_event.as_deref(), None).await;
-        let AttemptResult::Head(head) = result else {
-            return false;
-        };
-        if !head.response.status().is_success() {
-            return false;
+        while self.may_resume() {
+            let Some(pick) = self.pick_next() else {
+                return false;
+            };
+            self.failed_replicas.push(pick.key);
+            let lease = Lease::new(&self.door, pick, &self.request);
+            match attempt(&self.door, &self.request, lease, self.last_event.as_deref(), None).await {
+                AttemptResult::Head(head) if continues_stream(&head) => {
+                    self.log_interruption("resumed");
+                    self.continue_with(*head);
+                    return true;
+                }
+                AttemptResult::Head(mut head) => {
+                    // The replica answered, but with something else than the rest of the stream.
+                    head.lease.mark_resolved();
+                    self.log_interruption("resume_failed");
+                    self.attempt_count += 1;
+                }
+                AttemptResult::Indeterminate(_) => self.attempt_count += 1,
+                AttemptResult::NotRun(_) => {}
+            }
         }
-        self.log_interruption("resumed");
-        let PendingAnswer { response, connection, lease, idle_timeout } = *head;
+        false
+    }
+
+    fn may_resume(&self) -> bool {
+        self.route.resumable
+            && self.attempt_count <= self.route.max_attempts
+            && !self.request.remaining().is_zero()
+            && self.door.hold(&self.request, &self.route).is_none()
+    }
+
+    fn pick_next(&self) -> Option<ReplicaPick> {
+        let service = self.route.backend(self.door.draw())?.to_owned();
+        let affinity = self.request.affinity(&self.route);
+        self.door.pick(&service, affinity, &self.failed_replicas, Duration::ZERO).ok()
+    }
+
+    fn continue_with(&mut self, head: PendingAnswer) {
+        let PendingAnswer { response, connection, lease, idle_timeout } = head;
         if let Some(account) = &mut self.account {
             account.set_replica(&lease.pick.id);
         }
         self.run = ActiveRun { body: response.into_body(), connection, lease, idle_timeout };
         self.splitter = SseSplitter::default();
-        true
     }
 
     /// returns the connection to the pool.
@@ -215,6 +232,11 @@
     }
 }
 
+/// whether an answer goes on with a stream, rather than being an error or a page.
+fn continues_stream(head: &PendingAnswer) -> bool {
+    head.response.status().is_success() && is_event_stream(head.response.headers())
+}
+
 /// answers a streaming request that belongs to no program.
 pub(super) async fn stream_without_program(
     door: &Arc<Door>,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -43,6 +43,7 @@
 pub use replica_answer::answering_replica;
 pub use replica_answer::caller_headers;
 pub use replica_answer::classify_answer;
+pub use replica_answer::is_event_stream;
 pub use replica_answer::is_leaving;
 pub use replica_answer::keep_alive_timeout;
 pub use replica_answer::rate_notice;
--- a/src/platform/replica_answer.rs
+++ b/src/platform/replica_answer.rs
@@ -7,6 +7,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_ENCODING;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::RETRY_AFTER;
 
 use crate::platform::caller_request::header_text;
@@ -72,6 +73,13 @@
     AnswerClass::Usable
 }
 
+/// whether an answer is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = header_text(headers, CONTENT_TYPE.as_str()).unwrap_or_default();
+    let kind = kind.split(';').next().unwrap_or_default().trim();
+    kind.eq_ignore_ascii_case("text/event-stream")
+}
+
 /// whether the answering replica is shutting down. Only the value `1` says so, alone or in a list; an empty
 /// one, `0` and any other do not.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
