Count a waiting request as demand once

Cause: a request that waits for a share of a limit looks again when the share may be there, and each look counted as demand.

Change: only the first look counts.

--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -16,6 +16,7 @@
 use crate::door::attempt::PendingAnswer;
 use crate::door::attempt::attempt;
 use crate::door::door::Door;
+use crate::door::door::MAX_LIMIT_WAIT;
 use crate::door::lease::Lease;
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
@@ -29,9 +30,6 @@
 /// attempts that replicas may decline without running the request before it is refused.
 const MAX_NOT_RUN: u32 = 4;
 
-/// total time that a request waits for limited replicas: less than a caller needs to come back after a refusal.
-const MAX_LIMIT_WAIT: Duration = Duration::from_millis(300);
-
 /// the attempts of one request.
 pub(super) struct Attempts<'a> {
     door: &'a Arc<Door>,
@@ -73,8 +71,7 @@
                 return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
             let affinity = self.request.affinity(self.route);
-            let max_wait = MAX_LIMIT_WAIT.saturating_sub(self.limit_wait);
-            let pick = match self.door.pick(&self.service, affinity, &self.tried_replicas, max_wait) {
+            let pick = match self.door.pick(&self.service, affinity, &self.tried_replicas, self.limit_wait) {
                 Ok(pick) => pick,
                 Err(NoPick::NoReplica) => return Err(self.no_replica_left()),
                 Err(NoPick::Limited { retry_after }) => {
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -49,6 +49,9 @@
 use crate::settings::NodeSettings;
 use crate::telemetry::Lateness;
 
+/// total time that a request waits for limited replicas: less than a caller needs to come back after a refusal.
+pub(super) const MAX_LIMIT_WAIT: Duration = Duration::from_millis(300);
+
 /// state that the tasks of a front door, a reverse proxy, share.
 pub(super) struct Door {
     pub settings: NodeSettings,
@@ -153,15 +156,22 @@
         merges.iter().map(|merge| merge.mark_for(node)).collect()
     }
 
-    /// selects a replica and counts the request as in flight there until the lease is dropped.
+    /// selects a replica and counts the request as in flight there until the lease is dropped; `waited` is the
+    /// time that the request has spent waiting for limited replicas.
     pub fn pick(
         &self,
         service: &str,
         affinity: Affinity<'_>,
         avoid: &[ReplicaId],
-        max_wait: Duration,
+        waited: Duration,
     ) -> Result<ReplicaPick, NoPick> {
-        let wanted = PickCriteria { service, zone: &self.settings.instance.zone, affinity, max_wait };
+        let wanted = PickCriteria {
+            service,
+            zone: &self.settings.instance.zone,
+            affinity,
+            max_wait: MAX_LIMIT_WAIT.saturating_sub(waited),
+            has_waited: !waited.is_zero(),
+        };
         self.replicas().pick(self.now_ms(), &wanted, avoid)
     }
 
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -19,6 +19,7 @@
 use crate::door::attempt::attempt;
 use crate::door::connections::Connection;
 use crate::door::door::Door;
+use crate::door::door::MAX_LIMIT_WAIT;
 use crate::door::lease::Lease;
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
@@ -203,7 +204,7 @@
     fn pick_next(&self) -> Option<ReplicaPick> {
         let service = self.route.backend(self.door.draw())?.to_owned();
         let affinity = self.request.affinity(&self.route);
-        self.door.pick(&service, affinity, &self.failed_replicas, Duration::ZERO).ok()
+        self.door.pick(&service, affinity, &self.failed_replicas, MAX_LIMIT_WAIT).ok()
     }
 
     fn continue_with(&mut self, head: PendingAnswer) {
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -29,6 +29,8 @@
     pub affinity: Affinity<'a>,
     /// how long the request may wait for a limited replica rather than go to a busy one.
     pub max_wait: Duration,
+    /// whether the request has waited already, so that it counts as demand no more.
+    pub has_waited: bool,
 }
 
 /// which earlier requests make a replica faster for this one.
--- a/src/routing/rate_limits.rs
+++ b/src/routing/rate_limits.rs
@@ -268,6 +268,16 @@
         known.limit_per_s.filter(|_| known.started_unix_ms == started_unix_ms)
     }
 
+    /// counts a request for which a replica would be chosen, whether its limit leaves one or not.
+    pub fn record_demand(&mut self, now_ms: u64, replica: &str, started_unix_ms: u64) {
+        if !self.is_limited(replica, started_unix_ms) {
+            return;
+        }
+        if let Some(known) = self.by_replica.get_mut(replica) {
+            known.demand.add(now_ms);
+        }
+    }
+
     /// takes a request from the share of this door in a replica's limit, if there is a limit; the time until
     /// one is there is the error.
     pub fn take(&mut self, now_ms: u64, replica: &str, started_unix_ms: u64) -> Result<(), Duration> {
@@ -278,7 +288,6 @@
         let Some(known) = self.by_replica.get_mut(replica) else {
             return Ok(());
         };
-        known.demand.add(now_ms);
         known.update_rate(now_ms, door_count);
         known.bucket.take(Duration::from_millis(now_ms), 1.0)?;
         known.sent.add(now_ms);
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -391,6 +391,9 @@
         if let Some(retry_after) = wait.filter(|wait| *wait <= criteria.max_wait && pick::is_busy(best)) {
             return Err(NoPick::Limited { retry_after });
         }
+        if !criteria.has_waited {
+            limits.record_demand(now_ms, &best.entry.id, best.entry.started_unix_ms);
+        }
         match limits.take(now_ms, &best.entry.id, best.entry.started_unix_ms) {
             Ok(()) => return Ok(best.entry.id.clone()),
             Err(longer) => wait = Some(wait.map_or(longer, |shortest| shortest.min(longer))),
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -16,8 +16,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-const CRITERIA: PickCriteria<'_> =
-    PickCriteria { service: "models", zone: "zone-a", affinity: Affinity::None, max_wait: Duration::ZERO };
+const CRITERIA: PickCriteria<'_> = PickCriteria {
+    service: "models",
+    zone: "zone-a",
+    affinity: Affinity::None,
+    max_wait: Duration::ZERO,
+    has_waited: false,
+};
 
 fn entry(id: &str, started_unix_ms: u64) -> ReplicaEntry {
     ReplicaEntry {
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -116,7 +116,13 @@
 
     fn send(&mut self, now_ms: u64, door: usize) {
         let affinity = Affinity::Program { home: Some(LIMITED) };
-        let criteria = PickCriteria { service: "models", zone: "a", affinity, max_wait: Duration::ZERO };
+        let criteria = PickCriteria {
+            service: "models",
+            zone: "a",
+            affinity,
+            max_wait: Duration::ZERO,
+            has_waited: false,
+        };
         let pick = self.doors[door].table.pick(now_ms, &criteria, &[]).expect("the other replica takes all");
         if pick.id == LIMITED {
             self.sent_ms.push(now_ms);
@@ -222,3 +228,22 @@
         assert!(steady_per_s >= least_use * world.limit_per_s, "{context}, used {steady_per_s}");
     }
 }
+
+/// Guards against doors that get a larger share because their requests wait and are chosen for again and again.
+#[test]
+fn waiting_request_counts_as_demand_once() {
+    let mut world = World::new(1, 1, 1.0);
+    world.send(0, 0);
+    world.answer(ANSWER_MS);
+    let affinity = Affinity::Program { home: Some(LIMITED) };
+    let mut criteria =
+        PickCriteria { service: "models", zone: "a", affinity, max_wait: Duration::ZERO, has_waited: false };
+    let table = &mut world.doors[0].table;
+    let demand = |table: &ReplicaTable| table.limit_uses(100)[0].demand_per_s;
+    table.pick(100, &criteria, &[]).expect("the other replica takes it");
+    let once = demand(table);
+    criteria.has_waited = true;
+    table.pick(100, &criteria, &[]).expect("the other replica takes it");
+    assert!(once > 0.0);
+    assert_eq!(demand(table).to_bits(), once.to_bits());
+}
--- a/tests/replica_cache.rs
+++ b/tests/replica_cache.rs
@@ -173,8 +173,13 @@
         let (engine, key) = match self.choice {
             Choice::Table => {
                 let affinity = Affinity::Program { home: self.homes.get(&program).map(String::as_str) };
-                let criteria =
-                    PickCriteria { service: "models", zone: "a", affinity, max_wait: Duration::ZERO };
+                let criteria = PickCriteria {
+                    service: "models",
+                    zone: "a",
+                    affinity,
+                    max_wait: Duration::ZERO,
+                    has_waited: false,
+                };
                 let pick = self.tables[door].pick(now_ms, &criteria, &[]).expect("all replicas are up");
                 self.homes.insert(program, pick.id);
                 (usize::from(pick.address.port()), Some(pick.key))
--- a/tests/replica_spread.rs
+++ b/tests/replica_spread.rs
@@ -132,7 +132,13 @@
             AffinityKind::Key => Affinity::Key(&program),
             AffinityKind::Nothing => Affinity::None,
         };
-        let criteria = PickCriteria { service: "models", zone: &zone, affinity, max_wait: Duration::ZERO };
+        let criteria = PickCriteria {
+            service: "models",
+            zone: &zone,
+            affinity,
+            max_wait: Duration::ZERO,
+            has_waited: false,
+        };
         let pick = self.doors[number].table.pick(now_ms, &criteria, &[]).expect("all replicas are up");
         let engine = &mut self.engines[usize::from(pick.address.port())];
         let turn = Turn { program, replica: pick.id, door: number, key: pick.key, sent_ms: now_ms };
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -32,7 +32,7 @@
 
 fn criteria(affinity: Option<&str>) -> PickCriteria<'_> {
     let affinity = affinity.map_or(Affinity::None, Affinity::Key);
-    PickCriteria { service: "models", zone: "zone-1", affinity, max_wait: Duration::ZERO }
+    PickCriteria { service: "models", zone: "zone-1", affinity, max_wait: Duration::ZERO, has_waited: false }
 }
 
 #[test]
