Keep the port of a replica stand-in while it is down

Cause: a stand-in that has ended listens on the same port again a second later. Meanwhile its port was free, and the system gives such ports to outgoing connections; a client socket that holds it makes the bind fail with this error (shown with a socket bound to a port that was just closed).

Change: the stand-in binds its port with a second socket that does not listen, for as long as it exists. Connections to it are refused as before.

--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -5,10 +5,14 @@
 use std::sync::MutexGuard;
 use std::time::Instant;
 
+use anyhow::Context;
 use anyhow::Result;
 use flamingo_edge::Spawner;
 use serde_json::Value;
 use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use super::ReplicaFault;
 use super::answer::Parts;
@@ -80,25 +84,37 @@
     options: Arc<ReplicaOptions>,
     state: Arc<Mutex<State>>,
     host: Arc<HostSlot>,
+    /// keeps the port from being taken while the replica is down.
+    _reservation: Arc<Socket>,
     address: SocketAddr,
 }
 
+/// a free port, bound by a socket that does not listen; a listener may be bound to it beside.
+fn reserve_port() -> Result<(Socket, SocketAddr)> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).context("creating a socket")?;
+    socket.set_reuse_address(true).context("allowing a listener on the same port")?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).context("binding a free port")?;
+    let address = socket.local_addr().context("reading the address")?;
+    Ok((socket, address.as_socket().context("the address is none of IPv4")?))
+}
+
 impl ReplicaStandin {
     /// starts a replica on a free port.
     pub fn start(spawner: &Spawner, options: ReplicaOptions) -> Result<Self> {
         let state = State { id: options.id.clone(), ..State::default() };
-        let mut replica = Self {
+        let (reservation, address) = reserve_port()?;
+        let replica = Self {
             options: Arc::new(options),
             state: Arc::new(Mutex::new(state)),
             host: Arc::default(),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            _reservation: Arc::new(reservation),
+            address,
         };
-        replica.address = replica.listen(spawner)?;
+        replica.listen(spawner)?;
         Ok(replica)
     }
 
-    /// listens, and returns the address with the port that was free.
-    fn listen(&self, spawner: &Spawner) -> Result<SocketAddr> {
+    fn listen(&self, spawner: &Spawner) -> Result<()> {
         let parts = Parts {
             tasks: spawner.clone(),
             options: Arc::clone(&self.options),
@@ -106,9 +122,8 @@
             host: Arc::downgrade(&self.host),
         };
         let host = Host::start(spawner, self.address, move |incoming| answer(parts.clone(), incoming))?;
-        let address = host.address();
         *self.host.lock().expect("host lock poisoned") = Some(host);
-        Ok(address)
+        Ok(())
     }
 
     /// starts again under the same id and address if it has ended; `false` if it runs.
@@ -152,6 +167,11 @@
         &self.options.service
     }
 
+    /// address that it listens on while it runs.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// id under which it is listed.
     pub fn id(&self) -> String {
         lock(&self.state).id.clone()
