--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -141,9 +141,18 @@
         ReplicaFault::EndUnder(stage) if target.contains(DEADLY) || body.contains(DEADLY) => Some(stage),
         _ => None,
     };
-    let run = Run { request: id.clone(), target, body, left_ms, is_whole: false, is_cancelled: false };
     let index = {
         let mut state = lock(state);
+        let run = Run {
+            request: id.clone(),
+            target,
+            body,
+            version: state.version.clone(),
+            events: 0,
+            left_ms,
+            is_whole: false,
+            is_cancelled: false,
+        };
         state.runs.push(run);
         state.runs.len() - 1
     };
@@ -230,6 +239,7 @@
             if sender.send(Ok(event.into_bytes())).await.is_err() {
                 return;
             }
+            lock(&parts.state).runs[index].events += 1;
         }
         lock(&parts.state).runs[index].is_whole = true;
     });
--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -35,6 +35,8 @@
     pub events: usize,
     /// time of each event, or of a whole answer.
     pub step_ms: u64,
+    /// version of its software.
+    pub version: String,
 }
 
 /// a request that a replica ran.
@@ -46,6 +48,10 @@
     pub target: String,
     /// body.
     pub body: String,
+    /// version of the software that ran it.
+    pub version: String,
+    /// events that it sent.
+    pub events: usize,
     /// time that the replica was given.
     pub left_ms: Option<u64>,
     /// whether its stream was handed over whole.
@@ -72,6 +78,8 @@
     pub ends: usize,
     /// id of the current process.
     pub id: String,
+    /// version of its software.
+    pub version: String,
     pub restarts: u64,
 }
 
@@ -101,7 +109,7 @@
 impl ReplicaStandin {
     /// starts a replica on a free port.
     pub fn start(spawner: &Spawner, options: ReplicaOptions) -> Result<Self> {
-        let state = State { id: options.id.clone(), ..State::default() };
+        let state = State { id: options.id.clone(), version: options.version.clone(), ..State::default() };
         let (reservation, address) = reserve_port()?;
         let replica = Self {
             options: Arc::new(options),
@@ -155,10 +163,14 @@
 
     /// what the replica says of itself in the platform's list.
     pub fn entry(&self, state: &str) -> Value {
+        let (version, restarts) = {
+            let state = lock(&self.state);
+            (state.version.clone(), state.restarts)
+        };
         json!({
             "service": self.options.service, "address": self.address.to_string(),
-            "zone": self.options.zone, "version": "v1", "slots": 6, "state": state,
-            "cold_remaining_ms": 0, "seq": 1, "born": FIRST_START_UNIX_MS + lock(&self.state).restarts,
+            "zone": self.options.zone, "version": version, "slots": 6, "state": state,
+            "cold_remaining_ms": 0, "seq": 1, "born": FIRST_START_UNIX_MS + restarts,
         })
     }
 
@@ -214,6 +226,13 @@
         state.restarts += 1;
     }
 
+    /// is another start of the process from now on, with another version of its software.
+    pub fn upgrade(&self, version: &str) {
+        let mut state = lock(&self.state);
+        version.clone_into(&mut state.version);
+        state.restarts += 1;
+    }
+
     /// requests that it ran, the oldest first.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state).runs.clone()
--- a/crates/standins/tests/replica.rs
+++ b/crates/standins/tests/replica.rs
@@ -23,6 +23,7 @@
         zone: "zone".to_owned(),
         events: 0,
         step_ms: 0,
+        version: "v1".to_owned(),
     };
     let replica = ReplicaStandin::start(&spawner, options).expect("the replica starts");
     replica.die();
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -47,7 +47,10 @@
 
 impl<'a> Attempts<'a> {
     pub fn new(door: &'a Arc<Door>, request: &'a DoorRequest, route: &'a Route) -> Result<Self, Refusal> {
-        let service = route.backend(door.draw()).ok_or(Refusal::NoReplica)?.to_owned();
+        let service = match &request.software {
+            Some(software) => software.service.clone(),
+            None => route.backend(door.draw()).ok_or(Refusal::NoReplica)?.to_owned(),
+        };
         Ok(Self {
             door,
             request,
@@ -71,7 +74,10 @@
                 return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
             let affinity = self.request.affinity(self.route);
-            let pick = match self.door.pick(&self.service, affinity, &self.tried_replicas, self.limit_wait) {
+            let version = self.request.software.as_ref().map(|software| software.version.as_str());
+            let pick =
+                self.door.pick(&self.service, version, affinity, &self.tried_replicas, self.limit_wait);
+            let pick = match pick {
                 Ok(pick) => pick,
                 Err(NoPick::NoReplica) => return Err(self.no_replica_left()),
                 Err(NoPick::Limited { retry_after }) => {
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -41,6 +41,7 @@
 use crate::routing::ReplicaTable;
 use crate::routing::Route;
 use crate::routing::RouteTable;
+use crate::routing::Software;
 use crate::schema::LeavingReplica;
 use crate::schema::LimitShare;
 use crate::schema::MirrorMark;
@@ -156,17 +157,20 @@
         merges.iter().map(|merge| merge.mark_for(node)).collect()
     }
 
-    /// selects a replica and counts the request as in flight there until the lease is dropped; `waited` is the
-    /// time that the request has spent waiting for limited replicas.
+    /// selects a replica and counts the request as in flight there until the lease is dropped; `version` is
+    /// that of its software, any if `None`, and `waited` the time that the request has spent waiting for limited
+    /// replicas.
     pub fn pick(
         &self,
         service: &str,
+        version: Option<&str>,
         affinity: Affinity<'_>,
         avoid: &[ReplicaId],
         waited: Duration,
     ) -> Result<ReplicaPick, NoPick> {
         let wanted = PickCriteria {
             service,
+            version,
             zone: &self.settings.instance.zone,
             affinity,
             max_wait: MAX_LIMIT_WAIT.saturating_sub(waited),
@@ -182,6 +186,14 @@
         self.draw_state.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed) >> 16
     }
 
+    /// the software that a stream on a route will begin at, if all replicas run the same.
+    pub fn sole_software(&self, route: &Route) -> Option<Software> {
+        let service = route.backend(self.draw())?;
+        let replicas = self.replicas();
+        let version = replicas.sole_version(self.now_ms(), service)?;
+        Some(Software { service: service.to_owned(), version: version.to_owned() })
+    }
+
     /// tokens that one event stands for at the engines of a route; the most if they differ.
     pub fn tokens_per_event(&self, route: &Route) -> u64 {
         let table = self.table.load();
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -57,6 +57,7 @@
                         caller,
                         body,
                         home: None,
+                        software: None,
                         deadline,
                     };
                     run_request(&door, &request, &route).await
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -23,6 +23,7 @@
 mod serve;
 mod sse_splitter;
 mod stream;
+mod stream_origin;
 mod turn;
 
 pub use daemon::run_door;
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -48,6 +48,9 @@
     OverBudget,
     /// the previous turn that the request names does not exist.
     NoSuchTurn,
+    /// it is not known which software began the stream that the caller takes up, or the route has no such
+    /// streams.
+    UnknownStream,
     /// the body exceeds the configured limit.
     BodyTooLarge,
     /// the body was not received completely.
@@ -81,6 +84,7 @@
             | Self::TooLate
             | Self::Poisoned
             | Self::Suspected
+            | Self::UnknownStream
             | Self::LedgerUnsure
             | Self::LedgerBusy { .. }
             | Self::LedgerAway => StatusCode::SERVICE_UNAVAILABLE,
@@ -108,7 +112,8 @@
             Self::NoReplica | Self::Unreachable => Some(0.3),
             // About one turn of a busy engine, after which some slot is free again.
             Self::AllFull => Some(0.15),
-            Self::TooLate => Some(0.0),
+            // The caller has to start anew; waiting would not make the stream known.
+            Self::TooLate | Self::UnknownStream => Some(0.0),
             Self::Poisoned => Some(600.0),
             // The replicas in question are checked within a second.
             Self::Suspected => Some(1.0),
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -13,6 +13,7 @@
 use crate::routing::Affinity;
 use crate::routing::RequestKind;
 use crate::routing::Route;
+use crate::routing::Software;
 
 /// a caller's request with its complete body.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub body: Bytes,
     /// replica that ran the previous turn, if the ledger knows it.
     pub home: Option<String>,
+    /// software that must run the request; any if `None`.
+    pub software: Option<Software>,
     /// the earlier of the caller's deadline and the route's timeout.
     pub deadline: Deadline,
 }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -23,12 +23,14 @@
 use crate::door::lease::Lease;
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
+use crate::door::stream_origin::record_origin;
 use crate::door::turn::TurnAccount;
 use crate::platform::caller_headers;
 use crate::platform::is_event_stream;
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
 use crate::routing::Route;
+use crate::routing::Software;
 
 /// relays a stream of server-sent events from a replica to a caller.
 ///
@@ -37,6 +39,8 @@
     door: Arc<Door>,
     request: DoorRequest,
     route: Arc<Route>,
+    /// the software that began the stream.
+    software: Software,
     run: ActiveRun,
     splitter: SseSplitter,
     last_event: Option<String>,
@@ -81,6 +85,7 @@
         door: Arc::clone(door),
         request: request.clone(),
         route: Arc::clone(route),
+        software: lease.pick.software.clone(),
         run: ActiveRun { body, connection, lease, idle_timeout },
         splitter: SseSplitter::default(),
         last_event: request.caller.last_event_id.clone(),
@@ -162,7 +167,8 @@
         }
     }
 
-    /// resumes the stream at another replica after the last relayed event; `false` if that is not possible.
+    /// resumes the stream at another replica with the same software after the last relayed event; `false` if that
+    /// is not possible.
     async fn resume(&mut self, replica_ended: bool) -> bool {
         // A run whose replica ended does not count as an attempt.
         if !replica_ended {
@@ -202,9 +208,9 @@
     }
 
     fn pick_next(&self) -> Option<ReplicaPick> {
-        let service = self.route.backend(self.door.draw())?.to_owned();
+        let Software { service, version } = &self.software;
         let affinity = self.request.affinity(&self.route);
-        self.door.pick(&service, affinity, &self.failed_replicas, MAX_LIMIT_WAIT).ok()
+        self.door.pick(service, Some(version), affinity, &self.failed_replicas, MAX_LIMIT_WAIT).ok()
     }
 
     fn continue_with(&mut self, head: PendingAnswer) {
@@ -229,7 +235,7 @@
         metrics::counter!("door_streams_disturbed_total", "what" => what).increment(1);
         info!(self.door.log, "stream interrupted"; "request" => self.request.caller.id.as_deref(),
             "what" => what, "replica" => &self.run.lease.pick.id, "last_event" => self.last_event.as_deref(),
-            "route" => &self.route.name, "content" => self.request.content().digest());
+            "version" => &self.software.version, "route" => &self.route.name, "content" => self.request.content().digest());
     }
 }
 
@@ -246,6 +252,9 @@
     head: PendingAnswer,
 ) -> Result<Response<DoorBody>, Refusal> {
     if head.response.status().is_success() {
+        if route.resumable && request.caller.take_up.is_none() {
+            record_origin(door, request, route, &head.lease.pick.software).await;
+        }
         return Ok(relay(door, request, route, head, None));
     }
     crate::door::call::read_full_answer(door, request, head).await.map_err(|_| Refusal::AnswerLost)
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -16,6 +16,10 @@
 use crate::door::sse_splitter::SseEvent;
 use crate::door::stream::relay;
 use crate::door::stream::stream_without_program;
+use crate::door::stream_origin::find_origin;
+use crate::door::stream_origin::origin;
+use crate::door::stream_origin::record_origin;
+use crate::door::stream_origin::stream_record;
 use crate::ledger_client::BeginResult;
 use crate::ledger_client::TurnStart;
 use crate::routing::Route;
@@ -23,7 +27,7 @@
 use crate::schema::LedgerTurn;
 
 /// retention beyond the promised time, for callers with slow clocks or networks.
-const RETENTION_MARGIN_MS: u64 = 30_000;
+pub(super) const RETENTION_MARGIN_MS: u64 = 30_000;
 /// how long the end of a complete stream may wait until the ledger has stored the turn.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(4);
 /// time after losing the ledger during which the failure may affect this door alone, so that callers should
@@ -130,14 +134,21 @@
     route: &Arc<Route>,
 ) -> Result<Response<DoorBody>, Refusal> {
     let caller = &request.caller;
+    let resumes = taken_up_attempt(request, route)?;
     let (Some(program), Some(id), Some(budget_tokens)) = (&caller.program, &caller.id, caller.budget_tokens)
     else {
         if caller.previous_turn.is_some() {
             return Err(Refusal::BadRequest);
         }
-        let head = Attempts::new(door, request, route)?.run_until_head().await?;
-        return stream_without_program(door, request, route, *head).await;
+        let mut request = request.clone();
+        if let Some(attempt) = resumes {
+            request.software = Some(find_origin(door, &request, route, attempt).await?);
+        }
+        let head = Attempts::new(door, &request, route)?.run_until_head().await?;
+        return stream_without_program(door, &request, route, *head).await;
     };
+    // With several versions it depends on the program's last replica, which the ledger tells, where it begins.
+    let begins_at = (route.resumable && resumes.is_none()).then(|| door.sole_software(route)).flatten();
     let start = TurnStart {
         program: program.clone(),
         request: id.clone(),
@@ -145,6 +156,8 @@
         budget_tokens,
         most_tokens: caller.max_output_tokens.unwrap_or(budget_tokens),
         previous: caller.previous_turn.clone(),
+        stream: begins_at.as_ref().map(|software| stream_record(request, route, software)),
+        resumes: resumes.map(str::to_owned),
     };
     let mut account = TurnAccount {
         most_tokens: start.most_tokens,
@@ -167,8 +180,8 @@
     let asked = Instant::now();
     let admission = door.ledger.begin(start).await;
     door.record_ledger_wait(asked.elapsed().as_millis() as u64);
-    let (history, home, reservation) = match admission {
-        BeginResult::Granted { history, home, reservation } => (history, home, reservation),
+    let (history, home, resumed, reservation) = match admission {
+        BeginResult::Granted { history, home, resumed, reservation } => (history, home, resumed, reservation),
         BeginResult::OverBudget { held_tokens } => {
             info!(door.log, "token budget of the program is exhausted; turn refused";
                 "request" => id, "program" => program,
@@ -186,6 +199,10 @@
             return Err(Refusal::LedgerUnsure);
         }
     };
+    let software = match resumes {
+        Some(_) => Some(origin(door, request, route, resumed.as_ref())?),
+        None => begins_at,
+    };
     let confirming = {
         let door = Arc::clone(door);
         let deadline = Instant::now() + request.remaining();
@@ -193,6 +210,7 @@
     };
     let mut full_request = request.clone();
     full_request.home = home;
+    full_request.software = software;
     if !history.is_empty() {
         full_request.body = Bytes::from([history.as_slice(), &request.body].concat());
     }
@@ -208,6 +226,9 @@
         // The replica has already started, so the caller must not be told that nothing ran.
         return Err(Refusal::AnswerLost);
     }
+    if route.resumable && full_request.software.is_none() {
+        record_origin(door, &full_request, route, &head.lease.pick.software).await;
+    }
     if let Some(retention_ms) = route.retention_ms {
         account.retained = Some(RetainedTurn {
             previous: caller.previous_turn.clone(),
@@ -217,3 +238,16 @@
     }
     Ok(relay(door, &full_request, route, *head, Some(account)))
 }
+
+/// the attempt whose stream the caller takes up; an error if no replica may go on with it.
+fn taken_up_attempt<'a>(request: &'a DoorRequest, route: &Route) -> Result<Option<&'a str>, Refusal> {
+    let Some(take_up) = &request.caller.take_up else {
+        return Ok(None);
+    };
+    // A kept turn would lack what the earlier attempts brought.
+    let may_go_on = route.resumable && route.retention_ms.is_none();
+    match take_up.attempt.as_deref().filter(|_| may_go_on) {
+        Some(attempt) => Ok(Some(attempt)),
+        None => Err(Refusal::UnknownStream),
+    }
+}
--- a/src/ledger/ask_kind.rs
+++ b/src/ledger/ask_kind.rs
@@ -19,6 +19,10 @@
     Spent,
     /// stores the end of a turn.
     Finish,
+    /// stores which software began a stream.
+    StreamBegan,
+    /// reads which software began a stream.
+    Stream,
     /// reads turns that are missing from a history.
     History,
     /// periodic report of a door.
@@ -36,6 +40,8 @@
             LedgerRequest::Begin(_) => Self::Begin,
             LedgerRequest::Spent(_) => Self::Spent,
             LedgerRequest::Finish(_) => Self::Finish,
+            LedgerRequest::StreamBegan(_) => Self::StreamBegan,
+            LedgerRequest::Stream(_) => Self::Stream,
             LedgerRequest::History(_) => Self::History,
             LedgerRequest::Report(_) => Self::Report,
             LedgerRequest::Strikes(_) => Self::Strikes,
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,4 +1,5 @@
-//! the ledger: a replicated store of the token spending of programs and the contents of kept turns.
+//! the ledger: a replicated store of the token spending of programs, the contents of kept turns, and the
+//! software versions that began streams.
 //!
 //! Owns the records of one ledger node and the quorum rules of their copies. No clock, socket or file is read
 //! here. See docs/design/ledger.md.
@@ -14,6 +15,7 @@
 mod quorum_replies;
 mod record_store;
 mod retirement;
+mod stream_versions;
 mod view;
 mod view_planner;
 
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -20,6 +20,7 @@
 use crate::schema::ObservedObjects;
 use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
+use crate::schema::StreamVersion;
 
 /// a request that is acknowledged once its records are on disk.
 #[derive(Clone, Debug)]
@@ -155,6 +156,12 @@
         match &ask.request {
             LedgerRequest::Begin(begin) => self.begin(now_ms, from, ask.id, begin),
             LedgerRequest::Finish(finish) => self.finish(now_ms, from, ask.id, finish),
+            LedgerRequest::StreamBegan(began) => self.begin_stream(now_ms, from, ask.id, began),
+            LedgerRequest::Stream(asked) => {
+                let stream = self.store.stream(&asked.request).cloned();
+                let account = LedgerAccount { stream, ..self.account("", None, None, false) };
+                vec![self.answer(from, ask.id, LedgerReply::Account(account))]
+            }
             LedgerRequest::Spent(spent) => {
                 let account = self.account(&spent.program, None, None, false);
                 vec![self.answer(from, ask.id, LedgerReply::Account(account))]
@@ -176,8 +183,12 @@
             away: begin.away,
         });
         let mut actions = self.merge(now_ms, std::slice::from_ref(&reserved));
+        if let Some(began) = &begin.stream {
+            actions.extend(self.merge(now_ms, &[LedgerRecord::StreamBegan(began.clone())]));
+        }
         let (line, previous) = (begin.line.as_deref(), begin.previous.as_deref());
-        let account = self.account(&begin.program, line, previous, begin.wants_history);
+        let mut account = self.account(&begin.program, line, previous, begin.wants_history);
+        account.stream = begin.resumes.as_ref().and_then(|resumes| self.store.stream(resumes)).cloned();
         actions.push(self.answer(from, id, LedgerReply::Account(account)));
         let reported = Some((begin.program.clone(), self.store.last_number()));
         actions.extend(self.ack_when_synced(PendingAck { from, id, reported }));
@@ -191,6 +202,18 @@
         actions
     }
 
+    fn begin_stream(
+        &mut self,
+        now_ms: u64,
+        from: ConnectionId,
+        id: u64,
+        began: &StreamVersion,
+    ) -> Vec<NodeAction> {
+        let mut actions = self.merge(now_ms, &[LedgerRecord::StreamBegan(began.clone())]);
+        actions.extend(self.ack_when_synced(PendingAck { from, id, reported: None }));
+        actions
+    }
+
     fn add_strikes(
         &mut self,
         now_ms: u64,
@@ -251,6 +274,7 @@
             complete: self.complete,
             knows_turn,
             history,
+            stream: None,
         }
     }
 
--- a/src/ledger/quorum_replies.rs
+++ b/src/ledger/quorum_replies.rs
@@ -3,12 +3,14 @@
 use std::collections::HashMap;
 
 use crate::ledger::Quorum;
+use crate::ledger::stream_versions::merge_stream;
 use crate::schema::KeptTurn;
 use crate::schema::LedgerAccount;
 use crate::schema::LedgerMember;
 use crate::schema::LedgerSpend;
 use crate::schema::LedgerStored;
 use crate::schema::LedgerView;
+use crate::schema::StreamVersion;
 
 /// state of the history that a turn continues.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +50,8 @@
     turns: HashMap<String, KeptTurn>,
     /// replica of the last turn of the line, from the first member that knows one.
     home: Option<String>,
+    /// software that began the stream that was asked for.
+    stream: Option<StreamVersion>,
     /// complete members that lack a turn, by turn.
     missing_at: HashMap<String, BTreeSet<String>>,
 }
@@ -63,6 +67,7 @@
             spends: BTreeMap::new(),
             turns: HashMap::new(),
             home: None,
+            stream: None,
             missing_at: HashMap::new(),
         }
     }
@@ -71,6 +76,7 @@
     pub fn add_account(&mut self, member: &str, turn: Option<&str>, mut account: LedgerAccount) {
         self.merge_spends(account.spends.drain(..));
         self.home = self.home.take().or_else(|| account.home.take());
+        self.add_stream(account.stream.take());
         if account.complete {
             self.complete_members.insert(member.to_owned());
         }
@@ -88,6 +94,21 @@
         }
     }
 
+    fn add_stream(&mut self, stream: Option<StreamVersion>) {
+        match (&mut self.stream, stream) {
+            (_, None) => {}
+            (Some(known), Some(stream)) => {
+                merge_stream(known, &stream);
+            }
+            (none @ None, stream) => *none = stream,
+        }
+    }
+
+    /// the software that began the stream that was asked for; final once a read quorum has answered.
+    pub fn stream(&self) -> Option<&StreamVersion> {
+        self.stream.as_ref()
+    }
+
     /// adds a member's account of a turn only.
     pub fn add_history(&mut self, member: &str, turn: Option<&str>, account: LedgerAccount) {
         if let Some(turn) = turn.filter(|_| account.complete && !account.knows_turn) {
--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 
 use crate::ledger::homes::Homes;
+use crate::ledger::stream_versions::Merged;
+use crate::ledger::stream_versions::StreamVersions;
 use crate::poison::Strikes;
 use crate::schema::KeptTurn;
 use crate::schema::LedgerFinish;
@@ -12,6 +14,7 @@
 use crate::schema::Octets;
 use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
+use crate::schema::StreamVersion;
 
 /// retention of a program's spending after its last reservation or finished turn.
 ///
@@ -32,6 +35,7 @@
 pub struct RecordStore {
     programs: HashMap<String, ProgramRow>,
     turns: HashMap<String, TurnRow>,
+    streams: StreamVersions,
     strikes: Strikes,
     /// subject of each live record by its change number; a record that changes gets a new number.
     subjects: BTreeMap<u64, Subject>,
@@ -43,8 +47,13 @@
 /// subject of a live record.
 #[derive(Clone, Debug)]
 enum Subject {
-    Turn { program: String, request: String },
+    Turn {
+        program: String,
+        request: String,
+    },
     Strike(PoisonStrike),
+    /// the stream of the attempt with this id.
+    Stream(String),
 }
 
 #[derive(Debug, Default)]
@@ -78,6 +87,7 @@
             LedgerRecord::Reserved(reserved) => self.reserve(now_ms, reserved),
             LedgerRecord::Finished(finish) => self.finish(now_ms, finish),
             LedgerRecord::Struck(strike) => self.strike(now_ms, strike),
+            LedgerRecord::StreamBegan(began) => self.begin_stream(now_ms, began),
             LedgerRecord::Joined(_) | LedgerRecord::Observed(_) => false,
         }
     }
@@ -105,6 +115,20 @@
         true
     }
 
+    fn begin_stream(&mut self, now_ms: u64, began: &StreamVersion) -> bool {
+        let number = self.last_number + 1;
+        match self.streams.merge(now_ms, began, number) {
+            Merged::Unchanged => return false,
+            Merged::Added => {}
+            Merged::Changed(previous) => {
+                self.subjects.remove(&previous);
+            }
+        }
+        self.last_number = number;
+        self.subjects.insert(number, Subject::Stream(began.request.clone()));
+        true
+    }
+
     fn strike(&mut self, now_ms: u64, strike: &PoisonStrike) -> bool {
         if self.strikes.add(now_ms, strike).is_none() {
             return false;
@@ -179,6 +203,16 @@
         self.programs.get(program)?.homes.home(line)
     }
 
+    /// the software that began the stream of an attempt.
+    pub fn stream(&self, request: &str) -> Option<&StreamVersion> {
+        self.streams.get(request)
+    }
+
+    /// streams that callers may still take up.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
     /// whether a turn is kept.
     pub fn knows_turn(&self, request: &str) -> bool {
         self.turns.contains_key(request)
@@ -217,6 +251,7 @@
             let record = match subject {
                 Subject::Turn { program, request } => self.turn_record(program, request),
                 Subject::Strike(strike) => Some(LedgerRecord::Struck(strike.clone())),
+                Subject::Stream(request) => self.streams.get(request).cloned().map(LedgerRecord::StreamBegan),
             };
             let Some(record) = record else {
                 continue;
@@ -256,6 +291,9 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.turns.retain(|_, turn| now_ms < turn.expires_ms);
         let subjects = &mut self.subjects;
+        for number in self.streams.expire(now_ms) {
+            subjects.remove(&number);
+        }
         self.programs.retain(|_, program| {
             let keep = now_ms < program.last_used_ms + SPEND_RETENTION_MS;
             if !keep {
@@ -326,7 +364,8 @@
         LedgerRecord::Reserved(_)
         | LedgerRecord::Joined(_)
         | LedgerRecord::Observed(_)
-        | LedgerRecord::Struck(_) => 0,
+        | LedgerRecord::Struck(_)
+        | LedgerRecord::StreamBegan(_) => 0,
     };
     RECORD_OVERHEAD_BYTES + said
 }
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -310,8 +310,13 @@
         metrics::counter!("ledger_asks_total", "kind" => name).increment(1);
         let id = self.last_id.fetch_add(1, Ordering::Relaxed) + 1;
         let about_program = !matches!(request, LedgerRequest::History(_));
-        let awaits_sync =
-            matches!(request, LedgerRequest::Finish(_) | LedgerRequest::Push(_) | LedgerRequest::Strikes(_));
+        let awaits_sync = matches!(
+            request,
+            LedgerRequest::Finish(_)
+                | LedgerRequest::Push(_)
+                | LedgerRequest::Strikes(_)
+                | LedgerRequest::StreamBegan(_)
+        );
         let pending = PendingAsk {
             kind,
             awaits_sync,
--- a/src/ledger_client/finish.rs
+++ b/src/ledger_client/finish.rs
@@ -10,6 +10,7 @@
 use crate::ledger_client::round::Round;
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerRequest;
+use crate::schema::StreamVersion;
 
 /// pause before asking the members of a new view, or the same ones after the quorum was lost: a broken
 /// connection is open again after a few round trips.
@@ -30,10 +31,25 @@
 impl LedgerClient {
     /// stores the end of a turn on enough disks, with retries until `deadline`.
     pub async fn finish(&self, finish: LedgerFinish, deadline: Instant) -> Result<(), NotStored> {
+        let program = finish.program.clone();
+        self.store(&program, &LedgerRequest::Finish(finish), deadline).await
+    }
+
+    /// stores which software began a stream, at the members of `key`: its program, or its own id if it has
+    /// none.
+    pub async fn record_stream(
+        &self,
+        key: &str,
+        began: StreamVersion,
+        deadline: Instant,
+    ) -> Result<(), NotStored> {
+        self.store(key, &LedgerRequest::StreamBegan(began), deadline).await
+    }
+
+    async fn store(&self, key: &str, request: &LedgerRequest, deadline: Instant) -> Result<(), NotStored> {
         self.count_first_attempt();
-        let request = LedgerRequest::Finish(finish.clone());
         loop {
-            match self.try_finish(&finish.program, &request, deadline).await {
+            match self.try_store(key, request, deadline).await {
                 Attempt::Stored => return Ok(()),
                 Attempt::TimedOut => return Err(NotStored),
                 // Merging a record is idempotent, so all members may be asked again.
@@ -43,8 +59,8 @@
     }
 
     /// asks the members of the current view until enough of them have stored the record.
-    async fn try_finish(&self, program: &str, request: &LedgerRequest, deadline: Instant) -> Attempt {
-        let mut round = Round::new(self, program, None, false);
+    async fn try_store(&self, key: &str, request: &LedgerRequest, deadline: Instant) -> Attempt {
+        let mut round = Round::new(self, key, None, false);
         let began = Instant::now();
         while !round.gather.has_write_quorum() {
             if Instant::now() >= deadline {
--- a/src/ledger_client/mod.rs
+++ b/src/ledger_client/mod.rs
@@ -1,4 +1,5 @@
-//! client side of the ledger in a front door: reserves tokens, fetches histories, and stores ended turns.
+//! client side of the ledger in a front door: reserves tokens, fetches histories, stores ended turns, and knows
+//! which software began a stream.
 //!
 //! Owns the asks in flight to ledger nodes and the view that the door follows.
 
@@ -9,6 +10,7 @@
 mod limiter;
 mod reservation;
 mod round;
+mod stream_lookup;
 
 pub use admission::AcquireResult;
 pub use admission::Admission;
@@ -23,3 +25,4 @@
 pub use reservation::NotConfirmed;
 pub use reservation::Reservation;
 pub use reservation::TurnStart;
+pub use stream_lookup::LookupError;
--- a/src/ledger_client/reservation.rs
+++ b/src/ledger_client/reservation.rs
@@ -16,11 +16,12 @@
 use crate::schema::LedgerHistory;
 use crate::schema::LedgerRequest;
 use crate::schema::LedgerSpent;
+use crate::schema::StreamVersion;
 
 /// the longest wait for the replies of the ledger before a turn is refused.
 ///
 /// Many round trips between availability zones; a caller refused after it still has time to retry.
-const BEGIN_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const BEGIN_TIMEOUT: Duration = Duration::from_millis(700);
 /// least interval between two checks whether a round is late: a round trip between availability zones.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// pause before members are asked again after the quorum was lost: a broken connection is open again after a
@@ -45,6 +46,10 @@
     pub most_tokens: u64,
     /// the turn whose history this one continues.
     pub previous: Option<String>,
+    /// software that the stream will begin at, if the door can tell before.
+    pub stream: Option<StreamVersion>,
+    /// id of the attempt whose stream the turn goes on with.
+    pub resumes: Option<String>,
 }
 
 /// the ledger's decision about a new turn.
@@ -56,6 +61,8 @@
         history: Vec<u8>,
         /// replica that ran the previous turn.
         home: Option<String>,
+        /// software that began the stream that the turn goes on with.
+        resumed: Option<StreamVersion>,
         /// the tokens reserved for the turn, to be confirmed.
         reservation: Box<Reservation>,
     },
@@ -135,8 +142,9 @@
             match self.gather_answers(&mut round, &start, deadline).await {
                 Outcome::Proceed(history) => {
                     let home = round.gather.home().map(str::to_owned);
+                    let resumed = round.gather.stream().cloned();
                     let reservation = Box::new(Reservation { start, round });
-                    return BeginResult::Granted { history, home, reservation };
+                    return BeginResult::Granted { history, home, resumed, reservation };
                 }
                 Outcome::Stop(result) => return result,
                 Outcome::Restart(reason) => {
@@ -355,6 +363,8 @@
             previous: self.previous.clone(),
             wants_history,
             away,
+            stream: self.stream.clone(),
+            resumes: self.resumes.clone(),
         }
     }
 }
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -30,6 +30,8 @@
 const TOKEN_COUNT: &str = "x-token-count";
 const PREVIOUS_TURN: &str = "x-previous-turn";
 const LAST_EVENT_ID: &str = "last-event-id";
+/// id of the attempt that brought the first event of the stream that the caller takes up.
+const RESUMES: &str = "resumes";
 
 /// headers that only this system may send to a replica; those sent by a caller are dropped.
 const RESERVED: [&str; 8] = [
@@ -74,6 +76,15 @@
     pub previous_turn: Option<String>,
     /// last event that the caller received of the stream that it resumes.
     pub last_event_id: Option<String>,
+    /// the stream that the caller goes on with, if it has received events of one.
+    pub take_up: Option<TakeUp>,
+}
+
+/// a stream that a caller takes up after it broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakeUp {
+    /// id of the attempt that brought the first event; `None` if the caller names none, or several.
+    pub attempt: Option<String>,
 }
 
 impl CallerRequest {
@@ -92,11 +103,24 @@
             prompt_tokens: counts.next().flatten(),
             max_output_tokens: counts.next().flatten(),
             previous_turn: header_text(headers, PREVIOUS_TURN),
-            last_event_id: header_text(headers, LAST_EVENT_ID),
+            last_event_id: header_text(headers, LAST_EVENT_ID).filter(|event| !event.is_empty()),
+            take_up: take_up(headers),
         }
     }
 }
 
+fn take_up(headers: &HeaderMap) -> Option<TakeUp> {
+    let values = headers.get_all(RESUMES).iter().map(|value| value.to_str().unwrap_or_default().trim());
+    let mut attempts: Vec<&str> = values.filter(|attempt| !attempt.is_empty()).collect();
+    attempts.dedup();
+    let has_events = headers.get(LAST_EVENT_ID).is_some_and(|event| !event.is_empty());
+    match attempts[..] {
+        [] if !has_events => None,
+        [attempt] => Some(TakeUp { attempt: Some(attempt.to_owned()) }),
+        _ => Some(TakeUp { attempt: None }),
+    }
+}
+
 /// what a forwarded request tells the replica besides the caller's own headers.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardOptions<'a> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -27,6 +27,7 @@
 pub use backoff::Backoff;
 pub use caller_request::CallerRequest;
 pub use caller_request::ForwardOptions;
+pub use caller_request::TakeUp;
 pub use caller_request::health_request;
 pub use caller_request::replica_headers;
 pub use endpoints::MAX_ADDRESSES;
--- a/src/platform/replica_list.rs
+++ b/src/platform/replica_list.rs
@@ -13,6 +13,8 @@
     service: String,
     address: String,
     zone: String,
+    /// version of its software, not of the weights that it has loaded.
+    version: String,
     slots: u32,
     state: StateWire,
     /// Unix time of the replica's start in milliseconds, at the top level of the entry; 0 if absent.
@@ -45,6 +47,7 @@
         service: wire.service,
         address,
         zone: wire.zone,
+        version: wire.version,
         slots: wire.slots,
         leaving: matches!(wire.state, StateWire::Draining),
         started_unix_ms: wire.born,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod route;
 mod route_table;
 mod service;
+mod software;
 
 pub use attempt_timeouts::AttemptTimeouts;
 pub use pick::Affinity;
@@ -29,3 +30,4 @@
 pub use route_table::RouteTable;
 pub use service::EngineSpec;
 pub use service::ServiceSpec;
+pub use software::Software;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -23,6 +23,8 @@
 pub struct PickCriteria<'a> {
     /// service that runs the request.
     pub service: &'a str,
+    /// version of the software that must run it; `None` for any.
+    pub version: Option<&'a str>,
     /// availability zone of the door.
     pub zone: &'a str,
     /// preference among the replicas of the service.
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::routing::PickCriteria;
+use crate::routing::Software;
 use crate::routing::leaving::LeavingReplicas;
 use crate::routing::pick;
 use crate::routing::rate_limits::LimitChange;
@@ -47,6 +48,8 @@
     pub address: SocketAddr,
     /// availability zone it runs in.
     pub zone: String,
+    /// version of its software.
+    pub version: String,
     /// requests that it runs concurrently.
     pub slots: u32,
     /// whether it is draining and takes no new requests.
@@ -77,6 +80,8 @@
     pub address: SocketAddr,
     /// start of its process in Unix milliseconds.
     pub started_unix_ms: u64,
+    /// what it runs, by its entry.
+    pub software: Software,
     /// requests in flight at it through all doors, this one included; those of other doors are the last
     /// reported.
     pub running: u32,
@@ -233,6 +238,7 @@
     ) -> Result<ReplicaPick, NoPick> {
         let usable = self.replicas.iter().filter(|(key, replica)| {
             replica.entry.service == criteria.service
+                && criteria.version.is_none_or(|version| replica.entry.version == version)
                 && replica.is_usable(now_ms, &self.leaving)
                 && !avoid.contains(key)
         });
@@ -250,8 +256,9 @@
         let replica = self.replicas.get_mut(key).ok_or(NoPick::NoReplica)?;
         replica.local_running += 1;
         let running = replica.local_running + replica.remote_running;
-        let ReplicaEntry { address, started_unix_ms, .. } = replica.entry;
-        Ok(ReplicaPick { key, id, address, started_unix_ms, running })
+        let ReplicaEntry { address, started_unix_ms, ref service, ref version, .. } = replica.entry;
+        let software = Software { service: service.clone(), version: version.clone() };
+        Ok(ReplicaPick { key, id, address, started_unix_ms, software, running })
     }
 
     /// address of a replica if this start of it is listed.
@@ -362,6 +369,17 @@
             .collect()
     }
 
+    /// version that all usable replicas of a service run; `None` if there are several, or no replica.
+    pub fn sole_version(&self, now_ms: u64, service: &str) -> Option<&str> {
+        let usable = self
+            .replicas
+            .values()
+            .filter(|replica| replica.entry.service == service && replica.is_usable(now_ms, &self.leaving));
+        let mut versions = usable.map(|replica| replica.entry.version.as_str());
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// number of usable replicas of each service; services without one are absent.
     pub fn usable_counts(&self, now_ms: u64) -> BTreeMap<&str, usize> {
         let mut counts = BTreeMap::new();
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1103,6 +1103,9 @@
     pub knows_turn: bool,
     ///tokens held by each turn of the program
     pub spends: ::std::vec::Vec<LedgerSpend>,
+    ///software that began the stream that was asked for, as far as the node knows
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub stream: ::std::option::Option<StreamVersion>,
 }
 ///an answer of a ledger node; a question may have several
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1137,6 +1140,12 @@
     pub program: ::std::string::String,
     ///id of the turn
     pub request: ::std::string::String,
+    ///attempt whose stream the turn goes on with
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub resumes: ::std::option::Option<::std::string::String>,
+    ///software that the turn's stream will begin at, if that is certain before
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub stream: ::std::option::Option<StreamVersion>,
     ///whether the node that answers sends the history and not only whether it has it
     pub wants_history: bool,
 }
@@ -1202,6 +1211,8 @@
     Observed(ObservedObjects),
     #[serde(rename = "struck")]
     Struck(PoisonStrike),
+    #[serde(rename = "stream_began")]
+    StreamBegan(StreamVersion),
 }
 impl ::std::convert::From<ReservedTokens> for LedgerRecord {
     fn from(value: ReservedTokens) -> Self {
@@ -1228,6 +1239,11 @@
         Self::Struck(value)
     }
 }
+impl ::std::convert::From<StreamVersion> for LedgerRecord {
+    fn from(value: StreamVersion) -> Self {
+        Self::StreamBegan(value)
+    }
+}
 ///records of a node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerRecords {
@@ -1298,6 +1314,10 @@
     Report(DoorReport),
     #[serde(rename = "strikes")]
     Strikes(LedgerStrikes),
+    #[serde(rename = "stream")]
+    Stream(LedgerStream),
+    #[serde(rename = "stream_began")]
+    StreamBegan(StreamVersion),
 }
 impl ::std::convert::From<LedgerBegin> for LedgerRequest {
     fn from(value: LedgerBegin) -> Self {
@@ -1339,6 +1359,16 @@
         Self::Strikes(value)
     }
 }
+impl ::std::convert::From<LedgerStream> for LedgerRequest {
+    fn from(value: LedgerStream) -> Self {
+        Self::Stream(value)
+    }
+}
+impl ::std::convert::From<StreamVersion> for LedgerRequest {
+    fn from(value: StreamVersion) -> Self {
+        Self::StreamBegan(value)
+    }
+}
 ///disk of a ledger node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerSettings {
@@ -1376,6 +1406,12 @@
     ///number of the last record that is on disk
     pub through: u64,
 }
+///asks which software began a stream
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LedgerStream {
+    ///id of the attempt that brought its first event
+    pub request: ::std::string::String,
+}
 ///asks a ledger node to store strikes
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerStrikes {
@@ -3075,6 +3111,19 @@
     pub id: u64,
     pub status: InstanceStatus,
 }
+///the software that began a stream
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StreamVersion {
+    ///how long a caller may still take the stream up
+    pub keep_ms: u64,
+    ///id of the attempt that brought its first event
+    pub request: ::std::string::String,
+    ///service of the replica
+    pub service: ::std::string::String,
+    ///version of the replica's software; absent if several were told for the attempt
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub version: ::std::option::Option<::std::string::String>,
+}
 ///how far a door knows the strikes of a ledger node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StrikesMark {
--- a/tests/caller_headers.rs
+++ b/tests/caller_headers.rs
@@ -5,6 +5,7 @@
 use flamingostand::platform::AnswerClass;
 use flamingostand::platform::CallerRequest;
 use flamingostand::platform::ForwardOptions;
+use flamingostand::platform::TakeUp;
 use flamingostand::platform::caller_headers;
 use flamingostand::platform::classify_answer;
 use flamingostand::platform::keep_alive_timeout;
@@ -42,6 +43,20 @@
     assert_eq!(invalid, CallerRequest::default(), "an invalid value counts as absent");
 }
 
+/// Guards against a take-up that is taken for a new stream, and against a guess at the stream that it means.
+#[test_case(&[], None; "no stream")]
+#[test_case(&[("Last-Event-Id", "")], None; "no event")]
+#[test_case(&[("Last-Event-Id", "4")], Some(None); "no attempt")]
+#[test_case(&[("Last-Event-Id", "4"), ("Resumes", " ")], Some(None); "empty attempt")]
+#[test_case(&[("Last-Event-Id", "4"), ("Resumes", "a1")], Some(Some("a1")); "one attempt")]
+#[test_case(&[("Resumes", "a1")], Some(Some("a1")); "attempt without an event")]
+#[test_case(&[("Resumes", "a1"), ("Resumes", "a1")], Some(Some("a1")); "attempt named twice")]
+#[test_case(&[("Resumes", "a1"), ("Resumes", "a2")], Some(None); "two attempts")]
+fn streams_taken_up(rows: &[(&str, &str)], attempt: Option<Option<&str>>) {
+    let read = CallerRequest::from_headers(&headers(rows)).take_up;
+    assert_eq!(read, attempt.map(|attempt| TakeUp { attempt: attempt.map(str::to_owned) }));
+}
+
 #[test]
 fn headers_sent_to_replicas() {
     let caller = headers(&[
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -92,12 +92,18 @@
     }
 
     pub fn add_replica(&mut self, id: &str, service: &str, events: usize) {
+        self.add_version(id, service, events, "v1");
+    }
+
+    /// adds a replica with a version of its software.
+    pub fn add_version(&mut self, id: &str, service: &str, events: usize, version: &str) {
         let options = ReplicaOptions {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: "zone-a".to_owned(),
             events,
             step_ms: 20,
+            version: version.to_owned(),
         };
         let replica = ReplicaStandin::start(&self.spawner, options).expect("the replica starts");
         self.register_replica(&replica, "ready");
@@ -151,7 +157,7 @@
     pub fn register_unrouted(&self, count: usize) {
         for number in 0..count {
             let entry = json!({
-                "service": "strangers", "address": "127.0.0.1:9", "zone": "zone-a", "version": 1, "slots": 6,
+                "service": "strangers", "address": "127.0.0.1:9", "zone": "zone-a", "version": "v1", "slots": 6,
                 "state": "ready", "cold_remaining_ms": 0, "seq": 1,
             });
             self.put_object(&format!("servers/a-stranger-{number:05}"), &entry);
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -18,6 +18,7 @@
 
 const CRITERIA: PickCriteria<'_> = PickCriteria {
     service: "models",
+    version: None,
     zone: "zone-a",
     affinity: Affinity::None,
     max_wait: Duration::ZERO,
@@ -30,6 +31,7 @@
         service: "models".to_owned(),
         address: ([10, 0, 0, 1], 80).into(),
         zone: "zone-a".to_owned(),
+        version: "v1".to_owned(),
         slots: 6,
         leaving: false,
         started_unix_ms,
--- a/tests/ledger_histories.rs
+++ b/tests/ledger_histories.rs
@@ -1,6 +1,6 @@
 //! seeded simulations of the ledger with crashes, power losses, lost disks, network partitions, platform
-//! outages, added and retired nodes: no budget is overspent, and no confirmed turn is lost or has a wrong
-//! history.
+//! outages, added and retired nodes: no budget is overspent, no confirmed turn is lost or has a wrong history,
+//! and no stream goes on at another software version.
 
 mod ledger_world;
 
@@ -45,3 +45,16 @@
         World::new(seed, lost_disks).run_with_strikes(faults, 12);
     }
 }
+
+/// Guards against a stream that goes on at another version than the one that began it, and against one that does
+/// not go on though its version serves.
+#[test_case(0, 6_000_000, 1; "calm")]
+#[test_case(8, 7_000_000, 1; "one disk may be lost")]
+#[test_case(25, 8_000_000, 1; "many faults")]
+#[test_case(12, 9_000_000, 2; "two disks may be lost")]
+fn streams_go_on_at_their_version(faults: usize, first_seed: u64, lost_disks: u32) {
+    for seed in first_seed_or(first_seed)..first_seed_or(first_seed) + seed_count().div_ceil(3) {
+        eprintln!("seed {seed}");
+        World::new(seed, lost_disks).run_with_streams(faults, 12);
+    }
+}
--- a/tests/ledger_nodes/mod.rs
+++ b/tests/ledger_nodes/mod.rs
@@ -194,5 +194,7 @@
         budget_tokens: 1_000,
         most_tokens: 100,
         previous: None,
+        stream: None,
+        resumes: None,
     }
 }
--- a/tests/ledger_world/door.rs
+++ b/tests/ledger_world/door.rs
@@ -137,6 +137,8 @@
                 previous: self.previous.clone(),
                 wants_history: true,
                 away: self.is_away,
+                stream: None,
+                resumes: None,
             }),
             Stage::Recheck => LedgerRequest::Spent(LedgerSpent { program }),
             Stage::Finish | Stage::Done => LedgerRequest::Finish(LedgerFinish {
--- a/tests/ledger_world/machine.rs
+++ b/tests/ledger_world/machine.rs
@@ -64,7 +64,8 @@
             LedgerRecord::Reserved(_)
             | LedgerRecord::Finished(_)
             | LedgerRecord::Observed(_)
-            | LedgerRecord::Struck(_) => None,
+            | LedgerRecord::Struck(_)
+            | LedgerRecord::StreamBegan(_) => None,
         });
         let own = self.member();
         joined.is_some_and(|joined| joined.complete && joined.view.members.contains(&own))
--- a/tests/ledger_world/mod.rs
+++ b/tests/ledger_world/mod.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod machine;
 mod reference;
+mod streams;
 mod strikes;
 mod world;
 
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -22,6 +22,8 @@
 use super::door::Turn;
 use super::machine::Machine;
 use super::reference::Reference;
+use super::streams::CallerStream;
+use super::streams::Replicas;
 use super::strikes::StrikeBatch;
 use super::strikes::StrikeDoor;
 
@@ -49,14 +51,37 @@
     Strike,
     SendStrikes(usize),
     StrikesTimeout(StrikeBatch),
+    Release,
+    List(usize),
+    NewStream,
+    TakeUp(usize),
+    /// the attempt and round of a stream.
+    StreamTimeout(usize, (u64, u64)),
 }
 
 /// sender of a request, found by its connection.
 #[derive(Clone)]
 pub enum Requester {
-    Node { name: String, start: u64 },
-    Turn { index: usize, member: String, turn: Option<String>, about_program: bool, round: u64 },
+    Node {
+        name: String,
+        start: u64,
+    },
+    Turn {
+        index: usize,
+        member: String,
+        turn: Option<String>,
+        about_program: bool,
+        round: u64,
+    },
     Strikes(StrikeBatch),
+    /// `key` is the attempt and round of the stream.
+    Stream {
+        index: usize,
+        member: String,
+        key: (u64, u64),
+    },
+    /// the answer does not matter.
+    Nobody,
 }
 
 pub struct World {
@@ -71,6 +96,8 @@
     pub disk_count: u64,
     pub reference: Reference,
     pub strike_doors: Vec<StrikeDoor>,
+    pub streams: Vec<CallerStream>,
+    pub replicas: Replicas,
     /// requests with strikes in flight, by door and number.
     pub batches_in_flight: BTreeSet<(usize, u64)>,
     events: BTreeMap<(u64, u64), Event>,
@@ -82,7 +109,7 @@
     budget_tokens: u64,
     is_traced: bool,
     /// whether messages have short delays only.
-    has_short_delays: bool,
+    pub has_short_delays: bool,
 }
 
 impl World {
@@ -101,6 +128,8 @@
             disk_count: 0,
             reference: Reference::default(),
             strike_doors: (0..DOORS).map(|_| StrikeDoor::default()).collect(),
+            streams: Vec::new(),
+            replicas: Replicas::new(DOORS),
             batches_in_flight: BTreeSet::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -176,7 +205,7 @@
         self.events.insert((self.now_ms + in_ms, self.event_count), event);
     }
 
-    fn run_until(&mut self, until_ms: u64) {
+    pub fn run_until(&mut self, until_ms: u64) {
         while let Some(entry) = self.events.first_entry() {
             if entry.key().0 > until_ms {
                 break;
@@ -231,6 +260,11 @@
             Event::Strike => self.add_strike(),
             Event::SendStrikes(door) => self.send_strikes(door),
             Event::StrikesTimeout(batch) => self.on_strikes_timeout(&batch),
+            Event::Release => self.release(),
+            Event::List(door) => self.list_replicas(door),
+            Event::NewStream => self.new_stream(),
+            Event::TakeUp(index) => self.take_up(index),
+            Event::StreamTimeout(index, key) => self.on_stream_timeout(index, key),
         }
     }
 
@@ -364,7 +398,10 @@
 
     fn on_answer(&mut self, connection: u64, answer: LedgerAnswer) {
         match self.requesters.get(&connection).cloned() {
-            None => {}
+            None | Some(Requester::Nobody) => {}
+            Some(Requester::Stream { index, member, key }) => {
+                self.on_stream_answer(index, &member, key, answer.reply);
+            }
             Some(Requester::Node { name, start }) => {
                 if let LedgerReply::Records(page) = &answer.reply
                     && page.last < u64::MAX / 2
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -118,6 +118,7 @@
         let affinity = Affinity::Program { home: Some(LIMITED) };
         let criteria = PickCriteria {
             service: "models",
+            version: None,
             zone: "a",
             affinity,
             max_wait: Duration::ZERO,
@@ -169,6 +170,7 @@
         service: "models".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".to_owned(),
+        version: "v1".to_owned(),
         slots,
         leaving: false,
         started_unix_ms: 1,
@@ -236,8 +238,14 @@
     world.send(0, 0);
     world.answer(ANSWER_MS);
     let affinity = Affinity::Program { home: Some(LIMITED) };
-    let mut criteria =
-        PickCriteria { service: "models", zone: "a", affinity, max_wait: Duration::ZERO, has_waited: false };
+    let mut criteria = PickCriteria {
+        service: "models",
+        version: None,
+        zone: "a",
+        affinity,
+        max_wait: Duration::ZERO,
+        has_waited: false,
+    };
     let table = &mut world.doors[0].table;
     let demand = |table: &ReplicaTable| table.limit_uses(100)[0].demand_per_s;
     table.pick(100, &criteria, &[]).expect("the other replica takes it");
--- a/tests/replica_cache.rs
+++ b/tests/replica_cache.rs
@@ -175,6 +175,7 @@
                 let affinity = Affinity::Program { home: self.homes.get(&program).map(String::as_str) };
                 let criteria = PickCriteria {
                     service: "models",
+                    version: None,
                     zone: "a",
                     affinity,
                     max_wait: Duration::ZERO,
@@ -233,6 +234,7 @@
         service: "models".to_owned(),
         address: ([10, 0, 0, 1], number as u16).into(),
         zone: "a".to_owned(),
+        version: "v1".to_owned(),
         slots,
         leaving: false,
         started_unix_ms: 1,
--- a/tests/replica_list.rs
+++ b/tests/replica_list.rs
@@ -18,7 +18,7 @@
 fn good_entry() {
     let read = parse_replica("servers/i-1", &entry(|_| {})).expect("an entry");
     assert_eq!((read.id.as_str(), read.slots, read.leaving), ("i-1", 12, false));
-    assert_eq!(read.started_unix_ms, 1_700_000_000_123);
+    assert_eq!((read.started_unix_ms, read.version.as_str()), (1_700_000_000_123, "v1"));
     let read =
         parse_replica("servers/i-1", &entry(|entry| entry["state"] = json!("draining"))).expect("an entry");
     assert!(read.leaving);
@@ -29,6 +29,8 @@
 #[test_case("slots", json!("many"); "slots of another type")]
 #[test_case("state", json!("sleeping"); "unknown state")]
 #[test_case("zone", Value::Null; "no zone")]
+#[test_case("version", Value::Null; "no version")]
+#[test_case("version", json!(2); "version of another type")]
 fn faulty_entry(field: &str, value: Value) {
     let bytes = entry(|entry| entry[field] = value.clone());
     assert!(parse_replica("servers/i-1", &bytes).is_err());
--- a/tests/replica_spread.rs
+++ b/tests/replica_spread.rs
@@ -134,6 +134,7 @@
         };
         let criteria = PickCriteria {
             service: "models",
+            version: None,
             zone: &zone,
             affinity,
             max_wait: Duration::ZERO,
@@ -196,6 +197,7 @@
         service: "models".to_owned(),
         address: ([10, 0, 0, 1], number as u16).into(),
         zone: format!("zone-{}", number % ZONES),
+        version: "v1".to_owned(),
         slots: SLOTS,
         leaving: false,
         started_unix_ms: 1,
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -16,6 +16,7 @@
         service: "models".to_owned(),
         address: ([10, 0, 0, 1], number).into(),
         zone: format!("zone-{}", number % 2),
+        version: "v1".to_owned(),
         slots: 6,
         leaving: false,
         started_unix_ms: 1,
@@ -32,7 +33,14 @@
 
 fn criteria(affinity: Option<&str>) -> PickCriteria<'_> {
     let affinity = affinity.map_or(Affinity::None, Affinity::Key);
-    PickCriteria { service: "models", zone: "zone-1", affinity, max_wait: Duration::ZERO, has_waited: false }
+    PickCriteria {
+        service: "models",
+        version: None,
+        zone: "zone-1",
+        affinity,
+        max_wait: Duration::ZERO,
+        has_waited: false,
+    }
 }
 
 #[test]
