Ask a new connection which start of the replica answers

What callers would see: a stream joined from two software versions, where a replica ended and came back under its id with another version before the list told.

Cause: the version that a stream was begun at was that of the replica's entry when it was chosen. A connection opened later may lead to another process under the same id.

Evidence: version_of_an_unlisted_process_is_not_taken_for_the_listed_one (tests/fleet_versions.rs) failed before: streams ran at v2 while the entry said v1.

Change: on routes whose streams may be resumed, a door asks each connection to a model replica once for its report, which names the start of the process. A start other than the listed one is not used until the list tells it. The stand-ins answer the question as the users' pages say; the scripted one does not count it as a run. The test of a version that is gone waits until the doors know that its replicas leave; it took an answer of 200 for that before, which any replica may give.

Why it works: a connection belongs to one process.

--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -26,6 +26,8 @@
 
 /// path of the health check.
 const HEALTH_PATH: &str = "/healthz";
+/// path of the report, which takes no slot.
+const REPORT_PATH: &str = "/report";
 
 /// what the requests of a replica share.
 #[derive(Clone)]
@@ -74,7 +76,7 @@
 /// answers a request as the replica's fault says.
 pub(super) async fn answer(parts: Parts, incoming: Incoming) -> Response {
     let state = Arc::clone(&parts.state);
-    if incoming.request.url().path() != HEALTH_PATH {
+    if ![HEALTH_PATH, REPORT_PATH].contains(&incoming.request.url().path()) {
         let mut state = lock(&state);
         state.asked += 1;
         state.asked_at.push(Instant::now());
@@ -115,6 +117,11 @@
         response.insert_header("x-instance-id", replica_id.as_str());
         return response;
     }
+    if target == REPORT_PATH {
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(format!("{{\"born\":{}}}", lock(state).started_unix_ms()));
+        return response;
+    }
     if expected.is_some_and(|expected| expected != replica_id) {
         let mut response = Response::new(StatusCode::MisdirectedRequest);
         response.insert_header("x-request-id", id.as_str());
--- a/crates/standins/src/replica/scripted.rs
+++ b/crates/standins/src/replica/scripted.rs
@@ -21,7 +21,7 @@
     pub id: String,
     /// last event that the caller has, if a stream is resumed.
     pub last_event: Option<String>,
-    /// number of the request on its connection, from 1.
+    /// number of the request among those to run on its connection, from 1.
     pub number: usize,
 }
 
@@ -96,7 +96,15 @@
 impl Shared {
     fn serve(&self, mut stream: TcpStream, script: &Script) {
         let mut number = 0;
-        while let Some((id, last_event)) = read_request(&mut stream) {
+        while let Some(request) = read_request(&mut stream) {
+            let (id, last_event) = match request {
+                // Scripts are for what the replica runs; its report is always the same.
+                Asked::Report => {
+                    let _ = stream.write_all(REPORT.as_bytes());
+                    continue;
+                }
+                Asked::Run { id, last_event } => (id, last_event),
+            };
             number += 1;
             let request = ScriptedRequest { id, last_event, number };
             self.runs.lock().expect("runs lock poisoned").push(request.clone());
@@ -110,8 +118,20 @@
     }
 }
 
-/// reads a request with its body; returns its id and the last event that it names.
-fn read_request(stream: &mut TcpStream) -> Option<(String, Option<String>)> {
+/// the report of a process with the start that the entry names.
+const REPORT: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 10\r\n\r\n{\"born\":1}";
+
+/// what a request asks for.
+enum Asked {
+    /// what the replica reports about itself.
+    Report,
+    /// a run, with the last event that the request names.
+    Run { id: String, last_event: Option<String> },
+}
+
+/// reads a request with its body.
+fn read_request(stream: &mut TcpStream) -> Option<Asked> {
     let mut head = Vec::new();
     let mut byte = [0_u8; 1];
     while !head.ends_with(b"\r\n\r\n") {
@@ -127,5 +147,8 @@
     let length = header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).ok()?;
-    Some((header("x-request-id").unwrap_or_default(), header("last-event-id")))
+    if head.starts_with("GET /report ") {
+        return Some(Asked::Report);
+    }
+    Some(Asked::Run { id: header("x-request-id").unwrap_or_default(), last_event: header("last-event-id") })
 }
--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -83,6 +83,13 @@
     pub restarts: u64,
 }
 
+impl State {
+    /// start of the current process in Unix milliseconds.
+    pub fn started_unix_ms(&self) -> u64 {
+        FIRST_START_UNIX_MS + self.restarts
+    }
+}
+
 /// the listening socket, shared with the requests that may end the replica.
 pub(super) type HostSlot = Mutex<Option<Host>>;
 
@@ -163,14 +170,14 @@
 
     /// what the replica says of itself in the platform's list.
     pub fn entry(&self, state: &str) -> Value {
-        let (version, restarts) = {
+        let (version, born) = {
             let state = lock(&self.state);
-            (state.version.clone(), state.restarts)
+            (state.version.clone(), state.started_unix_ms())
         };
         json!({
             "service": self.options.service, "address": self.address.to_string(),
             "zone": self.options.zone, "version": version, "slots": 6, "state": state,
-            "cold_remaining_ms": 0, "seq": 1, "born": FIRST_START_UNIX_MS + restarts,
+            "cold_remaining_ms": 0, "seq": 1, "born": born,
         })
     }
 
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -13,6 +13,8 @@
 use crate::door::door::Door;
 use crate::door::door::LeavingSource;
 use crate::door::lease::Lease;
+use crate::door::process_start::ProcessStart;
+use crate::door::process_start::check_start;
 use crate::door::request::DoorRequest;
 use crate::platform::AnswerClass;
 use crate::platform::ForwardOptions;
@@ -44,6 +46,8 @@
     Shed,
     /// the address now belongs to another replica.
     OtherReplica,
+    /// another process than the listed one answers under the replica's id.
+    OtherProcess,
     /// no connection could be established.
     Unreachable,
     /// the deadline passed before any byte was sent, as after a suspension of this process.
@@ -158,6 +162,18 @@
                 Err(_) => return Err(AttemptResult::NotRun(NotRun::Unreachable)),
             },
         };
+        if request.needs_certain_software {
+            match check_start(door, &mut connection, &lease.pick).await {
+                ProcessStart::Listed => {}
+                // A pooled connection may have been closed since, or belong to an earlier process.
+                ProcessStart::Other | ProcessStart::Unanswered if !is_new => {
+                    is_new = true;
+                    continue;
+                }
+                ProcessStart::Other => return Err(AttemptResult::NotRun(NotRun::OtherProcess)),
+                ProcessStart::Unanswered => return Err(AttemptResult::NotRun(NotRun::Unreachable)),
+            }
+        }
         // Connecting may have taken long, or the machine was suspended meanwhile.
         if request.remaining().is_zero() {
             return Err(AttemptResult::NotRun(NotRun::Expired));
@@ -210,7 +226,7 @@
             Indeterminate::TimedOut | Indeterminate::Slow | Indeterminate::Foreign | Indeterminate::TooLarge,
         ) => return,
         AttemptResult::NotRun(NotRun::Shed) => Outcome::Full,
-        AttemptResult::NotRun(NotRun::OtherReplica | NotRun::Unreachable)
+        AttemptResult::NotRun(NotRun::OtherReplica | NotRun::OtherProcess | NotRun::Unreachable)
         | AttemptResult::Indeterminate(Indeterminate::Broken) => {
             door.connections.close_idle(lease.pick.address);
             Outcome::ConnectionFailed
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -174,7 +174,7 @@
             None => Refusal::NoReplica,
             Some(NotRun::Shed) => Refusal::AllFull,
             Some(NotRun::Expired) => Refusal::TooLate,
-            Some(NotRun::OtherReplica | NotRun::Unreachable) => Refusal::Unreachable,
+            Some(NotRun::OtherReplica | NotRun::OtherProcess | NotRun::Unreachable) => Refusal::Unreachable,
         }
     }
 }
--- a/src/door/connections.rs
+++ b/src/door/connections.rs
@@ -44,6 +44,8 @@
     pub opened: Instant,
     /// answers whose heads have arrived.
     answer_count: u32,
+    /// start of the process at the other end in Unix milliseconds, once it has told.
+    pub process_start: Option<u64>,
     _driver: Task<()>,
 }
 
@@ -142,7 +144,15 @@
             // Errors are reported by the request in flight.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, read_limit, opened: Instant::now(), answer_count: 0, _driver: driver })
+        Ok(Self {
+            address,
+            sender,
+            read_limit,
+            opened: Instant::now(),
+            answer_count: 0,
+            process_start: None,
+            _driver: driver,
+        })
     }
 
     /// whether one answer has arrived, and none before it.
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -58,6 +58,7 @@
                         body,
                         home: None,
                         software: None,
+                        needs_certain_software: route.kind == RequestKind::Streaming && route.resumable,
                         deadline,
                     };
                     run_request(&door, &request, &route).await
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -17,6 +17,7 @@
 mod lease;
 mod ledger_discovery;
 mod mesh_inbox;
+mod process_start;
 mod refusal;
 mod reporter;
 mod request;
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -28,6 +28,8 @@
     pub home: Option<String>,
     /// software that must run the request; any if `None`.
     pub software: Option<Software>,
+    /// whether the software that runs it has to be certain, as its stream may go on elsewhere.
+    pub needs_certain_software: bool,
     /// the earlier of the caller's deadline and the route's timeout.
     pub deadline: Deadline,
 }
--- a/tests/fleet_versions.rs
+++ b/tests/fleet_versions.rs
@@ -99,6 +99,15 @@
     });
 }
 
+/// waits until both doors know that replicas leave.
+fn wait_until_leaving(fleet: &Fleet, replicas: &[&str]) {
+    fleet.wait(&format!("{replicas:?} are known to leave"), || {
+        let lines = fleet.doors.iter().map(|door| door.lines_with("replica entry marks it as leaving"));
+        let mut lines = lines.map(|lines| lines.concat());
+        lines.all(|lines| replicas.iter().all(|replica| lines.contains(replica)))
+    });
+}
+
 /// begins streams that break off after some events.
 fn begin_streams(fleet: &Fleet, owner: Owner) -> Vec<Stream> {
     fleet.set_faults(ReplicaFault::BreakAfter(BREAK_AFTER));
@@ -158,10 +167,7 @@
     for replica in &fleet.models[2..] {
         fleet.register_replica(replica, "draining");
     }
-    // Doors receive the entries within a few report intervals.
-    fleet.wait("both doors know that the new replicas leave", || {
-        fleet.doors.iter().all(|door| door.lines_with("replica entry marks it as leaving").len() >= 2)
-    });
+    wait_until_leaving(&fleet, &["new-1", "new-2"]);
     let streams = begin_streams(&fleet, Owner::Program);
     for replica in &fleet.models[..2] {
         fleet.register_replica(replica, "draining");
@@ -169,16 +175,11 @@
     for replica in &fleet.models[2..] {
         fleet.register_replica(replica, "ready");
     }
+    wait_until_leaving(&fleet, &["model-1", "model-2"]);
     if restarts {
         fleet.restart_all();
     }
-    let mut number = 0;
-    fleet.wait("the new replicas run turns", || {
-        number += 1;
-        let id = format!("later-{number}");
-        let later = ClientRequest::turn("/chat/t", &id, "x", &id, 10_000, 100);
-        fleet.doors.iter().all(|door| door.send(&later).status == 200)
-    });
+    wait_for_both_versions(&fleet);
     for (number, mut stream) in streams.into_iter().enumerate() {
         let answer = stream.send(&fleet, number % 2);
         assert_eq!(stream.versions(&fleet), BTreeSet::from([OLD.to_owned()]), "{answer:?}");
@@ -206,3 +207,23 @@
         assert_eq!(fleet.run_count(&request.id), 0, "{answer:?}");
     }
 }
+
+/// Guards against a stream of a process that has come back under its id with another version, which the list
+/// does not tell yet.
+#[test]
+fn version_of_an_unlisted_process_is_not_taken_for_the_listed_one() {
+    let mut fleet = Fleet::start("versions-unlisted", 1);
+    let more = json!({ "resumable": true, "max_attempts": 3 });
+    fleet.put_config(&json!([fleet::route("chat", "/chat/", "streaming", "models", more)]));
+    fleet
+        .wait("the new route is in force", || fleet.doors[0].lines_with("configuration activated").len() > 1);
+    fleet.models[0].upgrade(NEW);
+    for number in 0..STREAMS {
+        let mut stream = Stream::new(Owner::Program, number);
+        let answer = stream.send(&fleet, 0);
+        assert_eq!(stream.versions(&fleet), BTreeSet::from([OLD.to_owned()]), "{answer:?}");
+        assert!(answer.is_whole, "{answer:?}");
+    }
+    fleet.register_replicas();
+    wait_for_both_versions(&fleet);
+}
