Pass the requests of a door that is cut off from the replicas on to other doors

Cause: a door took what its own sockets showed for the state of the replicas, each with a backoff of its own, and had no way but its own. It stayed ready and listed. The runs that the cut ended were suspected by the hundred, and a connection that the cut refused counted as the end of a replica that lives.

Change: a door that hears of no replica for 400 ms, while a request waits or a connection failed, asks four replicas of all services; if none answers it believes that it is cut off, logs it and shows it on the metrics address. Until half of four answer again it passes its requests on to doors that reach replicas, once each, over a port of their own with a keyed proof, and it is not ready. Requests under way that may run again are passed on as well. The cut clears the runs that it explains; a refused connection is the end of a replica only if another replica answers.

Why it works: callers are served where they came to, whatever directories said before, and a request runs at the door that holds all that it needs.

--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -66,6 +66,8 @@
     TooLarge,
     /// the answer takes far longer than usual, with time left for another replica.
     Slow,
+    /// the door was found to be cut off from the replicas, with time left for another door.
+    CutOff,
     /// the deadline of the request passed.
     TimedOut,
 }
@@ -104,6 +106,7 @@
             result
         }
         Some(Ok((connection, response))) => {
+            door.reach.reach().record_sign(door.now_ms());
             let id = request.caller.id.as_deref();
             let head =
                 classify_answer(response.status(), response.headers(), id, connection.is_first_answer());
@@ -223,12 +226,17 @@
         AttemptResult::Head(_)
         | AttemptResult::NotRun(NotRun::Expired)
         | AttemptResult::Indeterminate(
-            Indeterminate::TimedOut | Indeterminate::Slow | Indeterminate::Foreign | Indeterminate::TooLarge,
+            Indeterminate::TimedOut
+            | Indeterminate::Slow
+            | Indeterminate::CutOff
+            | Indeterminate::Foreign
+            | Indeterminate::TooLarge,
         ) => return,
         AttemptResult::NotRun(NotRun::Shed) => Outcome::Full,
         AttemptResult::NotRun(NotRun::OtherReplica | NotRun::OtherProcess | NotRun::Unreachable)
         | AttemptResult::Indeterminate(Indeterminate::Broken) => {
             door.connections.close_idle(lease.pick.address);
+            door.reach.reach().record_failure();
             Outcome::ConnectionFailed
         }
     };
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use flamingo_edge::timeout;
+use futures_lite::future;
 use hyper::Response;
 use slog::info;
 
@@ -24,6 +25,7 @@
 use crate::routing::NoPick;
 use crate::routing::Outcome;
 use crate::routing::ReplicaId;
+use crate::routing::ReplicaPick;
 use crate::routing::RequestKind;
 use crate::routing::Route;
 
@@ -70,6 +72,10 @@
             if self.request.remaining().is_zero() {
                 return Err(if self.indeterminate_count > 0 { Refusal::TimedOut } else { Refusal::TooLate });
             }
+            // Another door reaches the replicas; what may have run goes there only if it may run again.
+            if self.door.reach.is_cut_off() && (self.indeterminate_count == 0 || self.route.is_retryable()) {
+                return Err(Refusal::CutOff);
+            }
             if let Some(hold) = self.door.hold(self.request, self.route) {
                 return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
@@ -89,15 +95,7 @@
             let replica = pick.id.clone();
             let attempt_timeout = self.attempt_timeout();
             let started = Instant::now();
-            match attempt(
-                self.door,
-                self.request,
-                Lease::new(self.door, pick, self.request),
-                None,
-                attempt_timeout,
-            )
-            .await
-            {
+            match self.attempt_until_cut_off(pick, attempt_timeout).await {
                 AttemptResult::Head(head) => {
                     let latency_ms = started.elapsed().as_secs_f64() * 1_000.0;
                     self.door.attempt_timeouts().record_latency(&self.route.name, latency_ms);
@@ -111,6 +109,10 @@
                         return Err(self.no_replica_left());
                     }
                 }
+                // Checked above; a replica behind a cut does not count as an attempt.
+                AttemptResult::Indeterminate(why @ Indeterminate::CutOff) => {
+                    self.log_failed_attempt(&replica, why.into(), started);
+                }
                 AttemptResult::Indeterminate(why) => {
                     self.log_failed_attempt(&replica, why.into(), started);
                     if why == Indeterminate::Slow {
@@ -122,6 +124,20 @@
         }
     }
 
+    /// one attempt; a request that may run again does not wait for a replica behind a cut.
+    async fn attempt_until_cut_off(&self, pick: ReplicaPick, limit: Option<Duration>) -> AttemptResult {
+        let lease = Lease::new(self.door, pick, self.request);
+        let attempt = attempt(self.door, self.request, lease, None, limit);
+        if !self.route.is_retryable() {
+            return attempt.await;
+        }
+        let cut_off = async {
+            self.door.reach.until_cut_off().await;
+            AttemptResult::Indeterminate(Indeterminate::CutOff)
+        };
+        future::or(attempt, cut_off).await
+    }
+
     /// counts an attempt that may have run the request; an error if the request must not be retried.
     pub fn record_indeterminate(&mut self, why: Indeterminate) -> Result<(), Refusal> {
         self.indeterminate_count += 1;
--- a/src/door/connections.rs
+++ b/src/door/connections.rs
@@ -122,6 +122,11 @@
         by_address.retain(|_, idle| !idle.is_empty());
     }
 
+    /// closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.lock().expect("pool lock poisoned").clear();
+    }
+
     /// closes all idle connections to an address, as after a failure of its replica.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.lock().expect("pool lock poisoned").remove(&address);
--- a/src/door/daemon.rs
+++ b/src/door/daemon.rs
@@ -22,11 +22,13 @@
 use slog::info;
 
 use crate::door::door::Door;
+use crate::door::entry::Sender;
 use crate::door::entry::answer_directory;
 use crate::door::entry::answer_readiness;
 use crate::door::entry::handle_request;
 use crate::door::follow::follow_platform;
 use crate::door::mesh_inbox::MeshInbox;
+use crate::door::reach_monitor::watch_reach;
 use crate::door::reporter::discover_ledger;
 use crate::door::reporter::report_to_ledger;
 use crate::door::serve::ListenerContext;
@@ -92,6 +94,7 @@
     }
     essentials.spawn("find the ledger", discover_ledger(Arc::clone(&door), platform));
     essentials.spawn("report", report_to_ledger(Arc::clone(&door)));
+    essentials.spawn("watch the way to the replicas", watch_reach(Arc::clone(&door)));
     listen(&door, &context)?;
     let stop_signal = async {
         loop {
@@ -130,12 +133,15 @@
 }
 
 fn listen(door: &Arc<Door>, context: &ListenerContext) -> anyhow::Result<()> {
-    let DoorAddresses { callers, readiness, directory } = door.addresses;
+    let DoorAddresses { callers, readiness, directory, peers } = door.addresses;
     // Connections for readiness checks and the directory do not delay the exit, so they are not counted.
     let uncounted = ListenerContext { open_connections: Arc::default(), ..context.clone() };
-    let shared_door = Arc::clone(door);
-    let handler = move |request: Request<Incoming>| handle_request(Arc::clone(&shared_door), request);
-    door.spawner.detach(serve(bind(callers)?, context.clone(), handler));
+    for (address, sender) in [(callers, Sender::Caller), (peers, Sender::Door)] {
+        let shared_door = Arc::clone(door);
+        let handler =
+            move |request: Request<Incoming>| handle_request(Arc::clone(&shared_door), request, sender);
+        door.spawner.detach(serve(bind(address)?, context.clone(), handler));
+    }
     let shared_door = Arc::clone(door);
     let handler = move |request: Request<Incoming>| {
         let shared_door = Arc::clone(&shared_door);
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -3,6 +3,7 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,6 +19,7 @@
 use crate::door::connections::ConnectError;
 use crate::door::connections::Connection;
 use crate::door::connections::ConnectionPool;
+use crate::door::reach_monitor::ReachMonitor;
 use crate::door::request::DoorRequest;
 use crate::fleet::MergedMirror;
 use crate::ledger_client::LedgerClient;
@@ -30,6 +32,8 @@
 use crate::poison::PoisonState;
 use crate::poison::ReplicaRun;
 use crate::poison::RunKey;
+use crate::reach::HelperChoice;
+use crate::reach::PassWindows;
 use crate::routing::Affinity;
 use crate::routing::AttemptTimeouts;
 use crate::routing::LimitChange;
@@ -42,6 +46,8 @@
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::routing::Software;
+use crate::schema::DoorHelper;
+use crate::schema::DoorRow;
 use crate::schema::LeavingReplica;
 use crate::schema::LimitShare;
 use crate::schema::MirrorMark;
@@ -64,6 +70,16 @@
     pub incarnation: String,
     pub ledger: LedgerClient,
     pub connections: ConnectionPool,
+    /// connections to doors that take requests of this one.
+    pub helper_connections: ConnectionPool,
+    pub reach: ReachMonitor,
+    helper_choice: Mutex<HelperChoice>,
+    /// numbers of the requests that were passed on to this door.
+    pass_windows: Mutex<PassWindows>,
+    /// requests that this door has passed on.
+    passed_count: AtomicU64,
+    /// requests of other doors under way here.
+    pub taken_count: AtomicUsize,
     pub answers: AnswerBuffers,
     pub table: ArcSwapOption<RouteTable>,
     replicas: Mutex<ReplicaTable>,
@@ -108,6 +124,12 @@
             incarnation,
             ledger,
             connections: ConnectionPool::default(),
+            helper_connections: ConnectionPool::default(),
+            reach: ReachMonitor::default(),
+            helper_choice: Mutex::default(),
+            pass_windows: Mutex::default(),
+            passed_count: AtomicU64::new(0),
+            taken_count: AtomicUsize::new(0),
             answers: AnswerBuffers::default(),
             table: ArcSwapOption::empty(),
             replicas: Mutex::new(ReplicaTable::new(rand::random())),
@@ -138,6 +160,36 @@
         self.fleet.lock().expect("fleet lock poisoned")
     }
 
+    pub fn helper_choice(&self) -> MutexGuard<'_, HelperChoice> {
+        self.helper_choice.lock().expect("helper lock poisoned")
+    }
+
+    pub fn pass_windows(&self) -> MutexGuard<'_, PassWindows> {
+        self.pass_windows.lock().expect("pass window lock poisoned")
+    }
+
+    /// the number of the next request that is passed on.
+    pub fn next_pass(&self) -> u64 {
+        self.passed_count.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// another door for a request, which counts as under way there; `tried` are those that it has been to.
+    pub fn choose_helper(&self, tried: &[String]) -> Option<DoorRow> {
+        let fleet = self.fleet();
+        let helpers = fleet.helpers(&self.addresses.callers.to_string());
+        let zone = &self.settings.instance.zone;
+        let mut choice = self.helper_choice();
+        let helper = choice.choose(self.now_ms(), zone, &helpers, tried, rand::random())?;
+        choice.begin(&helper.callers);
+        Some(helper.clone())
+    }
+
+    /// where this door takes requests of others; `None` while it takes none.
+    pub fn helper(&self) -> Option<DoorHelper> {
+        let address = self.addresses.peers.to_string();
+        self.is_ready().then(|| DoorHelper { address, started: self.incarnation.clone() })
+    }
+
     /// runs `work` on the merged state of a platform prefix; `None` if the door does not follow the prefix.
     pub fn merge<T>(&self, prefix: &str, work: impl FnOnce(&mut MergedMirror, u64) -> T) -> Option<T> {
         let now_ms = self.now_ms();
@@ -319,12 +371,22 @@
             poison.update_local(now_ms);
             run
         };
+        if self.reach.is_cut_off() {
+            self.explain_by_cut(true);
+        }
         metrics::counter!("door_runs_suspected_total").increment(1);
         info!(self.log, "run ended without an answer; its replica is suspected to have ended";
             "request" => &run.request, "content" => &run.content, "replica" => &run.replica,
             "is_silent" => is_silent);
     }
 
+    /// clears the runs whose ends a cut from all replicas explains, and notes whether it lasts.
+    pub fn explain_by_cut(&self, is_cut_off: bool) {
+        let heard_ms = self.reach.reach().heard_ms();
+        let cleared = self.poison().set_cut_off(self.now_ms(), is_cut_off, heard_ms);
+        self.log_cleared(&cleared, "cut_off");
+    }
+
     /// handles an answer of a replica, over a connection that was opened at `connected`.
     pub fn replica_answered(&self, replica: &str, started_unix_ms: u64, connected: Instant) {
         let connected_ms = connected.saturating_duration_since(self.started).as_millis() as u64;
@@ -355,7 +417,7 @@
     fn log_cleared(&self, runs: &[ReplicaRun], evidence: &'static str) {
         for run in runs {
             metrics::counter!("door_runs_cleared_total", "evidence" => evidence).increment(1);
-            info!(self.log, "replica answered since an unanswered run; the run is cleared";
+            info!(self.log, "unanswered run is cleared";
                 "request" => &run.request, "content" => &run.content, "replica" => &run.replica,
                 "evidence" => evidence);
         }
@@ -437,7 +499,8 @@
 
     /// whether new callers should be directed here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table.load().is_some() && self.ledger.is_reachable()
+        let is_configured = self.table.load().is_some();
+        !self.is_draining() && is_configured && self.ledger.is_reachable() && !self.reach.is_cut_off()
     }
 
     /// starts draining: requests are still served, but the door reports itself as not ready.
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -23,6 +23,8 @@
 use crate::door::answer::plain_text;
 use crate::door::call::run_call;
 use crate::door::door::Door;
+use crate::door::pass_on::pass_on;
+use crate::door::passed_request::PassGuard;
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
 use crate::door::request::deadline;
@@ -33,11 +35,25 @@
 use crate::platform::RESOLVE_PATH;
 use crate::platform::caller_zone;
 use crate::platform::resolve_body;
+use crate::reach::NOT_TAKEN_HEADER;
 use crate::routing::RequestKind;
 use crate::routing::Route;
 
-/// handles a caller's request.
-pub(super) async fn handle_request(door: Arc<Door>, request: Request<Incoming>) -> Response<DoorBody> {
+/// who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Sender {
+    /// a caller.
+    Caller,
+    /// another door, for a caller of its own.
+    Door,
+}
+
+/// handles a request.
+pub(super) async fn handle_request(
+    door: Arc<Door>,
+    request: Request<Incoming>,
+    sender: Sender,
+) -> Response<DoorBody> {
     let received = Moment::now();
     let (head, body) = request.into_parts();
     let caller = CallerRequest::from_headers(&head.headers);
@@ -59,9 +75,13 @@
                         home: None,
                         software: None,
                         needs_certain_software: route.kind == RequestKind::Streaming && route.resumable,
+                        is_passed_on: sender == Sender::Door,
                         deadline,
                     };
-                    run_request(&door, &request, &route).await
+                    match sender {
+                        Sender::Caller => run_request(&door, &request, &route).await,
+                        Sender::Door => run_passed(&door, &request, &route).await,
+                    }
                 }
             }
         }
@@ -78,7 +98,11 @@
         info!(door.log, "request ended without an answer from a replica"; "request" => id, "reason" => reason,
             "status" => refusal.status().as_u16(),
             "waited_ms" => received.monotonic.elapsed().as_millis() as u64);
-        refusal.response()
+        let mut response = refusal.response();
+        if sender == Sender::Door && refusal.may_be_served_elsewhere() {
+            response.headers_mut().insert(NOT_TAKEN_HEADER, HeaderValue::from_static(reason));
+        }
+        response
     });
     if door.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -123,14 +147,32 @@
     }
 }
 
+/// runs a request that another door has passed on.
+async fn run_passed(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    route: &Arc<Route>,
+) -> Result<Response<DoorBody>, Refusal> {
+    let guard = PassGuard::new(door, request)?;
+    let answer = run_request(door, request, route).await?;
+    Ok(guard.watch(answer))
+}
+
 async fn run_request(
     door: &Arc<Door>,
     request: &DoorRequest,
     route: &Arc<Route>,
 ) -> Result<Response<DoorBody>, Refusal> {
-    match route.kind {
+    if door.reach.is_cut_off() && !request.is_passed_on {
+        return pass_on(door, request, route).await;
+    }
+    let answer = match route.kind {
         RequestKind::Streaming => run_turn(door, request, route).await,
         RequestKind::Idempotent | RequestKind::NonIdempotent => run_call(door, request, route).await,
+    };
+    match answer {
+        Err(Refusal::CutOff) if !request.is_passed_on => pass_on(door, request, route).await,
+        answer => answer,
     }
 }
 
--- a/src/door/fleet_view.rs
+++ b/src/door/fleet_view.rs
@@ -48,6 +48,12 @@
         others.filter(|row| row.ready && !row.silent && row.callers != own_callers).count()
     }
 
+    /// other doors that take requests of this one while it is cut off from the replicas.
+    pub fn helpers(&self, own_callers: &str) -> Vec<&DoorRow> {
+        let others = self.doors.values().map(|known| &known.row);
+        others.filter(|row| row.helper.is_some() && !row.silent && row.callers != own_callers).collect()
+    }
+
     /// applies an update from a ledger node.
     pub fn update(&mut self, now_ms: u64, news: &FleetNews) {
         if !news.tells_fleet {
--- a/src/door/lease.rs
+++ b/src/door/lease.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
+use crate::door::connections::ConnectError;
 use crate::door::door::Door;
+use crate::door::reach_monitor::reaches_others;
 use crate::door::request::DoorRequest;
 use crate::poison::RunKey;
 use crate::routing::ReplicaPick;
@@ -31,6 +33,7 @@
 
     /// records that a part of the answer has arrived.
     pub fn record_progress(&self) {
+        self.door.reach.reach().record_sign(self.door.now_ms());
         if let Some(run) = self.run {
             self.door.poison().active.record_progress(self.door.now_ms(), run);
         }
@@ -39,7 +42,14 @@
     /// probes a replica that broke off its answer; `true` unless it is still alive or the outcome was known.
     pub async fn probe_after_break(&mut self) -> bool {
         // The run stays unresolved during the probe: the caller may disconnect and drop the lease meanwhile.
-        let probe = self.door.probe(&self.pick).await;
+        let broke_ms = self.door.now_ms();
+        let probe = match self.door.probe(&self.pick).await {
+            // A door that is cut off from all replicas may see each of them refuse.
+            Err(ConnectError::Refused) if !reaches_others(&self.door, self.pick.address, broke_ms).await => {
+                Err(ConnectError::Inconclusive)
+            }
+            probe => probe,
+        };
         match self.run.take() {
             Some(run) => self.door.record_broken_run(run, probe),
             None => false,
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -28,6 +28,12 @@
     },
     /// the last replica that was tried could not be reached.
     Unreachable,
+    /// the door is cut off from the replicas; another door may reach them.
+    CutOff,
+    /// the door is cut off from the replicas, and no other door has taken the request.
+    NoHelper,
+    /// the door takes no more requests of other doors now.
+    HelperBusy,
     /// the deadline passed before a replica ran the request.
     TooLate,
     /// the content of the request has reached the strike limit: it ended several replicas.
@@ -57,6 +63,8 @@
     BodyBroken,
     /// a required header is missing.
     BadRequest,
+    /// the request claims to come from another door, but does not prove it, or came before.
+    NotPassedOn,
     /// a replica may have run the request, but its answer was lost.
     AnswerLost,
     /// a replica may have run the request, but did not answer in time.
@@ -81,6 +89,9 @@
             | Self::AllFull
             | Self::Limited { .. }
             | Self::Unreachable
+            | Self::CutOff
+            | Self::NoHelper
+            | Self::HelperBusy
             | Self::TooLate
             | Self::Poisoned
             | Self::Suspected
@@ -92,11 +103,20 @@
             Self::OverBudget => StatusCode::PAYMENT_REQUIRED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken | Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::NotPassedOn => StatusCode::FORBIDDEN,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
+    /// whether another door may serve the request now: the reason concerns this one alone.
+    pub fn may_be_served_elsewhere(self) -> bool {
+        matches!(
+            self,
+            Self::CutOff | Self::HelperBusy | Self::NoConfiguration | Self::LedgerAway | Self::LedgerUnsure
+        )
+    }
+
     /// seconds after which the caller should retry.
     fn retry_after_s(self) -> Option<f64> {
         match self {
@@ -110,6 +130,8 @@
             Self::NoConfiguration | Self::LedgerAway => Some(0.6),
             // A dead replica is replaced or detected within a second.
             Self::NoReplica | Self::Unreachable => Some(0.3),
+            // The caller's next connection very likely goes to a door that reaches the replicas.
+            Self::CutOff | Self::NoHelper | Self::HelperBusy => Some(0.1),
             // About one turn of a busy engine, after which some slot is free again.
             Self::AllFull => Some(0.15),
             // The caller has to start anew; waiting would not make the stream known.
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -111,6 +111,7 @@
             leaving,
             unresolved: door.poison().reportable(),
             limits,
+            helper: door.helper(),
         };
         let view = door.ledger.view();
         // One node sends this door the state of the others; the choice spreads doors over the nodes.
@@ -132,6 +133,7 @@
         check_suspects(&door, &mut checked);
         send_strikes(&door, &view);
         door.connections.expire();
+        door.helper_connections.expire();
         // While the ledger is unreachable, shorter intervals detect its return sooner.
         let is_unreachable = !door.ledger.is_reachable();
         if is_unreachable != was_unreachable {
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -30,6 +30,8 @@
     pub software: Option<Software>,
     /// whether the software that runs it has to be certain, as its stream may go on elsewhere.
     pub needs_certain_software: bool,
+    /// whether another door has passed it on, which is then not done once more.
+    pub is_passed_on: bool,
     /// the earlier of the caller's deadline and the route's timeout.
     pub deadline: Deadline,
 }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -4,6 +4,7 @@
 use anyhow::anyhow;
 use bytes::Bytes;
 use flamingo_edge::timeout;
+use futures_lite::future;
 use futures_lite::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -67,6 +68,8 @@
     Broken,
     /// the deadline passed.
     TimedOut,
+    /// the door is cut off from the replicas; another door goes on with the stream when the caller comes back.
+    CutOff,
     /// the replica sent more events than the turn has tokens for.
     Overlong,
 }
@@ -126,6 +129,10 @@
                     self.log_interruption("timed_out");
                     return Err(anyhow!("request deadline exceeded"));
                 }
+                StreamStep::CutOff => {
+                    self.log_interruption("cut_off");
+                    return Err(anyhow!("replicas are out of reach"));
+                }
                 StreamStep::Overlong => {
                     self.log_interruption("overlong");
                     self.run.lease.mark_resolved();
@@ -152,11 +159,27 @@
                 let fits = self.account.as_mut().is_none_or(|account| account.record_event(&event));
                 return if fits { StreamStep::Event(event.bytes) } else { StreamStep::Overlong };
             }
-            let frame = match timeout(self.request.remaining(), self.run.body.frame()).await {
+            let frame = {
+                let frame = async { Some(self.run.body.frame().await) };
+                let is_resumable = self.route.resumable;
+                let cut_off = async {
+                    match is_resumable {
+                        true => self.door.reach.until_cut_off().await,
+                        false => future::pending().await,
+                    }
+                    None
+                };
+                timeout(self.request.remaining(), future::or(frame, cut_off)).await
+            };
+            let frame = match frame {
                 None => return StreamStep::TimedOut,
-                Some(None) if self.splitter.is_empty() => return StreamStep::End,
-                Some(None | Some(Err(_))) => return StreamStep::Broken,
-                Some(Some(Ok(frame))) => frame,
+                Some(None) => return StreamStep::CutOff,
+                Some(Some(frame)) => frame,
+            };
+            let frame = match frame {
+                None if self.splitter.is_empty() => return StreamStep::End,
+                None | Some(Err(_)) => return StreamStep::Broken,
+                Some(Ok(frame)) => frame,
             };
             let Some(bytes) = frame.data_ref() else {
                 continue;
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -11,6 +11,7 @@
 use crate::door::call::Attempts;
 use crate::door::call::read_full_answer;
 use crate::door::door::Door;
+use crate::door::pass_on::pass_on;
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
 use crate::door::sse_splitter::SseEvent;
@@ -214,7 +215,15 @@
     if !history.is_empty() {
         full_request.body = Bytes::from([history.as_slice(), &request.body].concat());
     }
-    let head = Attempts::new(door, &full_request, route)?.run_until_head().await?;
+    let head = match Attempts::new(door, &full_request, route)?.run_until_head().await {
+        Err(Refusal::CutOff) if !request.is_passed_on => {
+            let answer = pass_on(door, request, route).await;
+            // The door that takes the turn holds the same reservation, and settles it.
+            account.is_settled = !answer.as_ref().is_err_and(|refusal| *refusal == Refusal::NoHelper);
+            return answer;
+        }
+        head => head?,
+    };
     account.set_replica(&head.lease.pick.id);
     if !head.response.status().is_success() {
         return read_full_answer(door, &full_request, *head).await.map_err(|_| Refusal::AnswerLost);
--- a/src/fleet/door_registry.rs
+++ b/src/fleet/door_registry.rs
@@ -167,7 +167,13 @@
 }
 
 fn door_row(report: &DoorReport, silent: bool) -> DoorRow {
-    DoorRow { callers: report.callers.clone(), zone: report.zone.clone(), ready: report.ready, silent }
+    DoorRow {
+        callers: report.callers.clone(),
+        zone: report.zone.clone(),
+        ready: report.ready,
+        silent,
+        helper: report.helper.clone(),
+    }
 }
 
 impl FleetNews {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod poison;
 pub mod program;
 pub mod quickstart;
+pub mod reach;
 pub mod release;
 pub mod rendezvous;
 pub mod routing;
--- a/src/mesh/mesh_key.rs
+++ b/src/mesh/mesh_key.rs
@@ -65,6 +65,14 @@
         tag
     }
 
+    /// proof that a process with the key passes on a request; covers the name of the deployment (`cluster`) too.
+    pub fn request_proof(&self, cluster: &str, bytes: &[u8]) -> blake3::Hash {
+        let mut hasher = self.hasher("flamingostand passed request 1");
+        hash_part(&mut hasher, cluster.as_bytes());
+        hasher.update(bytes);
+        hasher.finalize()
+    }
+
     fn hasher(&self, purpose: &str) -> blake3::Hasher {
         blake3::Hasher::new_keyed(&blake3::derive_key(purpose, &self.0))
     }
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -19,6 +19,8 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 
+use crate::reach::PASS_HEADER;
+
 const REQUEST_ID: &str = "x-request-id";
 const DEADLINE_MS: &str = "x-deadline-ms";
 const EXPECT_INSTANCE: &str = "x-expect-instance";
@@ -33,8 +35,8 @@
 /// id of the attempt that brought the first event of the stream that the caller takes up.
 const RESUMES: &str = "resumes";
 
-/// headers that only this system may send to a replica; those sent by a caller are dropped.
-const RESERVED: [&str; 8] = [
+/// headers that only this system may send to a replica, or between its doors; those sent by a caller are dropped.
+const RESERVED: [&str; 9] = [
     EXPECT_INSTANCE,
     "x-expect-version",
     "x-hold",
@@ -43,6 +45,7 @@
     "kv-from",
     "kv-fetch",
     "x-not-executed",
+    PASS_HEADER,
 ];
 
 /// hop-by-hop headers, which like the two below are not forwarded.
@@ -149,6 +152,14 @@
     headers
 }
 
+/// headers of a request that another door is to run: the caller's own ones, with the time that is left.
+pub fn passed_headers(caller: &HeaderMap, timeout: Duration) -> HeaderMap {
+    let mut headers = without_hop_by_hop(caller);
+    headers.remove(CONTENT_LENGTH);
+    headers.insert(DEADLINE_MS, HeaderValue::from(timeout.as_millis() as u64));
+    headers
+}
+
 /// a health check, whose answer names the replica; an error if `path` is not a URI path.
 pub fn health_request(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     Request::get(path).header(HOST, address.to_string()).body(Full::default())
--- a/src/poison/active_runs.rs
+++ b/src/poison/active_runs.rs
@@ -80,6 +80,12 @@
         self.runs.remove(key)
     }
 
+    /// how long the run that waits longest has heard nothing of its replica; 0 without a run.
+    pub fn longest_wait_ms(&self, now_ms: u64) -> u64 {
+        let waits = self.runs.values().map(|run| now_ms.saturating_sub(run.heard_ms));
+        waits.max().unwrap_or(0)
+    }
+
     /// runs whose replicas have been silent for so long that they may have ended.
     pub fn overdue(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
         let is_overdue = move |run: &&ActiveRun| now_ms >= run.heard_ms + OVERDUE_MS;
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -37,6 +37,8 @@
     remote: HashMap<String, RemoteRuns>,
     /// unresolved runs of this door by content.
     local: BTreeMap<String, Vec<ReplicaRun>>,
+    /// whether the door is cut off from the replicas, so that their silence says nothing of them.
+    is_cut_off: bool,
 }
 
 /// unresolved runs of other doors that one ledger node knows.
@@ -67,6 +69,15 @@
         self.update_local(now_ms);
     }
 
+    /// handles the door's belief in its way to the replicas; `heard_ms` is the last sign of any of them. Returns the
+    /// runs that a cut explains.
+    pub fn set_cut_off(&mut self, now_ms: u64, is_cut_off: bool, heard_ms: u64) -> Vec<ReplicaRun> {
+        self.is_cut_off = is_cut_off;
+        let cleared = if is_cut_off { self.suspects.way_was_cut(heard_ms) } else { Vec::new() };
+        self.update_local(now_ms);
+        cleared
+    }
+
     /// replaces the unresolved runs of other doors that a ledger node knows.
     ///
     /// A strike is stored at a quorum of the nodes, so only some of them see that a content reaches the
@@ -82,7 +93,8 @@
     /// collects the unresolved runs of this door: suspects, and active runs whose replicas are silent.
     pub fn update_local(&mut self, now_ms: u64) {
         self.local.clear();
-        for run in self.suspects.unresolved().cloned().chain(self.active.overdue(now_ms)) {
+        let overdue = self.active.overdue(now_ms).filter(|_| !self.is_cut_off);
+        for run in self.suspects.unresolved().cloned().chain(overdue) {
             self.local.entry(run.content.clone()).or_default().push(run);
         }
     }
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -115,6 +115,20 @@
         cleared
     }
 
+    /// clears the runs that ended after `heard_ms`, the last sign of any replica, since no replica could be reached
+    /// after it; returns them. The end of their replicas is still evidence.
+    pub fn way_was_cut(&mut self, heard_ms: u64) -> Vec<ReplicaRun> {
+        let unexplained = self
+            .runs
+            .iter_mut()
+            .filter(|suspicion| suspicion.since_ms > heard_ms && suspicion.standing != Standing::Cleared);
+        let cleared = unexplained.map(|suspicion| {
+            suspicion.standing = Standing::Cleared;
+            suspicion.run.clone()
+        });
+        cleared.collect()
+    }
+
     /// clears all runs of a content that a replica has run to a successful end.
     pub fn content_succeeded(&mut self, content: &str) {
         for suspicion in self.runs.iter_mut().filter(|suspicion| suspicion.run.content == content) {
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::routing::PickCriteria;
 use crate::routing::Software;
@@ -267,6 +268,25 @@
         (entry.started_unix_ms == started_unix_ms).then_some(entry.address)
     }
 
+    /// up to `count` usable replicas, chosen at random, as many of each service as possible: all replicas of one
+    /// service may be down.
+    pub fn sample(&mut self, now_ms: u64, count: usize) -> Vec<ReplicaEntry> {
+        self.random = next_random(self.random);
+        let random = self.random;
+        let usable = self.replicas.values().filter(|replica| replica.is_usable(now_ms, &self.leaving));
+        let mut entries: Vec<&ReplicaEntry> = usable.map(|replica| &replica.entry).collect();
+        entries.sort_by_cached_key(|entry| xxh3_64_with_seed(entry.id.as_bytes(), random));
+        let mut of_service: HashMap<&str, usize> = HashMap::new();
+        let ranked = entries.into_iter().map(|entry| {
+            let rank = of_service.entry(&entry.service).or_default();
+            *rank += 1;
+            (*rank, entry)
+        });
+        let mut ranked: Vec<(usize, &ReplicaEntry)> = ranked.collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().take(count).map(|(_, entry)| entry.clone()).collect()
+    }
+
     /// service of a listed replica.
     pub fn service(&self, id: &str) -> Option<&str> {
         self.entry(id).map(|entry| entry.service.as_str())
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -438,6 +438,14 @@
         }
     }
 }
+///where a front door takes requests of doors that are cut off from the replicas
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct DoorHelper {
+    ///IP and port
+    pub address: ::std::string::String,
+    ///start of the process
+    pub started: ::std::string::String,
+}
 ///addresses as IP and port
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DoorListen {
@@ -445,6 +453,9 @@
     pub callers: ::std::string::String,
     ///address that callers ask which doors to use
     pub directory: ::std::string::String,
+    ///address at which other doors pass requests on; by default the port after that of the mesh
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub peers: ::std::option::Option<::std::string::String>,
     ///address of the platform's readiness check
     pub readiness: ::std::string::String,
 }
@@ -455,6 +466,9 @@
     pub callers: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub doors_mark: ::std::option::Option<DoorsMark>,
+    ///where it takes requests of other doors; absent while it takes none
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub helper: ::std::option::Option<DoorHelper>,
     ///replicas that said that they leave, to this door
     pub leaving: ::std::vec::Vec<LeavingReplica>,
     ///limits that replicas named, and how much of them it would use
@@ -485,6 +499,9 @@
 pub struct DoorRow {
     ///address that callers send requests to
     pub callers: ::std::string::String,
+    ///where it takes requests of other doors; absent while it takes none
+    #[serde(deserialize_with = "::std::option::Option::deserialize")]
+    pub helper: ::std::option::Option<DoorHelper>,
     ///whether it takes requests, as it said last
     pub ready: bool,
     ///whether its reports have stopped
--- a/src/settings/node_settings.rs
+++ b/src/settings/node_settings.rs
@@ -55,6 +55,8 @@
     pub readiness: SocketAddr,
     /// questions of callers for the doors to use.
     pub directory: SocketAddr,
+    /// requests that other doors pass on; by default the port after that of the mesh.
+    pub peers: SocketAddr,
 }
 
 /// where a ledger node keeps its log.
@@ -95,6 +97,10 @@
             callers: address(&mut findings, "/door/callers", &door.callers),
             readiness: address(&mut findings, "/door/readiness", &door.readiness),
             directory: address(&mut findings, "/door/directory", &door.directory),
+            peers: match &door.peers {
+                Some(peers) => address(&mut findings, "/door/peers", peers),
+                None => SocketAddr::new(mesh.ip(), mesh.port().wrapping_add(1)),
+            },
         });
         let ledger =
             settings.ledger.as_ref().map(|disk| LedgerDisk { data_dir: PathBuf::from(&disk.data_dir) });
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! a test fleet: real ledger node and front door processes with simulated platform and replicas.
-#![allow(dead_code, reason = "each test file uses its own part of the fleet")]
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part of the fleet")]
 
 mod client;
+mod cut_proxy;
 mod node;
 #[path = "../processes/ports.rs"]
 mod ports;
@@ -26,6 +27,8 @@
 
 pub use client::Answer;
 pub use client::ClientRequest;
+pub use cut_proxy::Cut;
+pub use cut_proxy::CutProxy;
 pub use node::Node;
 
 /// host name of all routes.
@@ -169,6 +172,18 @@
         self.put_object(&format!("servers/{}", replica.id()), &replica.entry(state));
     }
 
+    /// puts a proxy in front of each replica, which takes its place in the platform's list.
+    pub fn add_proxies(&self) -> Vec<CutProxy> {
+        let proxies = self.replicas().map(|replica| {
+            let proxy = CutProxy::start(replica.address());
+            let mut entry = replica.entry("ready");
+            entry["address"] = json!(proxy.address().to_string());
+            self.put_object(&format!("servers/{}", replica.id()), &entry);
+            proxy
+        });
+        proxies.collect()
+    }
+
     /// registers a stale replica id at an address that now belongs to `replica`.
     pub fn register_stale(&self, id: &str, replica: &ReplicaStandin) {
         self.put_object(&format!("servers/{id}"), &replica.entry("ready"));
--- a/tests/fleet/node.rs
+++ b/tests/fleet/node.rs
@@ -29,6 +29,7 @@
     pub name: String,
     pub mesh: SocketAddr,
     callers: SocketAddr,
+    peers: SocketAddr,
     readiness: SocketAddr,
     directory_address: SocketAddr,
     metrics: Option<SocketAddr>,
@@ -49,7 +50,7 @@
         settings["metrics"] = json!(free_address().to_string());
         settings["door"] = json!({
             "callers": free_address().to_string(), "readiness": free_address().to_string(),
-            "directory": free_address().to_string(),
+            "directory": free_address().to_string(), "peers": free_address().to_string(),
         });
         Self::start_new(directory, settings)
     }
@@ -69,6 +70,7 @@
             mesh,
             callers: address("callers"),
             readiness: address("readiness"),
+            peers: address("peers"),
             directory_address: address("directory"),
             metrics: settings["metrics"].as_str().map(|text| text.parse().expect("an address")),
             settings: path,
@@ -161,6 +163,11 @@
         self.callers
     }
 
+    /// sends a request to the address for other doors.
+    pub fn send_as_door(&self, request: &ClientRequest) -> Answer {
+        client::send(self.peers, request)
+    }
+
     pub fn send(&self, request: &ClientRequest) -> Answer {
         client::send(self.callers, request)
     }
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -21,6 +21,7 @@
         marks: Vec::new(),
         wants_fleet: true,
         doors_mark: None,
+        helper: None,
     }
 }
 
--- a/tests/leaving_replicas.rs
+++ b/tests/leaving_replicas.rs
@@ -112,6 +112,7 @@
         marks: Vec::new(),
         wants_fleet: true,
         doors_mark: None,
+        helper: None,
         leaving,
         limits: Vec::new(),
         unresolved: Vec::new(),
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -181,6 +181,7 @@
     DoorReport {
         callers: name.to_owned(),
         doors_mark: None,
+        helper: None,
         leaving: Vec::new(),
         limits: table.limit_uses(now_ms),
         loads: Vec::new(),
--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -367,6 +367,7 @@
         DoorReport {
             callers: self.name.clone(),
             doors_mark: None,
+            helper: None,
             leaving: Vec::new(),
             loads: Vec::new(),
             marks: Vec::new(),
--- a/tests/replica_table.rs
+++ b/tests/replica_table.rs
@@ -136,3 +136,18 @@
         "replicas that were tried are avoided"
     );
 }
+
+/// Guards against a check of the way to the replicas that asks those of a dead service only.
+#[test]
+fn sample_has_replicas_of_each_service() {
+    let mut table = table(20);
+    table.upsert(ReplicaEntry { service: "tools".to_owned(), ..entry(21) });
+    table.upsert(ReplicaEntry { service: "tools".to_owned(), leaving: true, ..entry(22) });
+    for _ in 0..20 {
+        let sample = table.sample(0, 4);
+        assert_eq!(sample.len(), 4);
+        assert_eq!(sample.iter().filter(|entry| entry.id == "r21").count(), 1, "{sample:?}");
+        assert!(sample.iter().all(|entry| entry.id != "r22"), "{sample:?}");
+    }
+    assert_eq!(table.sample(0, 100).len(), 21);
+}
--- a/tests/unresolved_runs.rs
+++ b/tests/unresolved_runs.rs
@@ -13,6 +13,7 @@
     DoorReport {
         callers: String::new(),
         doors_mark: None,
+        helper: None,
         leaving: Vec::new(),
         loads: Vec::new(),
         marks: Vec::new(),
