Refuse what cannot end before a stopping door exits

What callers saw (reported by another operator; it happens here): in a planned stop of a door, in calm, requests that came late in the grace period were taken and passed on, and cut at its end without an answer, calls that may not be repeated among them.

Cause: a stopping door closed connections after their requests, but took whatever was read until 0.7 s before the end of the grace period, however long it might take. Its listener accepts to the end.

Evidence: late_requests_are_answered_or_refused (tests/fleet_stop.rs; grace 4 s, streams of 2 s and calls that are not answered, sent 1.6 to 2.9 s after SIGTERM) failed before: streams of 200 cut short, as the process ended.

Change: from the time at which no caller uses an old directory answer, a door takes only what ends before it exits: by its deadline, or, for calls that may run again, by twice what they usually take. Everything else gets 503 before its body is read, to go elsewhere at once. The exit comes in the last sixth of the grace period also where that is short (an eighth before its end, 0.7 s at most). Requests that still wait then are answered 502; they were reset.

Why it works: nothing that may outlast the process is begun. 503 is true, as nothing was sent.

--- a/src/door/daemon.rs
+++ b/src/door/daemon.rs
@@ -21,6 +21,7 @@
 use slog::error;
 use slog::info;
 
+use crate::door::StopPlan;
 use crate::door::door::Door;
 use crate::door::entry::Sender;
 use crate::door::entry::answer_directory;
@@ -45,14 +46,10 @@
 use crate::telemetry::serve_metrics;
 use crate::telemetry::start_logger;
 
-/// multiple of the directory's TTL for which callers may still use an answer.
-const STALE_DIRECTORY_FACTOR: u64 = 3;
-/// share of the grace period after which connections close with their current request.
-const DRAIN_SHARE: f64 = 0.5;
-/// time before the end of the grace period at which the process exits even with open connections.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// upper limit of the grace period; a larger setting is taken as an error and clamped.
 const MAX_GRACE_S: f64 = 3_600.0;
+/// time in which the last answers are sent before the process exits.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(50);
 /// how often a draining door checks whether its connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -116,18 +113,24 @@
     Ok(())
 }
 
-/// serves callers with a cached address for a while, then closes each connection after its current request.
+/// serves callers with a cached address for a while, then closes each connection after its current request, and at
+/// the end of the grace period answers those that still wait.
 async fn drain(door: &Door, open_connections: &AtomicUsize, close: async_channel::Sender<()>) {
     let bounds = &door.settings.bounds;
     let signalled_at = Instant::now();
     info!(door.log, "received a stop signal; draining";
         "open_connections" => open_connections.load(Ordering::Relaxed));
-    door.start_draining();
     let grace = Duration::from_secs_f64(bounds.grace_s.clamp(0.0, MAX_GRACE_S));
-    let stale = Duration::from_millis(bounds.directory_ttl_ms * STALE_DIRECTORY_FACTOR);
-    Timer::after(stale.min(grace.mul_f64(DRAIN_SHARE))).await;
+    let plan = StopPlan::new(grace, Duration::from_millis(bounds.directory_ttl_ms));
+    door.start_draining(signalled_at, plan);
+    Timer::after(plan.closes_after).await;
     close.close();
-    while open_connections.load(Ordering::Relaxed) > 0 && signalled_at.elapsed() + EXIT_MARGIN < grace {
+    while open_connections.load(Ordering::Relaxed) > 0 {
+        if signalled_at.elapsed() + LAST_ANSWERS_TIME >= plan.exits_after {
+            door.announce_exit();
+            Timer::after(LAST_ANSWERS_TIME).await;
+            return;
+        }
         Timer::after(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicBool;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -9,12 +9,17 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
+use async_channel::Receiver;
+use async_channel::Sender;
 use flamingo_edge::Spawner;
 use slog::Logger;
 use slog::debug;
 use slog::info;
 
+use crate::clock::Deadline;
+use crate::clock::Moment;
 use crate::door::FleetView;
+use crate::door::StopPlan;
 use crate::door::answer_buffer::AnswerBuffers;
 use crate::door::connections::ConnectError;
 use crate::door::connections::Connection;
@@ -43,6 +48,7 @@
 use crate::routing::ReplicaId;
 use crate::routing::ReplicaPick;
 use crate::routing::ReplicaTable;
+use crate::routing::RequestKind;
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::routing::Software;
@@ -90,7 +96,10 @@
     poison: Mutex<PoisonState>,
     /// tracks how long the ledger takes to admit a turn.
     ledger_lateness: Mutex<Lateness>,
-    is_draining: AtomicBool,
+    /// when the stop signal came, and what follows.
+    stop: OnceLock<(Instant, StopPlan)>,
+    /// closed shortly before the process exits.
+    exit: (Sender<()>, Receiver<()>),
     draw_state: AtomicU64,
 }
 
@@ -138,7 +147,8 @@
             merges: Mutex::new(vec![MergedMirror::new(CONFIG_PREFIX), MergedMirror::new(REPLICA_PREFIX)]),
             poison: Mutex::default(),
             ledger_lateness: Mutex::default(),
-            is_draining: AtomicBool::new(false),
+            stop: OnceLock::new(),
+            exit: async_channel::bounded(1),
             draw_state: AtomicU64::new(rand::random()),
         }
     }
@@ -504,11 +514,36 @@
     }
 
     /// starts draining: requests are still served, but the door reports itself as not ready.
-    pub fn start_draining(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    pub fn start_draining(&self, signalled_at: Instant, plan: StopPlan) {
+        // Only the first signal counts.
+        let _ = self.stop.set((signalled_at, plan));
+    }
+
+    /// whether a request can be answered before the process exits.
+    pub fn may_take(&self, route: &Route, deadline: Deadline) -> bool {
+        let Some((signalled_at, plan)) = self.stop.get() else {
+            return true;
+        };
+        let usual = match route.kind {
+            RequestKind::Idempotent => self.attempt_timeouts().usual_ms(&route.name),
+            RequestKind::NonIdempotent | RequestKind::Streaming => None,
+        };
+        let left = deadline.remaining(&Moment::now());
+        plan.may_take(signalled_at.elapsed(), left, usual.map(Duration::from_millis))
+    }
+
+    /// has the requests that still wait answered, as the process is about to exit.
+    pub fn announce_exit(&self) {
+        self.exit.0.close();
+    }
+
+    /// waits until the process is about to exit.
+    pub async fn until_exit(&self) {
+        // Nothing is sent on the channel; this returns when it closes.
+        let _ = self.exit.1.recv().await;
     }
 
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.stop.get().is_some()
     }
 }
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use flamingo_edge::timeout;
+use futures_lite::future;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -13,6 +14,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use slog::info;
 
 use crate::clock::Deadline;
@@ -59,33 +61,7 @@
     let caller = CallerRequest::from_headers(&head.headers);
     let id = caller.id.clone();
     let mut waiting_caller = WaitingCaller { door: &door, id: id.as_deref(), received, is_answered: false };
-    let outcome = match find_route(&door, &head.headers, head.uri.path()) {
-        Err(refusal) => Err(refusal),
-        Ok((route, max_body_bytes)) => {
-            let deadline = deadline(received, &route, &caller);
-            match read_body(body, max_body_bytes, deadline).await {
-                Err(refusal) => Err(refusal),
-                Ok(body) => {
-                    let request = DoorRequest {
-                        method: head.method,
-                        target: head.uri,
-                        headers: head.headers,
-                        caller,
-                        body,
-                        home: None,
-                        software: None,
-                        needs_certain_software: route.kind == RequestKind::Streaming && route.resumable,
-                        is_passed_on: sender == Sender::Door,
-                        deadline,
-                    };
-                    match sender {
-                        Sender::Caller => run_request(&door, &request, &route).await,
-                        Sender::Door => run_passed(&door, &request, &route).await,
-                    }
-                }
-            }
-        }
-    };
+    let outcome = receive(&door, head, body, caller, received, sender).await;
     waiting_caller.is_answered = true;
     drop(waiting_caller);
     let elapsed_ms = received.monotonic.elapsed().as_secs_f64() * 1_000.0;
@@ -147,6 +123,46 @@
     }
 }
 
+/// reads a request to its end and runs it.
+async fn receive(
+    door: &Arc<Door>,
+    head: Parts,
+    body: Incoming,
+    caller: CallerRequest,
+    received: Moment,
+    sender: Sender,
+) -> Result<Response<DoorBody>, Refusal> {
+    let (route, max_body_bytes) = find_route(door, &head.headers, head.uri.path())?;
+    let deadline = deadline(received, &route, &caller);
+    if !door.may_take(&route, deadline) {
+        return Err(Refusal::Stopping);
+    }
+    let body = read_body(body, max_body_bytes, deadline).await?;
+    let request = DoorRequest {
+        method: head.method,
+        target: head.uri,
+        headers: head.headers,
+        caller,
+        body,
+        home: None,
+        software: None,
+        needs_certain_software: route.kind == RequestKind::Streaming && route.resumable,
+        is_passed_on: sender == Sender::Door,
+        deadline,
+    };
+    let answer = async {
+        match sender {
+            Sender::Caller => run_request(door, &request, &route).await,
+            Sender::Door => run_passed(door, &request, &route).await,
+        }
+    };
+    let exit = async {
+        door.until_exit().await;
+        Err(Refusal::AnswerLost)
+    };
+    future::or(answer, exit).await
+}
+
 /// runs a request that another door has passed on.
 async fn run_passed(
     door: &Arc<Door>,
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -34,6 +34,8 @@
     NoHelper,
     /// the door takes no more requests of other doors now.
     HelperBusy,
+    /// the door stops before the request might end.
+    Stopping,
     /// the deadline passed before a replica ran the request.
     TooLate,
     /// the content of the request has reached the strike limit: it ended several replicas.
@@ -92,6 +94,7 @@
             | Self::CutOff
             | Self::NoHelper
             | Self::HelperBusy
+            | Self::Stopping
             | Self::TooLate
             | Self::Poisoned
             | Self::Suspected
@@ -113,7 +116,12 @@
     pub fn may_be_served_elsewhere(self) -> bool {
         matches!(
             self,
-            Self::CutOff | Self::HelperBusy | Self::NoConfiguration | Self::LedgerAway | Self::LedgerUnsure
+            Self::CutOff
+                | Self::HelperBusy
+                | Self::Stopping
+                | Self::NoConfiguration
+                | Self::LedgerAway
+                | Self::LedgerUnsure
         )
     }
 
@@ -134,8 +142,8 @@
             Self::CutOff | Self::NoHelper | Self::HelperBusy => Some(0.1),
             // About one turn of a busy engine, after which some slot is free again.
             Self::AllFull => Some(0.15),
-            // The caller has to start anew; waiting would not make the stream known.
-            Self::TooLate | Self::UnknownStream => Some(0.0),
+            // The caller has to start anew, or to go to another door; waiting would help neither.
+            Self::TooLate | Self::UnknownStream | Self::Stopping => Some(0.0),
             Self::Poisoned => Some(600.0),
             // The replicas in question are checked within a second.
             Self::Suspected => Some(1.0),
--- a/src/routing/attempt_timeouts.rs
+++ b/src/routing/attempt_timeouts.rs
@@ -58,6 +58,12 @@
         Some((timeout_ms as u64).max(target_ms))
     }
 
+    /// time within which nearly all responses of a route come; `None` while too few are known.
+    pub fn usual_ms(&self, route: &str) -> Option<u64> {
+        let latency = self.routes.get(route).filter(|latency| latency.samples >= MIN_SAMPLES)?;
+        Some((latency.mean_ms + DEVIATIONS * latency.deviation_ms) as u64)
+    }
+
     /// takes a retry from the budget of a route after an attempt on it timed out.
     pub fn record_abandoned(&mut self, route: &str) {
         if let Some(latency) = self.routes.get_mut(route) {
--- a/tests/fleet_stop.rs
+++ b/tests/fleet_stop.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use flamingo_standins::replica::ReplicaFault;
 use fleet::ClientRequest;
 use fleet::Fleet;
 use serde_json::json;
@@ -14,8 +15,8 @@
 const LONG_EVENTS: usize = 150;
 
 /// a fleet with a route whose streams outlast the time after which a draining door closes connections.
-fn fleet_with_long_stream() -> Fleet {
-    let mut fleet = Fleet::start("stop-load", 1);
+fn fleet_with_long_stream(name: &str) -> Fleet {
+    let mut fleet = Fleet::start(name, 1);
     fleet.add_replica("long-1", "long", LONG_EVENTS);
     let mut routes = fleet.default_routes();
     let long = fleet::route("long", "/long/", "streaming", "long", json!({ "timeout_ms": 9000 }));
@@ -28,7 +29,7 @@
 
 #[test]
 fn accepted_requests_are_answered_until_the_end() {
-    let fleet = fleet_with_long_stream();
+    let fleet = fleet_with_long_stream("stop-load");
     let door = &fleet.doors[0];
     std::thread::scope(|scope| {
         let stream =
@@ -53,3 +54,51 @@
         assert_eq!((stream.status, stream.is_whole), (200, true), "{stream:?}");
     });
 }
+
+/// Guards against requests that are taken late in the grace period and cut off at its end without an answer.
+#[test]
+fn late_requests_are_answered_or_refused() {
+    let mut fleet = fleet_with_long_stream("stop-late");
+    fleet.add_replica("slow-1", "slow", 2 * LONG_EVENTS / 3);
+    let mut routes = fleet.default_routes();
+    for (name, events) in [("long", LONG_EVENTS), ("slow", 2 * LONG_EVENTS / 3)] {
+        let timeout_ms = if events == LONG_EVENTS { 9_000 } else { 3_000 };
+        let route =
+            fleet::route(name, &format!("/{name}/"), "streaming", name, json!({ "timeout_ms": timeout_ms }));
+        routes.as_array_mut().expect("routes are a list").push(route);
+    }
+    fleet.put_config(&routes);
+    sleep(Duration::from_millis(1_500));
+    for replica in &fleet.tools {
+        replica.set_fault(ReplicaFault::Mute);
+    }
+    let door = &fleet.doors[0];
+    std::thread::scope(|scope| {
+        door.signal("TERM");
+        // Its stream keeps the door open nearly to the end of the grace period.
+        scope.spawn(|| {
+            sleep(Duration::from_millis(300));
+            door.send(&ClientRequest::get("/long/s", "keeps-open").with("X-Deadline-Ms", "9000"))
+        });
+        let late: Vec<_> = [1_600, 1_900, 2_100, 2_500, 2_900]
+            .into_iter()
+            .flat_map(|at_ms| [("slow", at_ms), ("send", at_ms)])
+            .map(|(kind, at_ms)| {
+                scope.spawn(move || {
+                    sleep(Duration::from_millis(at_ms));
+                    let id = format!("{kind}-{at_ms}");
+                    let request = match kind {
+                        "slow" => ClientRequest::get("/slow/s", &id),
+                        _ => ClientRequest::post("/send/x", &id, "letter"),
+                    };
+                    (id, door.send(&request))
+                })
+            })
+            .collect();
+        for caller in late {
+            let (id, answer) = caller.join().expect("the caller is answered");
+            let is_taken = fleet.run_count(&id) > 0;
+            assert_eq!((answer.status == 503, answer.is_whole), (!is_taken, true), "{id}: {answer:?}");
+        }
+    });
+}
