Show that an answer which stops in its head never looks whole

Another operator reported that a replica stopped in the middle of an answer's head and closed, and that clients got a 200 with an empty or short body.

The scripted stand-in can reset a connection after its answer.

--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -114,6 +114,24 @@
     assert!(matches!(result, Err(ClientError::Broken(_))), "{result:?}");
 }
 
+/// Guards against an answer that stopped in its head and is taken for an empty or short one.
+#[test_case(b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 2\r\n\r\nok"; "length")]
+#[test_case(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"; "chunks")]
+fn answer_that_stops_anywhere(whole: &'static [u8]) {
+    for place in 0..whole.len() {
+        let peer = Peer::start(&[Vec::leak(vec![&whole[..place]])]);
+        let answer = block_on(client().send_fresh(peer.address, request(&peer)));
+        let Ok(exchange) = answer else {
+            continue;
+        };
+        match block_on(exchange.bytes(1_000)) {
+            Err(ReadError::Broken) => {}
+            // The last chunk is there, and only the line end after it is missing.
+            body => assert_eq!(body, Ok(b"ok".to_vec()), "stopped after {place} bytes"),
+        }
+    }
+}
+
 #[test]
 fn silent_peer() {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
--- a/crates/standins/src/replica/mod.rs
+++ b/crates/standins/src/replica/mod.rs
@@ -11,6 +11,7 @@
 pub use faults::DEADLY;
 pub use faults::EndStage;
 pub use faults::ReplicaFault;
+pub use scripted::Ending;
 pub use scripted::ScriptedAnswer;
 pub use scripted::ScriptedReplica;
 pub use scripted::ScriptedRequest;
--- a/crates/standins/src/replica/scripted.rs
+++ b/crates/standins/src/replica/scripted.rs
@@ -8,11 +8,16 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use anyhow::Context;
 use anyhow::Result;
 use serde_json::Value;
 use serde_json::json;
+use socket2::SockRef;
+
+/// time in which the bytes before a reset arrive.
+const RESET_DELAY: Duration = Duration::from_millis(20);
 
 /// a request as a scripted replica sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,8 +35,19 @@
 pub struct ScriptedAnswer {
     /// all bytes, from the status line on.
     pub bytes: String,
-    /// whether it closes the connection after them.
-    pub closes: bool,
+    /// what becomes of the connection after them.
+    pub ending: Ending,
+}
+
+/// what becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// it stays open for further requests.
+    KeptOpen,
+    /// it is closed.
+    Closed,
+    /// it is reset.
+    Reset,
 }
 
 /// decides the answer to each request.
@@ -111,8 +127,16 @@
             let answer = script(&request);
             // A caller that has left makes the write fail, and the next read.
             let _ = stream.write_all(answer.bytes.as_bytes());
-            if answer.closes {
-                return;
+            match answer.ending {
+                Ending::KeptOpen => {}
+                Ending::Closed => return,
+                Ending::Reset => {
+                    // What was sent before should arrive, as a reset takes unread bytes along.
+                    std::thread::sleep(RESET_DELAY);
+                    // A socket that lingers for no time is reset when it is closed.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return;
+                }
             }
         }
     }
--- a/tests/fleet_repeats.rs
+++ b/tests/fleet_repeats.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use flamingo_standins::replica::Ending;
 use flamingo_standins::replica::ScriptedAnswer;
 use flamingo_standins::replica::ScriptedReplica;
 use flamingo_standins::replica::ScriptedRequest;
@@ -37,7 +38,7 @@
     let fleet = Fleet::start(&format!("repeats-{}-{}", &status[..3], headers.len()), 1);
     let replica = ScriptedReplica::start(move |request| {
         let bytes = if request.number == 1 { answer(request) } else { refusal(status, headers) };
-        ScriptedAnswer { bytes, closes: false }
+        ScriptedAnswer { bytes, ending: Ending::KeptOpen }
     });
     let replica = replica.expect("the replica starts");
     fleet.replace_with_scripted(&replica, "tools", &["tool-1"]);
--- a/tests/fleet_resume.rs
+++ b/tests/fleet_resume.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 
+use flamingo_standins::replica::Ending;
 use flamingo_standins::replica::ScriptedAnswer;
 use flamingo_standins::replica::ScriptedReplica;
 use flamingo_standins::replica::ScriptedRequest;
@@ -51,7 +52,7 @@
             None => broken_stream(request),
             Some(_) => head(status, request, headers) + body,
         };
-        ScriptedAnswer { bytes, closes: true }
+        ScriptedAnswer { bytes, ending: Ending::Closed }
     };
     let (first, second) = (ScriptedReplica::start(script), ScriptedReplica::start(script));
     let (first, second) = (first.expect("a replica starts"), second.expect("a replica starts"));
