Split the turns of programs, and move what doors hold against contents to a file of its own

The admission of a turn and the stream without a program are functions of their own now, and the methods of a door about contents that end replicas are in poisoned_contents.rs. No behaviour changes; the fleet's tests of turns, poison, versions and cuts pass.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -25,18 +25,11 @@
 use crate::door::connections::Connection;
 use crate::door::connections::ConnectionPool;
 use crate::door::reach_monitor::ReachMonitor;
-use crate::door::request::DoorRequest;
 use crate::fleet::MergedMirror;
 use crate::ledger_client::LedgerClient;
 use crate::platform::CONFIG_PREFIX;
 use crate::platform::REPLICA_PREFIX;
-use crate::poison::Evidence;
-use crate::poison::HOLD_THRESHOLD;
-use crate::poison::Hold;
-use crate::poison::LifeSign;
 use crate::poison::PoisonState;
-use crate::poison::ReplicaRun;
-use crate::poison::RunKey;
 use crate::reach::HelperChoice;
 use crate::reach::PassWindows;
 use crate::routing::Affinity;
@@ -57,7 +50,6 @@
 use crate::schema::LeavingReplica;
 use crate::schema::LimitShare;
 use crate::schema::MirrorMark;
-use crate::schema::PoisonStrike;
 use crate::settings::DoorAddresses;
 use crate::settings::NodeSettings;
 use crate::telemetry::Lateness;
@@ -343,153 +335,6 @@
         Connection::open(&self.spawner, pick.address).await.map(drop)
     }
 
-    /// records that a replica begins to run a request.
-    pub fn begin_run(&self, pick: &ReplicaPick, request: &DoorRequest) -> RunKey {
-        let id = request.caller.id.clone().unwrap_or_default();
-        let started_unix_ms = pick.started_unix_ms;
-        self.poison().active.begin(self.now_ms(), request.content(), id, pick.id.clone(), started_unix_ms)
-    }
-
-    /// records a run that the replica broke off; `true` unless the probe shows that a process listens at its
-    /// address.
-    pub fn record_broken_run(&self, run: RunKey, probe: Result<(), ConnectError>) -> bool {
-        match probe {
-            // It may be the next process of the replica.
-            Ok(()) => self.suspect(run, false),
-            Err(ConnectError::Refused) => {
-                let ended = self.poison().active.remove(run);
-                if let Some(ended) = ended {
-                    self.strike(&ended.to_replica_run(), Evidence::Refused);
-                }
-            }
-            Err(ConnectError::Inconclusive) => self.suspect(run, true),
-        }
-        probe.is_err()
-    }
-
-    /// suspects a run that ended without an answer of having ended its replica; `is_silent` if its address did
-    /// not answer a probe since.
-    pub fn suspect(&self, run: RunKey, is_silent: bool) {
-        let now_ms = self.now_ms();
-        let run = {
-            let mut poison = self.poison();
-            let Some(ended) = poison.active.remove(run) else {
-                return;
-            };
-            let run = ended.to_replica_run();
-            poison.suspects.add(now_ms, ended.begun_ms, run.clone(), is_silent);
-            poison.update_local(now_ms);
-            run
-        };
-        if self.reach.is_cut_off() {
-            self.explain_by_cut(true);
-        }
-        metrics::counter!("door_runs_suspected_total").increment(1);
-        info!(self.log, "run ended without an answer; its replica is suspected to have ended";
-            "request" => &run.request, "content" => &run.content, "replica" => &run.replica,
-            "is_silent" => is_silent);
-    }
-
-    /// clears the runs whose ends a cut from all replicas explains, and notes whether it lasts.
-    pub fn explain_by_cut(&self, is_cut_off: bool) {
-        let heard_ms = self.reach.reach().heard_ms();
-        let cleared = self.poison().set_cut_off(self.now_ms(), is_cut_off, heard_ms);
-        self.log_cleared(&cleared, "cut_off");
-    }
-
-    /// handles an answer of a replica, over a connection that was opened at `connected`.
-    pub fn replica_answered(&self, replica: &str, started_unix_ms: u64, connected: Instant) {
-        let connected_ms = connected.saturating_duration_since(self.started).as_millis() as u64;
-        let sign = LifeSign { replica, started_unix_ms, connected_ms };
-        let cleared = self.poison().replica_answered(self.now_ms(), &sign);
-        self.log_cleared(&cleared, "same_process");
-    }
-
-    /// handles a successful answer to a request.
-    pub fn request_succeeded(&self, request: &DoorRequest) {
-        if self.poison().is_empty() {
-            return;
-        }
-        let content = request.content();
-        // Many requests share a path, and few replicas may serve it.
-        if !content.is_specific() {
-            self.poison().content_succeeded(self.now_ms(), &content.digest());
-        }
-    }
-
-    /// drops what is no longer held against a content.
-    pub fn expire_poison(&self) {
-        let is_list_current = self.has_fresh_mirror(REPLICA_PREFIX);
-        let cleared = self.poison().expire(self.now_ms(), is_list_current);
-        self.log_cleared(&cleared, "no_restart_listed");
-    }
-
-    fn log_cleared(&self, runs: &[ReplicaRun], evidence: &'static str) {
-        for run in runs {
-            metrics::counter!("door_runs_cleared_total", "evidence" => evidence).increment(1);
-            info!(self.log, "unanswered run is cleared";
-                "request" => &run.request, "content" => &run.content, "replica" => &run.replica,
-                "evidence" => evidence);
-        }
-    }
-
-    /// handles the start time in a replica's entry; a later one than before shows a restart.
-    pub fn replica_started(&self, replica: &str, started_unix_ms: u64) {
-        let ended = self.poison().suspects.replica_started(replica, started_unix_ms);
-        for (run, evidence) in ended {
-            self.strike(&run, evidence);
-        }
-    }
-
-    /// handles the removal of a replica's entry.
-    pub fn replica_removed(&self, replica: &str) {
-        let ended = self.poison().suspects.replica_gone(replica);
-        for (run, evidence) in ended {
-            self.strike(&run, evidence);
-        }
-    }
-
-    /// records a strike: a replica ended while it ran this content.
-    fn strike(&self, run: &ReplicaRun, evidence: Evidence) {
-        let evidence: &'static str = evidence.into();
-        metrics::counter!("door_strikes_total", "evidence" => evidence).increment(1);
-        let ReplicaRun { content, request, replica, .. } = run;
-        info!(self.log, "replica ended while it ran a request; strike recorded";
-            "request" => request, "content" => content,
-            "replica" => replica, "evidence" => evidence);
-        let strike = run.to_strike();
-        self.poison().pending.add(strike.clone());
-        self.record_strike(&strike, &self.settings.instance.name);
-        self.poison().update_local(self.now_ms());
-    }
-
-    /// counts a strike that this door observed or a ledger node reported.
-    pub fn record_strike(&self, strike: &PoisonStrike, source: &str) {
-        let victims = self.poison().strikes.add(self.now_ms(), strike);
-        if victims == Some(HOLD_THRESHOLD) {
-            info!(self.log, "content reached the strike limit; it is refused from now on";
-                "content" => &strike.content,
-                "victims" => HOLD_THRESHOLD, "source" => source);
-        }
-    }
-
-    /// whether a request must not be sent to another replica because its content has ended too many, or may
-    /// have.
-    pub fn hold(&self, request: &DoorRequest, route: &Route) -> Option<Hold> {
-        if self.poison().is_empty() {
-            return None;
-        }
-        let content = request.content().digest();
-        let hold = self.poison().hold(&content)?;
-        let why: &'static str = hold.into();
-        metrics::counter!("door_requests_held_total", "why" => why).increment(1);
-        let victims = self.poison().strikes.victim_count(&content);
-        info!(self.log, "content is held; request not sent to a replica"; "why" => why,
-            "request" => request.caller.id.as_deref(), "content" => content, "victims" => victims,
-            "route" => &route.name);
-        Some(hold)
-    }
-
     /// records how long the ledger took to admit or reject a turn.
     pub fn record_ledger_wait(&self, waited_ms: u64) {
         metrics::histogram!("door_ledger_wait_ms").record(waited_ms as f64);
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -22,10 +22,13 @@
 use crate::door::stream_origin::record_origin;
 use crate::door::stream_origin::stream_record;
 use crate::ledger_client::BeginResult;
+use crate::ledger_client::Reservation;
 use crate::ledger_client::TurnStart;
 use crate::routing::Route;
+use crate::routing::Software;
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerTurn;
+use crate::schema::StreamVersion;
 
 /// retention beyond the promised time, for callers with slow clocks or networks.
 pub(super) const RETENTION_MARGIN_MS: u64 = 30_000;
@@ -61,6 +64,22 @@
 }
 
 impl TurnAccount {
+    /// an account without any event.
+    fn new(door: &Arc<Door>, route: &Route, start: &TurnStart) -> Self {
+        Self {
+            most_tokens: start.most_tokens,
+            door: Arc::clone(door),
+            program: start.program.clone(),
+            request: start.request.clone(),
+            line: start.line.clone(),
+            replica: None,
+            tokens_per_event: door.tokens_per_event(route),
+            event_count: 0,
+            retained: None,
+            is_settled: false,
+        }
+    }
+
     /// records an event for the caller; `false` if it exceeds the reserved tokens.
     pub fn record_event(&mut self, event: &SseEvent) -> bool {
         let Some(data) = event.data() else {
@@ -136,73 +155,50 @@
 ) -> Result<Response<DoorBody>, Refusal> {
     let caller = &request.caller;
     let resumes = taken_up_attempt(request, route)?;
-    let (Some(program), Some(id), Some(budget_tokens)) = (&caller.program, &caller.id, caller.budget_tokens)
-    else {
-        if caller.previous_turn.is_some() {
-            return Err(Refusal::BadRequest);
+    match (&caller.program, &caller.id, caller.budget_tokens) {
+        (Some(program), Some(id), Some(budget_tokens)) => {
+            // With several versions it depends on the program's last replica, which the ledger tells, where the
+            // stream begins.
+            let begins_at =
+                (route.resumable && resumes.is_none()).then(|| door.sole_software(route)).flatten();
+            let start = TurnStart {
+                program: program.clone(),
+                request: id.clone(),
+                line: caller.session.clone(),
+                budget_tokens,
+                most_tokens: caller.max_output_tokens.unwrap_or(budget_tokens),
+                previous: caller.previous_turn.clone(),
+                stream: begins_at.as_ref().map(|software| stream_record(request, route, software)),
+                resumes: resumes.map(str::to_owned),
+            };
+            run_turn_of_program(door, request, route, start, begins_at).await
         }
-        let mut request = request.clone();
-        if let Some(attempt) = resumes {
-            request.software = Some(find_origin(door, &request, route, attempt).await?);
+        _ if caller.previous_turn.is_some() => Err(Refusal::BadRequest),
+        _ => {
+            let mut request = request.clone();
+            if let Some(attempt) = resumes {
+                request.software = Some(find_origin(door, &request, route, attempt).await?);
+            }
+            let head = Attempts::new(door, &request, route)?.run_until_head().await?;
+            stream_without_program(door, &request, route, *head).await
         }
-        let head = Attempts::new(door, &request, route)?.run_until_head().await?;
-        return stream_without_program(door, &request, route, *head).await;
-    };
-    // With several versions it depends on the program's last replica, which the ledger tells, where it begins.
-    let begins_at = (route.resumable && resumes.is_none()).then(|| door.sole_software(route)).flatten();
-    let start = TurnStart {
-        program: program.clone(),
-        request: id.clone(),
-        line: caller.session.clone(),
-        budget_tokens,
-        most_tokens: caller.max_output_tokens.unwrap_or(budget_tokens),
-        previous: caller.previous_turn.clone(),
-        stream: begins_at.as_ref().map(|software| stream_record(request, route, software)),
-        resumes: resumes.map(str::to_owned),
-    };
-    let mut account = TurnAccount {
-        most_tokens: start.most_tokens,
-        door: Arc::clone(door),
-        program: program.clone(),
-        request: id.clone(),
-        line: caller.session.clone(),
-        replica: None,
-        tokens_per_event: door.tokens_per_event(route),
-        event_count: 0,
-        retained: None,
-        is_settled: false,
-    };
-    if !door.ledger.is_reachable() {
-        account.is_settled = true;
-        let is_recent_loss =
-            door.ledger.unreachable_ms().is_some_and(|unreachable_ms| unreachable_ms < RECENT_LOSS_MS);
-        return Err(if is_recent_loss { Refusal::LedgerUnsure } else { Refusal::LedgerAway });
     }
-    let asked = Instant::now();
-    let admission = door.ledger.begin(start).await;
-    door.record_ledger_wait(asked.elapsed().as_millis() as u64);
-    let (history, home, resumed, reservation) = match admission {
-        BeginResult::Granted { history, home, resumed, reservation } => (history, home, resumed, reservation),
-        BeginResult::OverBudget { held_tokens } => {
-            info!(door.log, "token budget of the program is exhausted; turn refused";
-                "request" => id, "program" => program,
-                "budget_tokens" => budget_tokens, "held_tokens" => held_tokens);
-            return Err(Refusal::OverBudget);
-        }
-        BeginResult::NoSuchTurn => return Err(Refusal::NoSuchTurn),
-        BeginResult::Busy { retry_after_ms } => {
-            account.is_settled = true;
-            return Err(Refusal::LedgerBusy { retry_after_ms });
-        }
-        BeginResult::Unavailable(why) => {
-            info!(door.log, "ledger could not decide on the turn; turn refused";
-                "request" => id, "program" => program, "why" => why);
-            return Err(Refusal::LedgerUnsure);
-        }
-    };
-    let software = match resumes {
-        Some(_) => Some(origin(door, request, route, resumed.as_ref())?),
-        None => begins_at,
+}
+
+/// runs a turn of a program; `begins_at` is the software that its stream must begin at, any if `None`.
+async fn run_turn_of_program(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    route: &Arc<Route>,
+    start: TurnStart,
+    begins_at: Option<Software>,
+) -> Result<Response<DoorBody>, Refusal> {
+    let mut account = TurnAccount::new(door, route, &start);
+    let takes_up = start.resumes.is_some();
+    let Granted { history, home, resumed, reservation } = begin_turn(door, start, &mut account).await?;
+    let software = match takes_up {
+        true => Some(origin(door, request, route, resumed.as_ref())?),
+        false => begins_at,
     };
     let confirming = {
         let door = Arc::clone(door);
@@ -231,7 +227,7 @@
     if let Err(why) = confirming.await {
         let why: &'static str = why.into();
         info!(door.log, "token reservation was not confirmed; answer discarded";
-            "request" => id, "program" => program, "why" => why);
+            "request" => &account.request, "program" => &account.program, "why" => why);
         // The replica has already started, so the caller must not be told that nothing ran.
         return Err(Refusal::AnswerLost);
     }
@@ -240,7 +236,7 @@
     }
     if let Some(retention_ms) = route.retention_ms {
         account.retained = Some(RetainedTurn {
-            previous: caller.previous_turn.clone(),
+            previous: request.caller.previous_turn.clone(),
             said: request.body.to_vec(),
             keep_ms: retention_ms + RETENTION_MARGIN_MS,
         });
@@ -248,6 +244,50 @@
     Ok(relay(door, &full_request, route, *head, Some(account)))
 }
 
+/// what the ledger grants to a turn that may run.
+struct Granted {
+    history: Vec<u8>,
+    home: Option<String>,
+    /// software that began the stream that the turn goes on with.
+    resumed: Option<StreamVersion>,
+    reservation: Box<Reservation>,
+}
+
+/// reserves the tokens of a turn; marks `account` as settled if none were reserved.
+async fn begin_turn(door: &Door, start: TurnStart, account: &mut TurnAccount) -> Result<Granted, Refusal> {
+    if !door.ledger.is_reachable() {
+        account.is_settled = true;
+        let is_recent_loss =
+            door.ledger.unreachable_ms().is_some_and(|unreachable_ms| unreachable_ms < RECENT_LOSS_MS);
+        return Err(if is_recent_loss { Refusal::LedgerUnsure } else { Refusal::LedgerAway });
+    }
+    let budget_tokens = start.budget_tokens;
+    let asked = Instant::now();
+    let admission = door.ledger.begin(start).await;
+    door.record_ledger_wait(asked.elapsed().as_millis() as u64);
+    match admission {
+        BeginResult::Granted { history, home, resumed, reservation } => {
+            Ok(Granted { history, home, resumed, reservation })
+        }
+        BeginResult::OverBudget { held_tokens } => {
+            info!(door.log, "token budget of the program is exhausted; turn refused";
+                "request" => &account.request, "program" => &account.program,
+                "budget_tokens" => budget_tokens, "held_tokens" => held_tokens);
+            Err(Refusal::OverBudget)
+        }
+        BeginResult::NoSuchTurn => Err(Refusal::NoSuchTurn),
+        BeginResult::Busy { retry_after_ms } => {
+            account.is_settled = true;
+            Err(Refusal::LedgerBusy { retry_after_ms })
+        }
+        BeginResult::Unavailable(why) => {
+            info!(door.log, "ledger could not decide on the turn; turn refused";
+                "request" => &account.request, "program" => &account.program, "why" => why);
+            Err(Refusal::LedgerUnsure)
+        }
+    }
+}
+
 /// the attempt whose stream the caller takes up; an error if no replica may go on with it.
 fn taken_up_attempt<'a>(request: &'a DoorRequest, route: &Route) -> Result<Option<&'a str>, Refusal> {
     let Some(take_up) = &request.caller.take_up else {
