--- a/src/door/pass_on.rs
+++ b/src/door/pass_on.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use anyhow::anyhow;
+use async_io::Timer;
 use flamingo_edge::timeout;
+use futures_lite::future;
 use futures_lite::stream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -37,6 +39,9 @@
 /// doors to which a request is passed on, one after the other, before it is given up.
 const MAX_HELPERS: usize = 3;
 
+/// how often a door looks whether a helper that has not answered still takes requests: as often as reports come.
+const HELPER_LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// how a door answered that was to take a request.
 enum Passed {
     /// an answer for the caller.
@@ -82,7 +87,10 @@
         };
         tried.push(helper.callers.clone());
         let lease = HelperLease { door: Arc::clone(door), callers: helper.callers.clone() };
-        let passed = pass_to(door, request, &helper, lease).await;
+        let passed = match route.is_retryable() {
+            true => future::or(pass_to(door, request, &helper, lease), lost_helper(door, &helper)).await,
+            false => pass_to(door, request, &helper, lease).await,
+        };
         let result = match &passed {
             Passed::Answer(_) => "answered",
             Passed::NotTaken => "not_taken",
@@ -105,6 +113,19 @@
     Err(if may_have_run { Refusal::AnswerLost } else { Refusal::NoHelper })
 }
 
+/// waits until a helper takes no more requests, as when it has frozen: what may run again does not wait for it.
+async fn lost_helper(door: &Door, helper: &DoorRow) -> Passed {
+    let own = door.addresses.callers.to_string();
+    loop {
+        Timer::after(HELPER_LOOK_INTERVAL).await;
+        let is_listed = door.fleet().helpers(&own).iter().any(|row| row.helper == helper.helper);
+        if !is_listed {
+            door.helper_choice().record_failure(door.now_ms(), &helper.callers);
+            return Passed::Lost;
+        }
+    }
+}
+
 async fn pass_to(door: &Arc<Door>, request: &DoorRequest, helper: &DoorRow, lease: HelperLease) -> Passed {
     let left = request.remaining();
     match timeout(left, exchange(door, request, helper)).await {
--- a/tests/fleet_cut_off.rs
+++ b/tests/fleet_cut_off.rs
@@ -169,6 +169,29 @@
     drop(stream);
 }
 
+/// Guards against requests that wait for a frozen helper until their deadline, though another one would serve them.
+#[test]
+fn request_at_a_frozen_helper_goes_on_through_another() {
+    let this = CutFleet::start("frozen-helper");
+    this.cut(0, Cut::Reset);
+    this.wait_until_cut_off(0);
+    this.fleet.doors[1].signal("STOP");
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                let request = ClientRequest::get(&format!("/look/{number}"), &format!("frozen-{number}"));
+                let this = &this;
+                scope.spawn(move || this.send(0, &request.with("X-Deadline-Ms", "3000")))
+            })
+            .collect();
+        for caller in callers {
+            let answer = caller.join().expect("the caller is answered");
+            assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+        }
+    });
+    this.fleet.doors[1].signal("CONT");
+}
+
 /// Guards against a run that goes on for a caller that has left, two doors away.
 #[test]
 fn caller_that_leaves_ends_the_run_behind_another_door() {
