Do not take a late check for a cut

What callers would see: requests that take the way through another door although their own reaches the replicas, after it was suspended or had no processor for a moment.

Cause: the time limit of a check's questions runs out while the process does not run, and its answers wait unread.

Evidence: late_check_is_no_cut (tests/door_reach.rs) fails without the bound: a check that took 4 s ended in the belief.

Change: a check that takes 0.2 s longer than its questions may says nothing, and is made again.

--- a/src/door/reach_monitor.rs
+++ b/src/door/reach_monitor.rs
@@ -17,6 +17,7 @@
 use crate::platform::health_request;
 use crate::platform::report_request;
 use crate::reach::Belief;
+use crate::reach::CHECK_TIMEOUT_MS;
 use crate::reach::CHECKED_REPLICAS;
 use crate::reach::ReplicaReach;
 use crate::routing::ReplicaEntry;
@@ -24,10 +25,6 @@
 /// interval at which a door looks whether its way to the replicas is to be checked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// time limit of one question of a check, connecting included: a busy replica answers within it, and a request that
-/// waits meanwhile still has time for another door.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// the door's belief in its way to the replicas, and who waits for it to change.
 pub(super) struct ReachMonitor {
     reach: Mutex<ReplicaReach>,
@@ -112,7 +109,7 @@
             None => true,
         }
     };
-    timeout(ANSWER_TIMEOUT, exchange).await.unwrap_or(false)
+    timeout(Duration::from_millis(CHECK_TIMEOUT_MS), exchange).await.unwrap_or(false)
 }
 
 /// whether the door reaches any replica but the one at `address`, or knows no other.
--- a/src/reach/mod.rs
+++ b/src/reach/mod.rs
@@ -14,5 +14,6 @@
 pub use pass_tag::PassedRequest;
 pub use pass_window::PassWindows;
 pub use replica_reach::Belief;
+pub use replica_reach::CHECK_TIMEOUT_MS;
 pub use replica_reach::CHECKED_REPLICAS;
 pub use replica_reach::ReplicaReach;
--- a/src/reach/replica_reach.rs
+++ b/src/reach/replica_reach.rs
@@ -9,6 +9,13 @@
 /// show although one of them has crashed as well.
 pub const CHECKED_REPLICAS: usize = 4;
 
+/// time limit of the questions of a check, connecting included: a busy replica answers within it, and a request that
+/// waits meanwhile still has time for another door.
+pub const CHECK_TIMEOUT_MS: u64 = 500;
+/// how much longer than its questions a check may take before it says more of this process, which was suspended or
+/// late, than of the replicas.
+const MAX_LATE_MS: u64 = 200;
+
 /// what a door believes of its way to the replicas.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -96,9 +103,11 @@
         self.is_checking = false;
         self.next_check_ms = now_ms + CHECK_INTERVAL_MS;
         let before = self.belief;
+        let is_late = now_ms > began_ms + CHECK_TIMEOUT_MS + MAX_LATE_MS;
+        let is_silent = unanswered > 0 && self.heard_ms < began_ms;
         match self.belief {
             Belief::Reaches if answered > 0 => self.record_sign(now_ms),
-            Belief::Reaches if unanswered > 0 && self.heard_ms < began_ms => self.belief = Belief::CutOff,
+            Belief::Reaches if is_silent && !is_late => self.belief = Belief::CutOff,
             Belief::CutOff if answered > 0 && answered >= unanswered => {
                 self.record_sign(now_ms);
                 self.belief = Belief::Reaches;
--- a/tests/door_reach.rs
+++ b/tests/door_reach.rs
@@ -2,6 +2,7 @@
 
 use flamingostand::mesh::MeshKey;
 use flamingostand::reach::Belief;
+use flamingostand::reach::CHECK_TIMEOUT_MS;
 use flamingostand::reach::CHECKED_REPLICAS;
 use flamingostand::reach::HelperChoice;
 use flamingostand::reach::PASS_HEADER;
@@ -24,9 +25,8 @@
 const SEEDS: u64 = 300;
 const TICK_MS: u64 = 20;
 const REPLICAS: usize = 12;
-/// time of an answer, and of a question that nobody answers.
+/// time of an answer.
 const ANSWER_MS: u64 = 30;
-const CHECK_TIMEOUT_MS: u64 = 500;
 /// callers have to be served as well as elsewhere from this time after the beginning of a cut.
 const CONTACT_MS: u64 = 3_000;
 const CUT_MS: std::ops::Range<u64> = 10_000..20_000;
@@ -149,6 +149,16 @@
     }
 }
 
+/// Guards against a process that was suspended, or had no processor, and takes its own lateness for a cut.
+#[test]
+fn late_check_is_no_cut() {
+    let mut reach = ReplicaReach::default();
+    assert!(reach.begin_check(10_000, 5_000), "nothing was heard for long");
+    assert_eq!(reach.end_check(14_000, 10_000, 0, CHECKED_REPLICAS), None);
+    assert!(reach.begin_check(15_000, 5_000));
+    assert_eq!(reach.end_check(15_500, 15_000, 0, CHECKED_REPLICAS), Some(Belief::CutOff));
+}
+
 fn row(number: usize, zone: &str) -> DoorRow {
     let helper = DoorHelper { address: format!("10.0.0.{number}:1"), started: format!("s{number}") };
     DoorRow {
