Name the steps of a passed request and of a stream's next part

Read as a newcomer would: the results of a passed request are names of an enum rather than texts of a match, the wait for the next part of a stream is a function of its own, and what the ledger's client does for streams is in one file.

--- a/src/door/pass_on.rs
+++ b/src/door/pass_on.rs
@@ -17,7 +17,9 @@
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use slog::info;
+use strum::IntoStaticStr;
 
+use crate::clock::Moment;
 use crate::door::answer::DoorBody;
 use crate::door::answer::full_body;
 use crate::door::connections::Connection;
@@ -42,10 +44,12 @@
 /// how often a door looks whether a helper that has not answered still takes requests: as often as reports come.
 const HELPER_LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// how a door answered that was to take a request.
+/// how a door answered that was to take a request; the names are values of a metric and of log lines.
+#[derive(IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 enum Passed {
     /// an answer for the caller.
-    Answer(Response<DoorBody>),
+    Answered(Response<DoorBody>),
     /// it has not taken the request, which ran nowhere through it.
     NotTaken,
     /// the request may have run.
@@ -91,19 +95,14 @@
             true => future::or(pass_to(door, request, &helper, lease), lost_helper(door, &helper)).await,
             false => pass_to(door, request, &helper, lease).await,
         };
-        let result = match &passed {
-            Passed::Answer(_) => "answered",
-            Passed::NotTaken => "not_taken",
-            Passed::Lost => "lost",
-            Passed::TimedOut => "timed_out",
-        };
+        let result: &'static str = (&passed).into();
         metrics::counter!("door_passes_total", "result" => result).increment(1);
-        if !matches!(passed, Passed::Answer(_)) {
+        if !matches!(passed, Passed::Answered(_)) {
             info!(door.log, "another door brought no answer"; "request" => request.caller.id.as_deref(),
                 "door" => &helper.callers, "why" => result, "tries" => tried.len());
         }
         match passed {
-            Passed::Answer(answer) => return Ok(answer),
+            Passed::Answered(answer) => return Ok(answer),
             Passed::NotTaken => {}
             Passed::Lost if route.is_retryable() => may_have_run = true,
             Passed::Lost => return Err(Refusal::AnswerLost),
@@ -126,6 +125,7 @@
     }
 }
 
+/// passes a request on to one door.
 async fn pass_to(door: &Arc<Door>, request: &DoorRequest, helper: &DoorRow, lease: HelperLease) -> Passed {
     let left = request.remaining();
     match timeout(left, exchange(door, request, helper)).await {
@@ -202,14 +202,14 @@
     }
     if parts.status.is_success() && is_event_stream(&parts.headers) {
         let body = stream_body(door, request, Relayed { body, connection, idle_timeout, _lease: lease });
-        return Passed::Answer(Response::from_parts(parts, body));
+        return Passed::Answered(Response::from_parts(parts, body));
     }
     match timeout(request.remaining(), door.answers.read(body)).await {
         None => Passed::TimedOut,
         Some(Err(_)) => Passed::Lost,
         Some(Ok(body)) => {
             door.helper_connections.put(connection, idle_timeout);
-            Passed::Answer(Response::from_parts(parts, full_body(body)))
+            Passed::Answered(Response::from_parts(parts, full_body(body)))
         }
     }
 }
@@ -223,12 +223,12 @@
 }
 
 fn stream_body(door: &Arc<Door>, request: &DoorRequest, relayed: Relayed) -> DoorBody {
-    let (door, deadline) = (Arc::clone(door), request.clone());
+    let (door, deadline) = (Arc::clone(door), request.deadline);
     let frames = stream::unfold(Some(relayed), move |relayed| {
-        let (door, request) = (Arc::clone(&door), deadline.clone());
+        let door = Arc::clone(&door);
         async move {
             let mut relayed = relayed?;
-            match timeout(request.remaining(), relayed.body.frame()).await {
+            match timeout(deadline.remaining(&Moment::now()), relayed.body.frame()).await {
                 Some(Some(Ok(frame))) => Some((Ok(frame), Some(relayed))),
                 Some(Some(Err(error))) => Some((Err(error.into()), None)),
                 Some(None) => {
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -159,27 +159,11 @@
                 let fits = self.account.as_mut().is_none_or(|account| account.record_event(&event));
                 return if fits { StreamStep::Event(event.bytes) } else { StreamStep::Overlong };
             }
-            let frame = {
-                let frame = async { Some(self.run.body.frame().await) };
-                let is_resumable = self.route.resumable;
-                let cut_off = async {
-                    match is_resumable {
-                        true => self.door.reach.until_cut_off().await,
-                        false => future::pending().await,
-                    }
-                    None
-                };
-                timeout(self.request.remaining(), future::or(frame, cut_off)).await
-            };
-            let frame = match frame {
-                None => return StreamStep::TimedOut,
-                Some(None) => return StreamStep::CutOff,
-                Some(Some(frame)) => frame,
-            };
-            let frame = match frame {
-                None if self.splitter.is_empty() => return StreamStep::End,
-                None | Some(Err(_)) => return StreamStep::Broken,
-                Some(Ok(frame)) => frame,
+            let frame = match self.next_frame().await {
+                Err(step) => return step,
+                Ok(None) if self.splitter.is_empty() => return StreamStep::End,
+                Ok(None | Some(Err(_))) => return StreamStep::Broken,
+                Ok(Some(Ok(frame))) => frame,
             };
             let Some(bytes) = frame.data_ref() else {
                 continue;
@@ -190,6 +174,25 @@
         }
     }
 
+    /// the next part of the replica's body; an error if the stream ends for another reason.
+    ///
+    /// Only a stream that may be resumed is given up when the door is cut off: any other one may still go on.
+    async fn next_frame(&mut self) -> Result<Option<hyper::Result<Frame<Bytes>>>, StreamStep> {
+        let left = self.request.remaining();
+        let frame = async { Ok(self.run.body.frame().await) };
+        let frame = match self.route.resumable {
+            false => timeout(left, frame).await,
+            true => {
+                let cut_off = async {
+                    self.door.reach.until_cut_off().await;
+                    Err(StreamStep::CutOff)
+                };
+                timeout(left, future::or(frame, cut_off)).await
+            }
+        };
+        frame.unwrap_or(Err(StreamStep::TimedOut))
+    }
+
     /// resumes the stream at another replica with the same software after the last relayed event; `false` if that
     /// is not possible.
     async fn resume(&mut self, replica_ended: bool) -> bool {
@@ -258,7 +261,8 @@
         metrics::counter!("door_streams_disturbed_total", "what" => what).increment(1);
         info!(self.door.log, "stream interrupted"; "request" => self.request.caller.id.as_deref(),
             "what" => what, "replica" => &self.run.lease.pick.id, "last_event" => self.last_event.as_deref(),
-            "version" => &self.software.version, "route" => &self.route.name, "content" => self.request.content().digest());
+            "version" => &self.software.version, "route" => &self.route.name,
+            "content" => self.request.content().digest());
     }
 }
 
--- a/src/ledger_client/finish.rs
+++ b/src/ledger_client/finish.rs
@@ -10,7 +10,6 @@
 use crate::ledger_client::round::Round;
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerRequest;
-use crate::schema::StreamVersion;
 
 /// pause before asking the members of a new view, or the same ones after the quorum was lost: a broken
 /// connection is open again after a few round trips.
@@ -35,18 +34,13 @@
         self.store(&program, &LedgerRequest::Finish(finish), deadline).await
     }
 
-    /// stores which software began a stream, at the members of `key`: its program, or its own id if it has
-    /// none.
-    pub async fn record_stream(
+    /// stores a record at a write quorum of the members of `key`, with retries until `deadline`.
+    pub(super) async fn store(
         &self,
         key: &str,
-        began: StreamVersion,
+        request: &LedgerRequest,
         deadline: Instant,
     ) -> Result<(), NotStored> {
-        self.store(key, &LedgerRequest::StreamBegan(began), deadline).await
-    }
-
-    async fn store(&self, key: &str, request: &LedgerRequest, deadline: Instant) -> Result<(), NotStored> {
         self.count_first_attempt();
         loop {
             match self.try_store(key, request, deadline).await {
--- a/src/ledger_client/mod.rs
+++ b/src/ledger_client/mod.rs
@@ -10,7 +10,7 @@
 mod limiter;
 mod reservation;
 mod round;
-mod stream_lookup;
+mod streams;
 
 pub use admission::AcquireResult;
 pub use admission::Admission;
@@ -25,4 +25,4 @@
 pub use reservation::NotConfirmed;
 pub use reservation::Reservation;
 pub use reservation::TurnStart;
-pub use stream_lookup::LookupError;
+pub use streams::LookupError;
--- a/src/ledger_client/stream_lookup.rs
+++ b/src/ledger_client/streams.rs
@@ -4,6 +4,7 @@
 
 use crate::ledger_client::AwaitedStep;
 use crate::ledger_client::LedgerClient;
+use crate::ledger_client::NotStored;
 use crate::ledger_client::reservation::BEGIN_TIMEOUT;
 use crate::ledger_client::round::Progress;
 use crate::ledger_client::round::Round;
@@ -16,6 +17,17 @@
 pub struct LookupError;
 
 impl LedgerClient {
+    /// stores which software began a stream, at the members of `key`: its program, or its own id if it has
+    /// none.
+    pub async fn record_stream(
+        &self,
+        key: &str,
+        began: StreamVersion,
+        deadline: Instant,
+    ) -> Result<(), NotStored> {
+        self.store(key, &LedgerRequest::StreamBegan(began), deadline).await
+    }
+
     /// reads which software began the stream of an attempt that belongs to no program; `None` if that is on no
     /// disk.
     pub async fn find_stream(&self, attempt: &str) -> Result<Option<StreamVersion>, LookupError> {
