Show how many unanswered runs doors hold, and which nobody has been told of

Two of its hypotheses could not be told apart from the first by logs or metrics: that a report has no room for a run, and that a run is cleared although its replica ends under it later.

No decision changes.

--- a/src/door/poisoned_contents.rs
+++ b/src/door/poisoned_contents.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// shows how many runs weigh against contents, and how many of them no report has told.
+    pub fn record_unresolved(&self, had_untold: &mut bool) {
+        let (unresolved, untold) = self.poison().unresolved_counts();
+        metrics::gauge!("door_unresolved_runs").set(unresolved as f64);
+        metrics::gauge!("door_untold_runs").set(untold as f64);
+        let has_untold = untold > 0;
+        if has_untold != *had_untold {
+            info!(self.log, "room for unresolved runs in reports changed"; "unresolved" => unresolved,
+                "untold" => untold);
+            *had_untold = has_untold;
+        }
+    }
+
     /// drops what is no longer held against a content.
     pub fn expire_poison(&self) {
         let is_list_current = self.has_fresh_mirror(REPLICA_PREFIX);
@@ -117,6 +130,10 @@
 
     /// handles the removal of a replica's entry.
     pub fn replica_removed(&self, replica: &str) {
+        for run in self.poison().suspects.recently_cleared(replica) {
+            info!(self.log, "replica is gone soon after an unanswered run was cleared";
+                "request" => &run.request, "content" => &run.content, "replica" => replica);
+        }
         let ended = self.poison().suspects.replica_gone(replica);
         for (run, evidence) in ended {
             self.strike(&run, evidence);
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -92,6 +92,7 @@
     let mut was_unreachable = true;
     let mut lateness = Lateness::default();
     let mut checked = Instant::now();
+    let mut had_untold_runs = false;
     loop {
         // Separate statements, as each holds the lock of the table until its end.
         let loads = door.replicas().local_loads();
@@ -130,6 +131,7 @@
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
         door.expire_poison();
+        door.record_unresolved(&mut had_untold_runs);
         check_suspects(&door, &mut checked);
         send_strikes(&door, &view);
         door.connections.expire();
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -130,6 +130,13 @@
         self.pending.strikes().cloned().chain(unresolved).take(MAX_REPORTED).collect()
     }
 
+    /// unresolved runs of this door, and how many of them one report has no room for.
+    pub fn unresolved_counts(&self) -> (usize, usize) {
+        let unresolved = self.local.values().map(Vec::len).sum::<usize>();
+        let room = MAX_REPORTED.saturating_sub(self.pending.strikes().count());
+        (unresolved, unresolved.saturating_sub(room))
+    }
+
     /// runs of this door whose replicas decide whether a content stays held.
     pub fn runs_to_check(&self) -> Vec<ReplicaRun> {
         let suspected = self.local.iter().filter(|(content, _)| self.hold(content) == Some(Hold::Suspected));
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -129,6 +129,16 @@
         cleared.collect()
     }
 
+    /// runs at a replica that were cleared a short time ago.
+    pub fn recently_cleared<'a>(&'a self, replica: &'a str) -> impl Iterator<Item = &'a ReplicaRun> {
+        let is_cleared = move |suspicion: &&Suspicion| {
+            suspicion.run.replica == replica
+                && suspicion.standing == Standing::Cleared
+                && !suspicion.is_evidence_late
+        };
+        self.runs.iter().filter(is_cleared).map(|suspicion| &suspicion.run)
+    }
+
     /// clears all runs of a content that a replica has run to a successful end.
     pub fn content_succeeded(&mut self, content: &str) {
         for suspicion in self.runs.iter_mut().filter(|suspicion| suspicion.run.content == content) {
