--- a/src/door/daemon.rs
+++ b/src/door/daemon.rs
@@ -29,6 +29,7 @@
 use crate::door::entry::handle_request;
 use crate::door::follow::follow_platform;
 use crate::door::mesh_inbox::MeshInbox;
+use crate::door::poison_sender::send_poison_records;
 use crate::door::reach_monitor::watch_reach;
 use crate::door::reporter::discover_ledger;
 use crate::door::reporter::report_to_ledger;
@@ -91,6 +92,7 @@
     }
     essentials.spawn("find the ledger", discover_ledger(Arc::clone(&door), platform));
     essentials.spawn("report", report_to_ledger(Arc::clone(&door)));
+    essentials.spawn("tell of contents that end replicas", send_poison_records(Arc::clone(&door)));
     essentials.spawn("watch the way to the replicas", watch_reach(Arc::clone(&door)));
     listen(&door, &context)?;
     let stop_signal = async {
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -24,6 +24,7 @@
 use crate::door::connections::ConnectError;
 use crate::door::connections::Connection;
 use crate::door::connections::ConnectionPool;
+use crate::door::poison_sender::PoisonSender;
 use crate::door::reach_monitor::ReachMonitor;
 use crate::fleet::MergedMirror;
 use crate::ledger_client::LedgerClient;
@@ -86,6 +87,7 @@
     /// platform state merged from all sources, one entry for each followed prefix.
     merges: Mutex<Vec<MergedMirror>>,
     poison: Mutex<PoisonState>,
+    pub poison_sender: PoisonSender,
     /// tracks how long the ledger takes to admit a turn.
     ledger_lateness: Mutex<Lateness>,
     /// when the stop signal came, and what follows.
@@ -138,6 +140,7 @@
             fleet: Mutex::default(),
             merges: Mutex::new(vec![MergedMirror::new(CONFIG_PREFIX), MergedMirror::new(REPLICA_PREFIX)]),
             poison: Mutex::default(),
+            poison_sender: PoisonSender::default(),
             ledger_lateness: Mutex::default(),
             stop: OnceLock::new(),
             exit: async_channel::bounded(1),
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -19,6 +19,7 @@
 mod mesh_inbox;
 mod pass_on;
 mod passed_request;
+mod poison_sender;
 mod poisoned_contents;
 mod process_start;
 mod reach_monitor;
--- a/src/door/poisoned_contents.rs
+++ b/src/door/poisoned_contents.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use slog::info;
+use slog::warn;
 
 use crate::door::connections::ConnectError;
 use crate::door::door::Door;
@@ -12,6 +13,7 @@
 use crate::poison::LifeSign;
 use crate::poison::ReplicaRun;
 use crate::poison::RunKey;
+use crate::poison::UnansweredRun;
 use crate::routing::ReplicaPick;
 use crate::routing::Route;
 use crate::schema::PoisonStrike;
@@ -51,13 +53,14 @@
                 return;
             };
             let run = ended.to_replica_run();
-            poison.suspects.add(now_ms, ended.begun_ms, run.clone(), is_silent);
-            poison.update_local(now_ms);
+            let unanswered = UnansweredRun { run: run.clone(), begun_ms: ended.begun_ms, is_silent };
+            poison.suspect(now_ms, unanswered);
             run
         };
         if self.reach.is_cut_off() {
             self.explain_by_cut(true);
         }
+        self.poison_sender.wake();
         metrics::counter!("door_runs_suspected_total").increment(1);
         info!(self.log, "run ended without an answer; its replica is suspected to have ended";
             "request" => &run.request, "content" => &run.content, "replica" => &run.replica,
@@ -91,16 +94,16 @@
         }
     }
 
-    /// shows how many runs weigh against contents, and how many of them no report has told.
-    pub fn record_unresolved(&self, had_untold: &mut bool) {
+    /// shows how many runs weigh against contents, and how many of them no ledger node has stored.
+    pub fn record_unresolved(&self) {
         let (unresolved, untold) = self.poison().unresolved_counts();
         metrics::gauge!("door_unresolved_runs").set(unresolved as f64);
         metrics::gauge!("door_untold_runs").set(untold as f64);
-        let has_untold = untold > 0;
-        if has_untold != *had_untold {
-            info!(self.log, "room for unresolved runs in reports changed"; "unresolved" => unresolved,
-                "untold" => untold);
-            *had_untold = has_untold;
+        let dropped = self.poison().pending.take_dropped();
+        if dropped > 0 {
+            metrics::counter!("door_poison_records_dropped_total").increment(dropped);
+            warn!(self.log, "too many strikes and unanswered runs wait for ledger nodes; some are dropped";
+                "dropped" => dropped, "unresolved" => unresolved);
         }
     }
 
@@ -109,6 +112,9 @@
         let is_list_current = self.has_fresh_mirror(REPLICA_PREFIX);
         let cleared = self.poison().expire(self.now_ms(), is_list_current);
         self.log_cleared(&cleared, "no_restart_listed");
+        if self.poison().unresolved_counts().1 > 0 {
+            self.poison_sender.wake();
+        }
     }
 
     fn log_cleared(&self, runs: &[ReplicaRun], evidence: &'static str) {
@@ -149,9 +155,10 @@
             "request" => request, "content" => content,
             "replica" => replica, "evidence" => evidence);
         let strike = run.to_strike();
-        self.poison().pending.add(strike.clone());
+        self.poison().pending.add_strike(strike.clone());
         self.record_strike(&strike, &self.settings.instance.name);
         self.poison().update_local(self.now_ms());
+        self.poison_sender.wake();
     }
 
     /// counts a strike that this door observed or a ledger node reported.
@@ -172,6 +179,9 @@
         }
         let content = request.content().digest();
         let hold = self.poison().hold(&content)?;
+        if hold == Hold::Suspected {
+            self.poison().adopt_runs(self.now_ms(), &content);
+        }
         let why: &'static str = hold.into();
         metrics::counter!("door_requests_held_total", "why" => why).increment(1);
         let victims = self.poison().strikes.victim_count(&content);
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -4,7 +4,6 @@
 
 use async_channel::Receiver;
 use async_io::Timer;
-use flamingo_edge::timeout;
 use slog::info;
 use slog::warn;
 
@@ -24,17 +23,12 @@
 use crate::schema::LedgerReply;
 use crate::schema::LedgerRequest;
 use crate::schema::LedgerSpent;
-use crate::schema::LedgerStrikes;
-use crate::schema::LedgerView;
-use crate::schema::PoisonStrike;
 use crate::telemetry::Lateness;
 
 /// interval between reports to each ledger node; loads change within a few turns.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// report interval while the ledger is unreachable; the few extra reports cost next to nothing.
 const UNREACHABLE_REPORT_INTERVAL: Duration = Duration::from_millis(80);
-/// timeout before strikes are sent to a node again: many syncs of a slow disk.
-const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// interval between checks of the replicas of runs with an unknown outcome.
 const SUSPECT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// interval between queries to the seed nodes from the settings.
@@ -92,7 +86,6 @@
     let mut was_unreachable = true;
     let mut lateness = Lateness::default();
     let mut checked = Instant::now();
-    let mut had_untold_runs = false;
     loop {
         // Separate statements, as each holds the lock of the table until its end.
         let loads = door.replicas().local_loads();
@@ -110,7 +103,7 @@
             loads,
             strikes_mark: None,
             leaving,
-            unresolved: door.poison().reportable(),
+            unresolved: Vec::new(),
             limits,
             helper: door.helper(),
         };
@@ -131,9 +124,8 @@
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
         door.expire_poison();
-        door.record_unresolved(&mut had_untold_runs);
+        door.record_unresolved();
         check_suspects(&door, &mut checked);
-        send_strikes(&door, &view);
         door.connections.expire();
         door.helper_connections.expire();
         // While the ledger is unreachable, shorter intervals detect its return sooner.
@@ -160,51 +152,6 @@
     }
 }
 
-/// sends strikes that this door observed to the ledger nodes until a write quorum has stored them.
-fn send_strikes(door: &Arc<Door>, view: &Arc<LedgerView>) {
-    if door.poison().pending.is_empty() {
-        return;
-    }
-    for member in &view.members {
-        let strikes = door.poison().pending.next_batch(view.epoch, &member.name);
-        if strikes.is_empty() {
-            continue;
-        }
-        let (shared_door, view, member) = (Arc::clone(door), Arc::clone(view), member.clone());
-        door.spawner.detach(async move {
-            let is_stored = store_strikes(&shared_door, &view, &member, strikes.clone()).await;
-            let pending = &mut shared_door.poison().pending;
-            if is_stored {
-                pending.acknowledge(view.epoch, &member.name, &strikes, view.quorum().write());
-            } else {
-                pending.request_failed(view.epoch, &member.name);
-            }
-        });
-    }
-}
-
-async fn store_strikes(
-    door: &Door,
-    view: &LedgerView,
-    member: &LedgerMember,
-    strikes: Vec<PoisonStrike>,
-) -> bool {
-    let (sender, replies) = async_channel::unbounded();
-    let request = LedgerRequest::Strikes(LedgerStrikes { strikes });
-    if !door.ledger.ask(member, view.epoch, request, None, &sender) {
-        return false;
-    }
-    let answer = timeout(STORE_TIMEOUT, replies.recv()).await;
-    match answer.and_then(Result::ok).map(|heard| heard.event) {
-        Some(AskOutcome::Reply(LedgerReply::Stored(_))) => true,
-        Some(AskOutcome::Reply(LedgerReply::Stale(stale))) => {
-            door.ledger.adopt(&stale.view);
-            false
-        }
-        Some(AskOutcome::Reply(_) | AskOutcome::ConnectionLost) | None => false,
-    }
-}
-
 fn log_ledger_state(door: &Door, is_unreachable: bool) {
     let silences = format!("{:?}", door.ledger.silences_ms());
     let epoch = door.ledger.view().epoch;
@@ -238,7 +185,7 @@
                     door.record_strike(strike, &heard.member);
                 }
                 door.poison().marks.insert(heard.member.clone(), news.strikes_mark.clone());
-                door.poison().set_remote(door.now_ms(), &heard.member, news.unresolved);
+                door.poison().add_remote(door.now_ms(), &news.unresolved);
                 if news.tells_fleet {
                     door.replicas().set_remote_loads(&news.loads);
                     door.apply_limit_shares(&news.limits);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,6 @@
 mod mirror;
 mod prefix_watcher;
 mod start_mesh;
-mod unresolved_runs;
 
 pub use door_registry::DoorRegistry;
 pub use essential_tasks::EssentialTasks;
@@ -21,4 +20,3 @@
 pub use prefix_watcher::PrefixWatcher;
 pub use prefix_watcher::WatchStep;
 pub use start_mesh::start_mesh;
-pub use unresolved_runs::UnresolvedRuns;
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -4,12 +4,12 @@
 use crate::fleet::DoorRegistry;
 use crate::fleet::LimitShares;
 use crate::fleet::Mirror;
-use crate::fleet::UnresolvedRuns;
 use crate::fleet::WatchUpdate;
 use crate::ledger::CatchUp;
 use crate::ledger::LedgerNode;
 use crate::ledger::NodeAction;
 use crate::ledger::NodeIdentity;
+use crate::ledger::PoisonNews;
 use crate::ledger::ViewChange;
 use crate::ledger::ViewPlanner;
 use crate::ledger::peers::Peers;
@@ -129,8 +129,6 @@
     node: LedgerNode,
     own: LedgerMember,
     board: DoorRegistry,
-    /// runs of doors that may have ended their replicas.
-    unresolved: UnresolvedRuns,
     /// rate limits of replicas, and what doors would use of them.
     limits: LimitShares,
     /// platform objects that doors read from this node, by prefix.
@@ -157,7 +155,6 @@
             node: LedgerNode::new(identity, empty),
             own,
             board: DoorRegistry::new(start),
-            unresolved: UnresolvedRuns::default(),
             limits: LimitShares::default(),
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
@@ -236,13 +233,13 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
-        self.unresolved.report(now_ms, report);
         self.limits.report(now_ms, report);
         if report.wants_fleet {
             news.limits = self.limits.for_door(now_ms, &report.name);
         }
-        news.unresolved = self.unresolved.for_door(report, self.node.store().strikes());
-        (news.strikes, news.strikes_mark) = self.strikes_after(report.strikes_mark.as_ref());
+        let poison = self.poison_after(report.strikes_mark.as_ref());
+        (news.strikes, news.unresolved) = (poison.strikes, poison.runs);
+        news.strikes_mark = StrikesMark { start: self.start.clone(), number: poison.last_number };
         news.complete = self.node.is_complete();
         let mark = |prefix: &str| report.marks.iter().find(|mark| mark.prefix == prefix);
         let mirrors = self.mirrors.values();
@@ -258,12 +255,11 @@
         out.push(CoreAction::Answer { to: from, answer: LedgerAnswer { id: ask.id, reply } });
     }
 
-    /// strikes that a door does not know yet, and its new mark.
-    fn strikes_after(&self, mark: Option<&StrikesMark>) -> (Vec<PoisonStrike>, StrikesMark) {
+    /// what a door does not know yet of contents that end replicas.
+    fn poison_after(&self, mark: Option<&StrikesMark>) -> PoisonNews {
         // Change numbers of another process start are not comparable.
         let after = mark.filter(|mark| mark.start == self.start).map_or(0, |mark| mark.number);
-        let (strikes, number) = self.node.store().strikes_after(after);
-        (strikes, StrikesMark { start: self.start.clone(), number })
+        self.node.store().poison_after(after)
     }
 
     /// mirrors platform objects and logs them, so that doors that start during a platform outage get them.
@@ -332,7 +328,6 @@
             self.last_expiry_ms = now_ms;
             self.node.expire(now_ms);
             self.board.expire(now_ms);
-            self.unresolved.expire(now_ms);
             self.limits.expire(now_ms);
             for mirror in self.mirrors.values_mut() {
                 mirror.expire(now_ms);
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -33,6 +33,7 @@
 pub use quorum_replies::History;
 pub use quorum_replies::QuorumReplies;
 pub use record_store::PAGE_BYTES;
+pub use record_store::PoisonNews;
 pub use record_store::RecordStore;
 pub use record_store::SPEND_RETENTION_MS;
 pub use view::empty_view;
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -16,9 +16,9 @@
 use crate::schema::LedgerRequest;
 use crate::schema::LedgerStale;
 use crate::schema::LedgerStored;
+use crate::schema::LedgerStrikes;
 use crate::schema::LedgerView;
 use crate::schema::ObservedObjects;
-use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
 use crate::schema::StreamVersion;
 
@@ -170,7 +170,7 @@
                 let account = self.account("", None, Some(&history.turn), true);
                 vec![self.answer(from, ask.id, LedgerReply::Account(account))]
             }
-            LedgerRequest::Strikes(strikes) => self.add_strikes(now_ms, from, ask.id, &strikes.strikes),
+            LedgerRequest::Strikes(strikes) => self.add_strikes(now_ms, from, ask.id, strikes),
             LedgerRequest::Pull(_) | LedgerRequest::Push(_) | LedgerRequest::Report(_) => Vec::new(),
         }
     }
@@ -219,10 +219,10 @@
         now_ms: u64,
         from: ConnectionId,
         id: u64,
-        strikes: &[PoisonStrike],
+        batch: &LedgerStrikes,
     ) -> Vec<NodeAction> {
         let mut actions = Vec::new();
-        for strike in strikes {
+        for strike in &batch.strikes {
             let appended = self.merge(now_ms, &[LedgerRecord::Struck(strike.clone())]);
             if !appended.is_empty() {
                 let victims = self.store.victim_count(&strike.content);
@@ -230,6 +230,8 @@
             }
             actions.extend(appended);
         }
+        let runs: Vec<LedgerRecord> = batch.runs.iter().cloned().map(LedgerRecord::Suspected).collect();
+        actions.extend(self.merge(now_ms, &runs));
         actions.extend(self.ack_when_synced(PendingAck { from, id, reported: None }));
         actions
     }
--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -5,7 +5,11 @@
 use crate::ledger::homes::Homes;
 use crate::ledger::stream_versions::Merged;
 use crate::ledger::stream_versions::StreamVersions;
+use crate::poison::HOLD_THRESHOLD;
+use crate::poison::ReplicaRun;
+use crate::poison::RunMerge;
 use crate::poison::Strikes;
+use crate::poison::UnresolvedRuns;
 use crate::schema::KeptTurn;
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerRecord;
@@ -15,6 +19,7 @@
 use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
 use crate::schema::StreamVersion;
+use crate::schema::SuspectedRun;
 
 /// retention of a program's spending after its last reservation or finished turn.
 ///
@@ -25,8 +30,8 @@
 pub const PAGE_BYTES: usize = 256 * 1024;
 /// page bytes charged for a record in addition to the content of its turn.
 const RECORD_OVERHEAD_BYTES: usize = 128;
-/// strikes in one answer to a door; doors report several times a second, so the rest follows soon.
-const STRIKES_PER_ANSWER: usize = 100;
+/// strikes and unanswered runs in one answer to a door; doors report several times a second, so the rest follows soon.
+const POISON_PER_ANSWER: usize = 100;
 /// limit of turns in one history; a longer one can only be a cycle caused by damaged records.
 const MAX_HISTORY_TURNS: usize = 10_000;
 
@@ -37,13 +42,27 @@
     turns: HashMap<String, TurnRow>,
     streams: StreamVersions,
     strikes: Strikes,
+    runs: UnresolvedRuns,
+    /// contents whose runs doors are told of: they reach the threshold, if all replicas of the runs have ended.
+    suspected: BTreeSet<String>,
     /// subject of each live record by its change number; a record that changes gets a new number.
     subjects: BTreeMap<u64, Subject>,
-    /// change numbers of the strikes.
-    strike_numbers: BTreeSet<u64>,
+    /// change numbers of what doors are told of contents.
+    poison_numbers: BTreeSet<u64>,
     last_number: u64,
 }
 
+/// what a door is told of contents that end replicas.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonNews {
+    /// strikes.
+    pub strikes: Vec<PoisonStrike>,
+    /// unanswered runs.
+    pub runs: Vec<SuspectedRun>,
+    /// change number up to which the door knows all.
+    pub last_number: u64,
+}
+
 /// subject of a live record.
 #[derive(Clone, Debug)]
 enum Subject {
@@ -52,6 +71,11 @@
         request: String,
     },
     Strike(PoisonStrike),
+    /// an unanswered run.
+    Run {
+        content: String,
+        victim: String,
+    },
     /// the stream of the attempt with this id.
     Stream(String),
 }
@@ -87,6 +111,7 @@
             LedgerRecord::Reserved(reserved) => self.reserve(now_ms, reserved),
             LedgerRecord::Finished(finish) => self.finish(now_ms, finish),
             LedgerRecord::Struck(strike) => self.strike(now_ms, strike),
+            LedgerRecord::Suspected(run) => self.suspect(now_ms, run),
             LedgerRecord::StreamBegan(began) => self.begin_stream(now_ms, began),
             LedgerRecord::Joined(_) | LedgerRecord::Observed(_) => false,
         }
@@ -135,10 +160,56 @@
         }
         self.last_number += 1;
         self.subjects.insert(self.last_number, Subject::Strike(strike.clone()));
-        self.strike_numbers.insert(self.last_number);
+        self.poison_numbers.insert(self.last_number);
+        self.update_suspected(&strike.content);
+        true
+    }
+
+    fn suspect(&mut self, now_ms: u64, run: &SuspectedRun) -> bool {
+        let number = self.last_number + 1;
+        match self.runs.merge(now_ms, run, number) {
+            RunMerge::Unchanged => return false,
+            RunMerge::Added => {}
+            RunMerge::Changed(previous) => {
+                self.subjects.remove(&previous);
+                // Doors that know the run have to learn how it stands now.
+                if self.poison_numbers.remove(&previous) {
+                    self.poison_numbers.insert(number);
+                }
+            }
+        }
+        self.last_number = number;
+        let victim = ReplicaRun::from(run).victim();
+        self.subjects.insert(number, Subject::Run { content: run.content.clone(), victim });
+        if self.suspected.contains(&run.content) {
+            self.poison_numbers.insert(number);
+        }
+        self.update_suspected(&run.content);
         true
     }
 
+    /// tells doors of the runs of a content once it reaches the threshold with them.
+    fn update_suspected(&mut self, content: &str) {
+        let strikes = self.strikes.victim_count(content);
+        let weighing = self.runs.weighing(content);
+        let unstruck = weighing.filter(|victim| !self.strikes.has_victim(content, victim)).count();
+        let reaches = strikes < HOLD_THRESHOLD && strikes + unstruck >= HOLD_THRESHOLD;
+        if !reaches {
+            self.suspected.remove(content);
+            return;
+        }
+        if !self.suspected.insert(content.to_owned()) {
+            return;
+        }
+        // New numbers are after the marks of all doors.
+        for (previous, number, victim) in self.runs.renumber(content, &mut self.last_number) {
+            self.subjects.remove(&previous);
+            self.subjects.insert(number, Subject::Run { content: content.to_owned(), victim });
+            self.poison_numbers.remove(&previous);
+            self.poison_numbers.insert(number);
+        }
+    }
+
     fn finish(&mut self, now_ms: u64, finish: &LedgerFinish) -> bool {
         let program = self.programs.entry(finish.program.clone()).or_default();
         program.last_used_ms = now_ms;
@@ -251,6 +322,9 @@
             let record = match subject {
                 Subject::Turn { program, request } => self.turn_record(program, request),
                 Subject::Strike(strike) => Some(LedgerRecord::Struck(strike.clone())),
+                Subject::Run { content, victim } => {
+                    self.runs.get(content, victim).cloned().map(LedgerRecord::Suspected)
+                }
                 Subject::Stream(request) => self.streams.get(request).cloned().map(LedgerRecord::StreamBegan),
             };
             let Some(record) = record else {
@@ -287,7 +361,7 @@
         }))
     }
 
-    /// drops turns, programs and strikes whose retention has ended.
+    /// drops turns, programs, strikes and unanswered runs whose retention has ended.
     pub fn expire(&mut self, now_ms: u64) {
         self.turns.retain(|_, turn| now_ms < turn.expires_ms);
         let subjects = &mut self.subjects;
@@ -304,7 +378,7 @@
             keep
         });
         let expired = self.strikes.expire(now_ms);
-        self.strike_numbers.retain(|number| {
+        self.poison_numbers.retain(|number| {
             let is_expired = matches!(subjects.get(number),
                 Some(Subject::Strike(strike)) if expired.contains(&strike.content));
             if is_expired {
@@ -312,19 +386,27 @@
             }
             !is_expired
         });
+        for (content, number) in self.runs.expire(now_ms) {
+            self.subjects.remove(&number);
+            self.poison_numbers.remove(&number);
+            self.update_suspected(&content);
+        }
     }
 
-    /// strikes with change numbers above `after`, at most one answer's worth, and the last number.
-    pub fn strikes_after(&self, after: u64) -> (Vec<PoisonStrike>, u64) {
-        let mut strikes = Vec::new();
-        let mut last = after;
-        for number in self.strike_numbers.range(after + 1..).take(STRIKES_PER_ANSWER) {
-            if let Some(Subject::Strike(strike)) = self.subjects.get(number) {
-                strikes.push(strike.clone());
+    /// what doors are told of contents with change numbers above `after`, at most one answer's worth.
+    pub fn poison_after(&self, after: u64) -> PoisonNews {
+        let mut news = PoisonNews { strikes: Vec::new(), runs: Vec::new(), last_number: after };
+        for number in self.poison_numbers.range(after + 1..).take(POISON_PER_ANSWER) {
+            match self.subjects.get(number) {
+                Some(Subject::Strike(strike)) => news.strikes.push(strike.clone()),
+                Some(Subject::Run { content, victim }) => {
+                    news.runs.extend(self.runs.get(content, victim).cloned());
+                }
+                Some(Subject::Turn { .. } | Subject::Stream(_)) | None => {}
             }
-            last = *number;
+            news.last_number = *number;
         }
-        (strikes, last)
+        news
     }
 
     /// replicas that ended while running a content.
@@ -339,7 +421,17 @@
 
     /// live strikes.
     pub fn strike_count(&self) -> usize {
-        self.strike_numbers.len()
+        self.subjects.values().filter(|subject| matches!(subject, Subject::Strike(_))).count()
+    }
+
+    /// unanswered runs, those that no longer weigh included.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// contents that are held if all replicas of their unanswered runs have ended.
+    pub fn suspected_count(&self) -> usize {
+        self.suspected.len()
     }
 
     /// change number of the newest live record; 0 if there is none.
@@ -365,6 +457,7 @@
         | LedgerRecord::Joined(_)
         | LedgerRecord::Observed(_)
         | LedgerRecord::Struck(_)
+        | LedgerRecord::Suspected(_)
         | LedgerRecord::StreamBegan(_) => 0,
     };
     RECORD_OVERHEAD_BYTES + said
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -94,7 +94,8 @@
         core.replay(0, &record);
     }
     info!(log, "replayed the ledger log"; "turns" => core.node().store().turn_count(),
-        "strikes" => core.node().store().strike_count());
+        "strikes" => core.node().store().strike_count(),
+        "unanswered_runs" => core.node().store().run_count());
     let (events, incoming) = async_channel::unbounded();
     let platform = Arc::new(HttpPlatform::new(HttpPlatformOptions::try_from(&settings.platform)?));
     let inbox = Arc::new(Inbox { events: events.clone() });
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -6,17 +6,17 @@
 use crate::poison::HOLD_THRESHOLD;
 use crate::poison::Hold;
 use crate::poison::LifeSign;
-use crate::poison::PendingStrikes;
+use crate::poison::PendingRecords;
 use crate::poison::ReplicaRun;
 use crate::poison::Strikes;
 use crate::poison::SuspectRuns;
-use crate::schema::PoisonStrike;
+use crate::poison::UnansweredRun;
+use crate::poison::remote_runs::RemoteRuns;
+use crate::poison::run::is_weighing;
+use crate::poison::told_runs::ToldRuns;
 use crate::schema::StrikesMark;
+use crate::schema::SuspectedRun;
 
-/// unresolved runs in one report; reports go out several times a second.
-const MAX_REPORTED: usize = 32;
-/// how long the word of a ledger node that stopped answering counts; others answer meanwhile.
-const REMOTE_KEEP_MS: u64 = 10_000;
 /// replicas that are checked at once.
 const MAX_CHECKED: usize = 4;
 
@@ -29,25 +29,20 @@
     pub suspects: SuspectRuns,
     /// victims by content, seen by this door or reported by ledger nodes.
     pub strikes: Strikes,
-    /// strikes seen by this door that the ledger has not stored yet.
-    pub pending: PendingStrikes,
-    /// position up to which the strikes of each ledger node are known.
+    /// what the ledger nodes have not stored yet.
+    pub pending: PendingRecords,
+    /// position up to which the records of each ledger node are known.
     pub marks: HashMap<String, StrikesMark>,
-    /// unresolved runs of other doors, as each ledger node told them last.
-    remote: HashMap<String, RemoteRuns>,
-    /// unresolved runs of this door by content.
+    /// unanswered runs of all doors, as ledger nodes told them.
+    remote: RemoteRuns,
+    /// runs of this door that weigh, by content.
     local: BTreeMap<String, Vec<ReplicaRun>>,
+    /// what the ledger nodes are told of these runs.
+    told: ToldRuns,
     /// whether the door is cut off from the replicas, so that their silence says nothing of them.
     is_cut_off: bool,
 }
 
-/// unresolved runs of other doors that one ledger node knows.
-#[derive(Debug)]
-struct RemoteRuns {
-    runs: Vec<PoisonStrike>,
-    received_ms: u64,
-}
-
 impl PoisonState {
     /// handles an answer of a replica; returns the runs that it clears.
     pub fn replica_answered(&mut self, now_ms: u64, sign: &LifeSign<'_>) -> Vec<ReplicaRun> {
@@ -78,25 +73,26 @@
         cleared
     }
 
-    /// replaces the unresolved runs of other doors that a ledger node knows.
-    ///
-    /// A strike is stored at a quorum of the nodes, so only some of them see that a content reaches the
-    /// threshold.
-    pub fn set_remote(&mut self, now_ms: u64, node: &str, runs: Vec<PoisonStrike>) {
-        if runs.is_empty() {
-            self.remote.remove(node);
-            return;
+    /// adds unanswered runs of any doors that a ledger node told.
+    pub fn add_remote(&mut self, now_ms: u64, runs: &[SuspectedRun]) {
+        for run in runs {
+            if self.remote.add(now_ms, run) && !is_weighing(run.changes) {
+                self.suspects.settle(&ReplicaRun::from(run));
+            }
         }
-        self.remote.insert(node.to_owned(), RemoteRuns { runs, received_ms: now_ms });
     }
 
-    /// collects the unresolved runs of this door: suspects, and active runs whose replicas are silent.
+    /// collects the runs of this door that weigh, suspects and active runs whose replicas are silent, and notes what
+    /// the ledger nodes are to be told.
     pub fn update_local(&mut self, now_ms: u64) {
         self.local.clear();
         let overdue = self.active.overdue(now_ms).filter(|_| !self.is_cut_off);
         for run in self.suspects.unresolved().cloned().chain(overdue) {
             self.local.entry(run.content.clone()).or_default().push(run);
         }
+        for run in self.told.update(now_ms, self.local.values().flatten()) {
+            self.pending.add_run(run);
+        }
     }
 
     /// whether nothing is known against any content.
@@ -115,26 +111,39 @@
     /// replicas that a content has crashed, or may have.
     fn possible_victims(&self, content: &str) -> BTreeSet<String> {
         let mut victims: BTreeSet<String> = self.strikes.victims(content).map(str::to_owned).collect();
-        let remote = self.remote.values().flat_map(|told| &told.runs).filter(|run| run.content == content);
-        victims.extend(remote.map(|run| run.victim.clone()));
-        victims.extend(self.local.get(content).into_iter().flatten().map(|run| run.to_strike().victim));
+        // What this door has cleared since, the ledger nodes may not know yet.
+        let is_current = |(victim, run): &(&str, &SuspectedRun)| self.told.changes(victim) <= run.changes;
+        let remote = self.remote.weighing(content).filter(is_current);
+        victims.extend(remote.map(|(victim, _)| victim.to_owned()));
+        victims.extend(self.local.get(content).into_iter().flatten().map(ReplicaRun::victim));
         victims
     }
 
-    /// what other doors need to know and the ledger has not stored: strikes, and unresolved runs as possible
-    /// strikes, those of the contents with the most first.
-    pub fn reportable(&self) -> Vec<PoisonStrike> {
-        let mut contents: Vec<&Vec<ReplicaRun>> = self.local.values().collect();
-        contents.sort_by_cached_key(|runs| std::cmp::Reverse(self.possible_victims(&runs[0].content).len()));
-        let unresolved = contents.into_iter().flatten().map(ReplicaRun::to_strike);
-        self.pending.strikes().cloned().chain(unresolved).take(MAX_REPORTED).collect()
+    /// suspects a run that ended now without an answer.
+    pub fn suspect(&mut self, now_ms: u64, unanswered: UnansweredRun) {
+        if let Some(dropped) = self.suspects.add(now_ms, unanswered) {
+            self.told.forget(&dropped);
+        }
+        self.update_local(now_ms);
+    }
+
+    /// takes over the runs of a suspected content, so that they are cleared if their replicas answer this door: the
+    /// doors that had them may have ended.
+    pub fn adopt_runs(&mut self, now_ms: u64, content: &str) {
+        for (_, run) in self.remote.weighing(content) {
+            if !self.told.adopt(run) {
+                continue;
+            }
+            if let Some(dropped) = self.suspects.adopt(now_ms, ReplicaRun::from(run)) {
+                self.told.forget(&dropped);
+            }
+        }
+        self.update_local(now_ms);
     }
 
-    /// unresolved runs of this door, and how many of them one report has no room for.
+    /// runs of this door that weigh, and those of them that no ledger node has stored.
     pub fn unresolved_counts(&self) -> (usize, usize) {
-        let unresolved = self.local.values().map(Vec::len).sum::<usize>();
-        let room = MAX_REPORTED.saturating_sub(self.pending.strikes().count());
-        (unresolved, unresolved.saturating_sub(room))
+        (self.local.values().map(Vec::len).sum(), self.pending.untold_count())
     }
 
     /// runs of this door whose replicas decide whether a content stays held.
@@ -147,7 +156,7 @@
     /// tells whether the list of replicas would show a restart.
     pub fn expire(&mut self, now_ms: u64, is_list_current: bool) -> Vec<ReplicaRun> {
         self.strikes.expire(now_ms);
-        self.remote.retain(|_, told| now_ms < told.received_ms + REMOTE_KEEP_MS);
+        self.remote.expire(now_ms);
         let cleared = self.suspects.expire(now_ms, is_list_current);
         self.update_local(now_ms);
         cleared
--- a/src/poison/run.rs
+++ b/src/poison/run.rs
@@ -1,6 +1,7 @@
 use strum::IntoStaticStr;
 
 use crate::schema::PoisonStrike;
+use crate::schema::SuspectedRun;
 
 /// execution of a request by one process of a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,11 +17,43 @@
 }
 
 impl ReplicaRun {
+    /// names the run among all victims of its content.
+    pub fn victim(&self) -> String {
+        let Self { request, replica, started_unix_ms, .. } = self;
+        format!("{replica}/{started_unix_ms}/{request}")
+    }
+
     /// the strike against the content, if the replica has ended.
     pub fn to_strike(&self) -> PoisonStrike {
-        let Self { content, request, replica, started_unix_ms } = self;
-        PoisonStrike { content: content.clone(), victim: format!("{replica}/{started_unix_ms}/{request}") }
+        PoisonStrike { content: self.content.clone(), victim: self.victim() }
     }
+
+    /// what ledger nodes store of the run after this many changes; it weighs while they are odd.
+    pub fn to_suspected(&self, changes: u64) -> SuspectedRun {
+        SuspectedRun {
+            content: self.content.clone(),
+            replica: self.replica.clone(),
+            replica_started: self.started_unix_ms,
+            request: self.request.clone(),
+            changes,
+        }
+    }
+}
+
+impl From<&SuspectedRun> for ReplicaRun {
+    fn from(run: &SuspectedRun) -> Self {
+        Self {
+            content: run.content.clone(),
+            request: run.request.clone(),
+            replica: run.replica.clone(),
+            started_unix_ms: run.replica_started,
+        }
+    }
+}
+
+/// whether a run weighs against its content after this many changes.
+pub(super) fn is_weighing(changes: u64) -> bool {
+    changes % 2 == 1
 }
 
 /// evidence that a replica process has ended.
--- a/src/poison/strikes.rs
+++ b/src/poison/strikes.rs
@@ -51,6 +51,11 @@
         self.contents.get(content).into_iter().flat_map(|row| &row.victims).map(String::as_str)
     }
 
+    /// whether a content has a victim.
+    pub fn has_victim(&self, content: &str, victim: &str) -> bool {
+        self.contents.get(content).is_some_and(|row| row.victims.contains(victim))
+    }
+
     /// whether no content has a victim.
     pub fn is_empty(&self) -> bool {
         self.contents.is_empty()
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -22,12 +22,22 @@
     runs: Vec<Suspicion>,
 }
 
+/// a run that ended without an answer.
+#[derive(Clone, Debug)]
+pub struct UnansweredRun {
+    /// the run.
+    pub run: ReplicaRun,
+    /// when it began.
+    pub begun_ms: u64,
+    /// whether the replica's address did not answer a probe after the run.
+    pub is_silent: bool,
+}
+
 #[derive(Debug)]
 struct Suspicion {
     run: ReplicaRun,
     begun_ms: u64,
     since_ms: u64,
-    /// whether the replica's address did not answer a probe after the run.
     is_silent: bool,
     /// whether the end of the replica is too late to be evidence.
     is_evidence_late: bool,
@@ -45,22 +55,47 @@
     Cleared,
 }
 
-impl SuspectRuns {
-    /// watches the replica of a run that began at `begun_ms` and ended now; `is_silent` if its address did not
-    /// answer a probe after the run.
-    pub fn add(&mut self, now_ms: u64, begun_ms: u64, run: ReplicaRun, is_silent: bool) {
-        if self.runs.len() >= MAX_RUNS {
-            let cleared = self.runs.iter().position(|suspicion| suspicion.standing == Standing::Cleared);
-            self.runs.remove(cleared.unwrap_or(0));
-        }
-        self.runs.push(Suspicion {
+impl Suspicion {
+    fn new(now_ms: u64, unanswered: UnansweredRun) -> Self {
+        let UnansweredRun { run, begun_ms, is_silent } = unanswered;
+        Self {
             run,
             begun_ms,
             since_ms: now_ms,
             is_silent,
             is_evidence_late: false,
             standing: Standing::Unknown,
+        }
+    }
+}
+
+impl SuspectRuns {
+    /// watches the replica of a run that ended now; returns a run that there is no more room for.
+    pub fn add(&mut self, now_ms: u64, unanswered: UnansweredRun) -> Option<ReplicaRun> {
+        self.push(Suspicion::new(now_ms, unanswered))
+    }
+
+    /// watches the replica of another door's run, as `add` does. Its end is no evidence, as the run may be long ago.
+    pub fn adopt(&mut self, now_ms: u64, run: ReplicaRun) -> Option<ReplicaRun> {
+        let adopted = UnansweredRun { run, begun_ms: 0, is_silent: false };
+        self.push(Suspicion { is_evidence_late: true, ..Suspicion::new(now_ms, adopted) })
+    }
+
+    fn push(&mut self, suspicion: Suspicion) -> Option<ReplicaRun> {
+        let is_full = self.runs.len() >= MAX_RUNS;
+        let dropped = is_full.then(|| {
+            let cleared = self.runs.iter().position(|known| known.standing == Standing::Cleared);
+            self.runs.remove(cleared.unwrap_or(0)).run
         });
+        self.runs.push(suspicion);
+        dropped
+    }
+
+    /// clears a run that another door has cleared.
+    pub fn settle(&mut self, run: &ReplicaRun) {
+        for suspicion in self.runs.iter_mut().filter(|suspicion| suspicion.run == *run) {
+            suspicion.standing = Standing::Cleared;
+        }
     }
 
     /// handles a process start of a replica; returns the runs of its earlier processes.
@@ -157,7 +192,7 @@
     pub fn expire(&mut self, now_ms: u64, is_list_current: bool) -> Vec<ReplicaRun> {
         let mut cleared = Vec::new();
         for suspicion in &mut self.runs {
-            suspicion.is_evidence_late = now_ms >= suspicion.since_ms + EVIDENCE_MS;
+            suspicion.is_evidence_late |= now_ms >= suspicion.since_ms + EVIDENCE_MS;
             let Standing::Answering { since_ms } = &mut suspicion.standing else {
                 continue;
             };
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -486,9 +486,9 @@
     pub started: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub strikes_mark: ::std::option::Option<StrikesMark>,
-    ///runs without an answer whose replicas it has not heard since, as strikes that they may be
+    ///runs in hand whose replicas are silent, which weigh if the door ends
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub unresolved: ::std::vec::Vec<PoisonStrike>,
+    pub unresolved: ::std::vec::Vec<SuspectedRun>,
     ///whether the answer should tell of the other doors; one ledger node is asked for that
     pub wants_fleet: bool,
     ///availability zone
@@ -718,9 +718,9 @@
     pub strikes_mark: StrikesMark,
     ///whether doors and loads are told
     pub tells_fleet: bool,
-    ///such runs of other doors, of contents that may have ended several replicas
+    ///runs that weigh, of contents that may have ended several replicas
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub unresolved: ::std::vec::Vec<PoisonStrike>,
+    pub unresolved: ::std::vec::Vec<SuspectedRun>,
 }
 ///a program's state is dropped
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1230,6 +1230,8 @@
     Struck(PoisonStrike),
     #[serde(rename = "stream_began")]
     StreamBegan(StreamVersion),
+    #[serde(rename = "suspected")]
+    Suspected(SuspectedRun),
 }
 impl ::std::convert::From<ReservedTokens> for LedgerRecord {
     fn from(value: ReservedTokens) -> Self {
@@ -1261,6 +1263,11 @@
         Self::StreamBegan(value)
     }
 }
+impl ::std::convert::From<SuspectedRun> for LedgerRecord {
+    fn from(value: SuspectedRun) -> Self {
+        Self::Suspected(value)
+    }
+}
 ///records of a node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerRecords {
@@ -1429,9 +1436,12 @@
     ///id of the attempt that brought its first event
     pub request: ::std::string::String,
 }
-///asks a ledger node to store strikes
+///asks a ledger node to store strikes and unanswered runs
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerStrikes {
+    ///runs that began or ceased to weigh
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub runs: ::std::vec::Vec<SuspectedRun>,
     ///strikes
     pub strikes: ::std::vec::Vec<PoisonStrike>,
 }
@@ -3149,6 +3159,20 @@
     ///start of the node that numbered its records
     pub start: ::std::string::String,
 }
+///a run without an answer, whose replica may have ended under it
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SuspectedRun {
+    ///times that it began or ceased to weigh; it weighs while this is odd
+    pub changes: u64,
+    ///digest of the content of the request
+    pub content: ::std::string::String,
+    ///replica that had the run
+    pub replica: ::std::string::String,
+    ///start of the replica's process in Unix milliseconds
+    pub replica_started: u64,
+    ///id of the request
+    pub request: ::std::string::String,
+}
 ///digests of the members known, by bucket of their names
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SyncBuckets {
--- a/tests/ledger_world/machine.rs
+++ b/tests/ledger_world/machine.rs
@@ -65,6 +65,7 @@
             | LedgerRecord::Finished(_)
             | LedgerRecord::Observed(_)
             | LedgerRecord::Struck(_)
+            | LedgerRecord::Suspected(_)
             | LedgerRecord::StreamBegan(_) => None,
         });
         let own = self.member();
--- a/tests/ledger_world/strikes.rs
+++ b/tests/ledger_world/strikes.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use flamingostand::poison::PendingStrikes;
+use flamingostand::poison::PendingRecords;
 use flamingostand::poison::Strikes;
 use flamingostand::schema::LedgerAsk;
 use flamingostand::schema::LedgerReply;
@@ -23,7 +23,7 @@
 /// strikes of one door.
 #[derive(Default)]
 pub struct StrikeDoor {
-    pending: PendingStrikes,
+    pending: PendingRecords,
     /// strikes seen since the last time that none was pending.
     seen: Vec<PoisonStrike>,
     /// strikes that a write quorum has stored.
@@ -36,7 +36,7 @@
 pub struct StrikeBatch {
     door: usize,
     member: String,
-    strikes: Vec<PoisonStrike>,
+    strikes: LedgerStrikes,
     epoch: u64,
     quorum: usize,
     number: u64,
@@ -68,7 +68,7 @@
         let strike = PoisonStrike { content, victim: format!("{}", self.now_ms) };
         self.trace(&format!("door-{door} sees {strike:?}"));
         let row = &mut self.strike_doors[door];
-        row.pending.add(strike.clone());
+        row.pending.add_strike(strike.clone());
         row.seen.push(strike);
     }
 
@@ -81,10 +81,9 @@
         }
         let view = self.door_views[door].clone();
         for member in &view.members {
-            let strikes = self.strike_doors[door].pending.next_batch(view.epoch, &member.name);
-            if strikes.is_empty() {
+            let Some(strikes) = self.strike_doors[door].pending.next_batch(view.epoch, &member.name) else {
                 continue;
-            }
+            };
             self.strike_doors[door].last_batch += 1;
             let batch = StrikeBatch {
                 door,
@@ -96,7 +95,7 @@
             };
             self.batches_in_flight.insert(batch.key());
             self.schedule(ANSWER_TIMEOUT_MS, Event::StrikesTimeout(batch.clone()));
-            let request = LedgerRequest::Strikes(LedgerStrikes { strikes });
+            let request = LedgerRequest::Strikes(strikes);
             let ask = LedgerAsk { id: 1, epoch: view.epoch, request };
             self.send(&format!("door-{door}"), &member.name, Requester::Strikes(batch), ask);
         }
@@ -114,7 +113,10 @@
         if !self.batches_in_flight.remove(&batch.key()) {
             return;
         }
-        self.trace(&format!("door-{door} has an answer about {} strikes from {member}", strikes.len()));
+        self.trace(&format!(
+            "door-{door} has an answer about {} strikes from {member}",
+            strikes.strikes.len()
+        ));
         let row = &mut self.strike_doors[*door];
         match reply {
             LedgerReply::Stored(_) => row.pending.acknowledge(*epoch, member, strikes, *quorum),
@@ -141,14 +143,14 @@
             };
             let mut after = 0;
             loop {
-                let (strikes, last) = core.node().store().strikes_after(after);
-                if strikes.is_empty() {
+                let news = core.node().store().poison_after(after);
+                if news.strikes.is_empty() {
                     break;
                 }
-                for strike in &strikes {
+                for strike in &news.strikes {
                     known.add(0, strike);
                 }
-                after = last;
+                after = news.last_number;
             }
         }
         for door in &self.strike_doors {
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -7,6 +7,7 @@
 use flamingostand::poison::LifeSign;
 use flamingostand::poison::ReplicaRun;
 use flamingostand::poison::SuspectRuns;
+use flamingostand::poison::UnansweredRun;
 use hyper::Method;
 use hyper::Uri;
 
@@ -19,12 +20,18 @@
     }
 }
 
+/// adds a run that began at `begun_ms` and ended at `now_ms`.
+fn add(suspects: &mut SuspectRuns, now_ms: u64, begun_ms: u64, run: ReplicaRun, is_silent: bool) {
+    let unanswered = UnansweredRun { run, begun_ms, is_silent };
+    assert_eq!(suspects.add(now_ms, unanswered), None);
+}
+
 /// Guards against missing a replica that crashed without closing its connections, once it has restarted.
 #[test]
 fn restart_counts_runs_of_the_previous_process() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, 0, run("a", "1"), false);
-    suspects.add(0, 0, run("b", "2"), false);
+    add(&mut suspects, 0, 0, run("a", "1"), false);
+    add(&mut suspects, 0, 0, run("b", "2"), false);
     assert_eq!(suspects.replica_started("a", 101), [(run("a", "1"), Evidence::Restarted)]);
     assert!(suspects.replica_started("a", 102).is_empty(), "a run counts once");
 }
@@ -33,7 +40,7 @@
 #[test]
 fn heartbeat_of_the_same_process_counts_nothing() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, 0, run("a", "1"), true);
+    add(&mut suspects, 0, 0, run("a", "1"), true);
     assert!(suspects.replica_started("a", 100).is_empty());
     assert_eq!(suspects.replica_started("a", 101).len(), 1);
 }
@@ -42,8 +49,8 @@
 #[test]
 fn gone_entry_counts_only_silent_replicas() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, 0, run("a", "slow"), false);
-    suspects.add(0, 0, run("a", "silent"), true);
+    add(&mut suspects, 0, 0, run("a", "slow"), false);
+    add(&mut suspects, 0, 0, run("a", "silent"), true);
     assert_eq!(suspects.replica_gone("a"), [(run("a", "silent"), Evidence::Gone)]);
 }
 
@@ -51,9 +58,9 @@
 #[test]
 fn old_runs_expire() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(0, 0, run("a", "1"), true);
+    add(&mut suspects, 0, 0, run("a", "1"), true);
     suspects.expire(14_999, true);
-    suspects.add(14_999, 14_999, run("a", "2"), true);
+    add(&mut suspects, 14_999, 14_999, run("a", "2"), true);
     suspects.expire(15_000, true);
     assert_eq!(suspects.replica_started("a", 101), [(run("a", "2"), Evidence::Restarted)]);
 }
@@ -74,8 +81,8 @@
 #[test]
 fn answer_of_the_same_process_clears_a_run() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(1_000, 500, run("a", "1"), false);
-    suspects.add(1_000, 500, run("b", "2"), false);
+    add(&mut suspects, 1_000, 500, run("a", "1"), false);
+    add(&mut suspects, 1_000, 500, run("b", "2"), false);
     assert_eq!(suspects.replica_answered(1_100, &answer(500)), [run("a", "1")]);
     assert_eq!(suspects.unresolved().collect::<Vec<_>>(), [&run("b", "2")]);
     assert_eq!(suspects.replica_started("a", 101).len(), 1, "a restart soon after still counts");
@@ -85,7 +92,7 @@
 #[test]
 fn answer_on_its_way_clears_nothing() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(1_000, 500, run("a", "1"), false);
+    add(&mut suspects, 1_000, 500, run("a", "1"), false);
     assert!(suspects.replica_answered(1_099, &answer(0)).is_empty());
     assert_eq!(suspects.unresolved().count(), 1);
 }
@@ -94,7 +101,7 @@
 #[test]
 fn later_connection_clears_a_run_only_once_a_restart_would_be_listed() {
     let mut suspects = SuspectRuns::default();
-    suspects.add(1_000, 500, run("a", "1"), false);
+    add(&mut suspects, 1_000, 500, run("a", "1"), false);
     assert!(suspects.replica_answered(2_000, &answer(501)).is_empty());
     assert!(suspects.expire(4_999, true).is_empty());
     assert!(suspects.expire(5_000, false).is_empty(), "the list shows no restart while it is out of date");
--- a/tests/poison_strikes.rs
+++ b/tests/poison_strikes.rs
@@ -1,7 +1,8 @@
 //! counting of victims by content, and delivery of strikes to ledger nodes.
 
-use flamingostand::poison::PendingStrikes;
+use flamingostand::poison::PendingRecords;
 use flamingostand::poison::Strikes;
+use flamingostand::schema::LedgerStrikes;
 use flamingostand::schema::PoisonStrike;
 
 fn strike(content: &str, victim: &str) -> PoisonStrike {
@@ -51,14 +52,14 @@
 /// Guards against a strike that is sent once and lost on the way.
 #[test]
 fn strike_is_sent_until_a_quorum_has_stored_it() {
-    let mut pending = PendingStrikes::default();
-    let sent = [strike("x", "1")];
-    pending.add(sent[0].clone());
-    assert_eq!(pending.next_batch(1, "a"), sent);
-    assert!(pending.next_batch(1, "a").is_empty(), "a request is in flight");
-    assert_eq!(pending.next_batch(1, "b"), sent);
+    let mut pending = PendingRecords::default();
+    let sent = LedgerStrikes { strikes: vec![strike("x", "1")], runs: Vec::new() };
+    pending.add_strike(strike("x", "1"));
+    assert_eq!(pending.next_batch(1, "a").as_ref(), Some(&sent));
+    assert!(pending.next_batch(1, "a").is_none(), "a request is in flight");
+    assert_eq!(pending.next_batch(1, "b").as_ref(), Some(&sent));
     pending.request_failed(1, "a");
-    assert_eq!(pending.next_batch(1, "a"), sent, "a failed request is repeated");
+    assert_eq!(pending.next_batch(1, "a").as_ref(), Some(&sent), "a failed request is repeated");
     pending.acknowledge(1, "b", &sent, 2);
     assert!(!pending.is_empty(), "one of two nodes is no quorum");
     pending.acknowledge(1, "a", &sent, 2);
@@ -69,15 +70,15 @@
 /// stored it.
 #[test]
 fn stored_counts_within_one_view() {
-    let mut pending = PendingStrikes::default();
-    let sent = [strike("x", "1")];
-    pending.add(sent[0].clone());
+    let mut pending = PendingRecords::default();
+    let sent = LedgerStrikes { strikes: vec![strike("x", "1")], runs: Vec::new() };
+    pending.add_strike(strike("x", "1"));
     pending.next_batch(1, "a");
     pending.acknowledge(1, "a", &sent, 2);
-    assert_eq!(pending.next_batch(2, "b"), sent);
+    assert_eq!(pending.next_batch(2, "b").as_ref(), Some(&sent));
     pending.acknowledge(2, "b", &sent, 2);
     assert!(!pending.is_empty(), "the disk that stored it in the previous view may be lost");
-    assert_eq!(pending.next_batch(2, "a"), sent);
+    assert_eq!(pending.next_batch(2, "a").as_ref(), Some(&sent));
     pending.acknowledge(1, "a", &sent, 2);
     assert!(!pending.is_empty(), "a late answer of the previous view");
     pending.acknowledge(2, "a", &sent, 2);
--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -1,16 +1,16 @@
 //! doors, ledger nodes and replicas in virtual time, around one content that ends each replica that runs it.
 
 use bytes::Bytes;
-use flamingostand::fleet::UnresolvedRuns;
+use flamingostand::ledger::RecordStore;
 use flamingostand::poison::Content;
 use flamingostand::poison::Evidence;
 use flamingostand::poison::LifeSign;
 use flamingostand::poison::PoisonState;
 use flamingostand::poison::ReplicaRun;
 use flamingostand::poison::RunKey;
-use flamingostand::poison::Strikes;
-use flamingostand::schema::DoorReport;
-use flamingostand::schema::PoisonStrike;
+use flamingostand::poison::UnansweredRun;
+use flamingostand::schema::LedgerRecord;
+use flamingostand::schema::StrikesMark;
 use hyper::Method;
 use hyper::Uri;
 use rand::RngExt;
@@ -97,9 +97,9 @@
 
 #[derive(Debug, Default)]
 struct Node {
-    unresolved: UnresolvedRuns,
-    strikes: Strikes,
-    known: Vec<PoisonStrike>,
+    store: RecordStore,
+    /// what the disk holds, oldest first.
+    disk: Vec<LedgerRecord>,
     up_since_ms: u64,
 }
 
@@ -428,30 +428,32 @@
         }
         self.doors[number].report_at_ms = self.now_ms + REPORT_INTERVAL_MS;
         self.doors[number].poison.expire(self.now_ms, true);
-        let report = self.doors[number].report();
         for index in 0..NODES {
             if self.is_lost() || self.now_ms < self.nodes[index].up_since_ms {
                 continue;
             }
-            let node = &mut self.nodes[index];
-            node.unresolved.report(self.now_ms, &report);
-            for strike in self.doors[number].poison.pending.next_batch(1, &index.to_string()) {
-                let new = node.strikes.add(self.now_ms, &strike).is_some();
-                if new {
-                    node.known.push(strike.clone());
+            let is_answer_lost = self.is_lost();
+            let (node, poison) = (&mut self.nodes[index], &mut self.doors[number].poison);
+            let name = index.to_string();
+            if let Some(batch) = poison.pending.next_batch(1, &name) {
+                node.store(self.now_ms, batch.strikes.iter().cloned().map(LedgerRecord::Struck));
+                node.store(self.now_ms, batch.runs.iter().cloned().map(LedgerRecord::Suspected));
+                if is_answer_lost {
+                    poison.pending.request_failed(1, &name);
+                } else {
+                    poison.pending.acknowledge(1, &name, &batch, NODES);
                 }
-                self.doors[number].poison.pending.acknowledge(1, &index.to_string(), &[strike], 2);
             }
-            if self.is_lost() {
+            if is_answer_lost {
                 continue;
             }
-            let node = &self.nodes[index];
-            let poison = &mut self.doors[number].poison;
-            for strike in &node.known {
+            let mark = poison.marks.entry(name).or_insert_with(|| node.mark(0));
+            let news = node.store.poison_after(if mark.start == node.start() { mark.number } else { 0 });
+            *mark = node.mark(news.last_number);
+            for strike in &news.strikes {
                 poison.strikes.add(self.now_ms, strike);
             }
-            let unresolved = node.unresolved.for_door(&report, &node.strikes);
-            poison.set_remote(self.now_ms, &index.to_string(), unresolved);
+            poison.add_remote(self.now_ms, &news.runs);
         }
     }
 }
@@ -459,9 +461,29 @@
 impl Node {
     /// starts again after a loss of power, with what is on its disk.
     fn restart(&mut self, up_since_ms: u64) {
-        self.unresolved = UnresolvedRuns::default();
+        self.store = RecordStore::default();
+        for record in &self.disk {
+            self.store.merge(up_since_ms, record);
+        }
         self.up_since_ms = up_since_ms;
     }
+
+    /// names the current process.
+    fn start(&self) -> String {
+        self.up_since_ms.to_string()
+    }
+
+    fn mark(&self, number: u64) -> StrikesMark {
+        StrikesMark { start: self.start(), number }
+    }
+
+    fn store(&mut self, now_ms: u64, records: impl Iterator<Item = LedgerRecord>) {
+        for record in records {
+            if self.store.merge(now_ms, &record) {
+                self.disk.push(record);
+            }
+        }
+    }
 }
 
 impl Door {
@@ -489,17 +511,18 @@
                 replica: "gone".to_owned(),
                 started_unix_ms: 1,
             };
-            self.poison.suspects.add(now_ms, now_ms, run, false);
+            let unanswered = UnansweredRun { run, begun_ms: now_ms, is_silent: false };
+            self.poison.suspect(now_ms, unanswered);
         }
-        self.poison.update_local(now_ms);
     }
 
     fn suspect(&mut self, now_ms: u64, run: RunKey) {
         let Some(ended) = self.poison.active.remove(run) else {
             return;
         };
-        self.poison.suspects.add(now_ms, ended.begun_ms, ended.to_replica_run(), false);
-        self.poison.update_local(now_ms);
+        let begun_ms = ended.begun_ms;
+        let unanswered = UnansweredRun { run: ended.to_replica_run(), begun_ms, is_silent: false };
+        self.poison.suspect(now_ms, unanswered);
     }
 
     fn strike_all(&mut self, now_ms: u64, ended: &[(ReplicaRun, Evidence)]) {
@@ -510,29 +533,10 @@
 
     fn strike(&mut self, now_ms: u64, run: &ReplicaRun) {
         let strike = run.to_strike();
-        self.poison.pending.add(strike.clone());
+        self.poison.pending.add_strike(strike.clone());
         self.poison.strikes.add(now_ms, &strike);
         self.poison.update_local(now_ms);
     }
-
-    fn report(&self) -> DoorReport {
-        DoorReport {
-            callers: self.name.clone(),
-            doors_mark: None,
-            helper: None,
-            leaving: Vec::new(),
-            loads: Vec::new(),
-            marks: Vec::new(),
-            name: self.name.clone(),
-            ready: true,
-            started: self.started.to_string(),
-            strikes_mark: None,
-            limits: Vec::new(),
-            unresolved: self.poison.reportable(),
-            wants_fleet: true,
-            zone: String::new(),
-        }
-    }
 }
 
 impl Replica {
