Let a run weigh that its door took along when it was killed

What callers saw: a request under which three replicas had ended was sent to further ones when the doors that ran it were killed before an answer came.

Cause: a run is told once it has ended, or its replica has been silent for a second; until then only its door knows it. Class of fault: absence of evidence taken for innocence; nobody speaks for a door that is gone.

Evidence, before: poison_run_in_hand_outlives_its_door, 8 of 8 replicas ended where 3 may, the door killed 800 ms into each run.

Change: each report names the runs whose replicas have been silent for 200 ms, 32 at most, to the one ledger node that tells the door of the others. If another start of the door reports, or none for ten seconds, the node stores them as unanswered runs. Another door that refuses the content clears them if the replicas live.

Why it works: what remains is a door that is killed within the 200 to 450 ms before its report, and the loss of that one node in the same moment.

Figures: the test ends 3 of 8 replicas. A report of a calm door is as long as before.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod merged_mirror;
 mod mirror;
 mod prefix_watcher;
+mod runs_in_hand;
 mod start_mesh;
 
 pub use door_registry::DoorRegistry;
@@ -19,4 +20,5 @@
 pub use mirror::Mirror;
 pub use prefix_watcher::PrefixWatcher;
 pub use prefix_watcher::WatchStep;
+pub use runs_in_hand::RunsInHand;
 pub use start_mesh::start_mesh;
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -4,6 +4,7 @@
 use crate::fleet::DoorRegistry;
 use crate::fleet::LimitShares;
 use crate::fleet::Mirror;
+use crate::fleet::RunsInHand;
 use crate::fleet::WatchUpdate;
 use crate::ledger::CatchUp;
 use crate::ledger::LedgerNode;
@@ -31,6 +32,7 @@
 use crate::schema::ObservedObjects;
 use crate::schema::PoisonStrike;
 use crate::schema::StrikesMark;
+use crate::schema::SuspectedRun;
 
 /// interval of the removal of expired records.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
@@ -120,6 +122,8 @@
         /// victims of the content, this one included.
         victims: usize,
     },
+    /// a door ended with these runs in hand.
+    RunsLeftBehind(Vec<SuspectedRun>),
 }
 
 /// all decisions of a ledger node: its copy of the records, its membership, and the reports that doors
@@ -129,6 +133,8 @@
     node: LedgerNode,
     own: LedgerMember,
     board: DoorRegistry,
+    /// runs that weigh once the doors that have them in hand end.
+    runs_in_hand: RunsInHand,
     /// rate limits of replicas, and what doors would use of them.
     limits: LimitShares,
     /// platform objects that doors read from this node, by prefix.
@@ -155,6 +161,7 @@
             node: LedgerNode::new(identity, empty),
             own,
             board: DoorRegistry::new(start),
+            runs_in_hand: RunsInHand::default(),
             limits: LimitShares::default(),
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
@@ -233,6 +240,8 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
+        let left_behind = self.runs_in_hand.report(now_ms, report);
+        self.suspect(now_ms, &left_behind, out);
         self.limits.report(now_ms, report);
         if report.wants_fleet {
             news.limits = self.limits.for_door(now_ms, &report.name);
@@ -262,6 +271,16 @@
         self.node.store().poison_after(after)
     }
 
+    /// stores runs whose doors have ended.
+    fn suspect(&mut self, now_ms: u64, left_behind: &[SuspectedRun], out: &mut Vec<CoreAction>) {
+        if left_behind.is_empty() {
+            return;
+        }
+        out.push(CoreAction::RunsLeftBehind(left_behind.to_vec()));
+        let actions = self.node.suspect(now_ms, left_behind);
+        self.perform(now_ms, actions, out);
+    }
+
     /// mirrors platform objects and logs them, so that doors that start during a platform outage get them.
     fn on_watch_update(
         &mut self,
@@ -328,6 +347,8 @@
             self.last_expiry_ms = now_ms;
             self.node.expire(now_ms);
             self.board.expire(now_ms);
+            let left_behind = self.runs_in_hand.expire(now_ms);
+            self.suspect(now_ms, &left_behind, out);
             self.limits.expire(now_ms);
             for mirror in self.mirrors.values_mut() {
                 mirror.expire(now_ms);
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -21,6 +21,7 @@
 use crate::schema::ObservedObjects;
 use crate::schema::ReservedTokens;
 use crate::schema::StreamVersion;
+use crate::schema::SuspectedRun;
 
 /// a request that is acknowledged once its records are on disk.
 #[derive(Clone, Debug)]
@@ -230,12 +231,17 @@
             }
             actions.extend(appended);
         }
-        let runs: Vec<LedgerRecord> = batch.runs.iter().cloned().map(LedgerRecord::Suspected).collect();
-        actions.extend(self.merge(now_ms, &runs));
+        actions.extend(self.suspect(now_ms, &batch.runs));
         actions.extend(self.ack_when_synced(PendingAck { from, id, reported: None }));
         actions
     }
 
+    /// stores what has changed of unanswered runs.
+    pub fn suspect(&mut self, now_ms: u64, runs: &[SuspectedRun]) -> Vec<NodeAction> {
+        let records: Vec<LedgerRecord> = runs.iter().cloned().map(LedgerRecord::Suspected).collect();
+        self.merge(now_ms, &records)
+    }
+
     /// acknowledges the requests whose records are on disk, now that all up to `number` are.
     pub fn on_synced(&mut self, number: u64) -> Vec<NodeAction> {
         self.last_synced = self.last_synced.max(number);
--- a/src/poison/active_runs.rs
+++ b/src/poison/active_runs.rs
@@ -10,6 +10,8 @@
 /// silence of a replica after which a run counts as unresolved: several times as long as a busy replica is
 /// silent on all its connections.
 const OVERDUE_MS: u64 = 1_000;
+/// silence of a replica after which ledger nodes are told of a run in hand, in case this door ends.
+const IN_HAND_MS: u64 = 200;
 
 new_key_type! {
     /// key of a run that has not ended.
@@ -88,8 +90,17 @@
 
     /// runs whose replicas have been silent for so long that they may have ended.
     pub fn overdue(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
-        let is_overdue = move |run: &&ActiveRun| now_ms >= run.heard_ms + OVERDUE_MS;
-        self.runs.values().filter(is_overdue).map(ActiveRun::to_replica_run)
+        self.silent_for(now_ms, OVERDUE_MS)
+    }
+
+    /// runs whose replicas have been silent for a moment.
+    pub fn in_hand(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
+        self.silent_for(now_ms, IN_HAND_MS)
+    }
+
+    fn silent_for(&self, now_ms: u64, silence_ms: u64) -> impl Iterator<Item = ReplicaRun> {
+        let is_silent = move |run: &&ActiveRun| now_ms >= run.heard_ms + silence_ms;
+        self.runs.values().filter(is_silent).map(ActiveRun::to_replica_run)
     }
 }
 
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -19,6 +19,8 @@
 
 /// replicas that are checked at once.
 const MAX_CHECKED: usize = 4;
+/// runs in hand in one report; reports go out several times a second.
+const MAX_IN_HAND: usize = 32;
 
 /// what a front door knows of contents that crash replicas.
 #[derive(Debug, Default)]
@@ -141,6 +143,12 @@
         self.update_local(now_ms);
     }
 
+    /// runs that would be forgotten if this process ended now, oldest first.
+    pub fn runs_in_hand(&self, now_ms: u64) -> Vec<SuspectedRun> {
+        let in_hand = self.active.in_hand(now_ms).filter(|_| !self.is_cut_off);
+        in_hand.take(MAX_IN_HAND).map(|run| run.to_suspected(1)).collect()
+    }
+
     /// runs of this door that weigh, and those of them that no ledger node has stored.
     pub fn unresolved_counts(&self) -> (usize, usize) {
         (self.local.values().map(Vec::len).sum(), self.pending.untold_count())
--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -1,6 +1,7 @@
 //! doors, ledger nodes and replicas in virtual time, around one content that ends each replica that runs it.
 
 use bytes::Bytes;
+use flamingostand::fleet::RunsInHand;
 use flamingostand::ledger::RecordStore;
 use flamingostand::poison::Content;
 use flamingostand::poison::Evidence;
@@ -9,6 +10,7 @@
 use flamingostand::poison::ReplicaRun;
 use flamingostand::poison::RunKey;
 use flamingostand::poison::UnansweredRun;
+use flamingostand::schema::DoorReport;
 use flamingostand::schema::LedgerRecord;
 use flamingostand::schema::StrikesMark;
 use hyper::Method;
@@ -100,6 +102,7 @@
     store: RecordStore,
     /// what the disk holds, oldest first.
     disk: Vec<LedgerRecord>,
+    in_hand: RunsInHand,
     up_since_ms: u64,
 }
 
@@ -428,10 +431,12 @@
         }
         self.doors[number].report_at_ms = self.now_ms + REPORT_INTERVAL_MS;
         self.doors[number].poison.expire(self.now_ms, true);
+        let report = self.doors[number].report(self.now_ms);
         for index in 0..NODES {
             if self.is_lost() || self.now_ms < self.nodes[index].up_since_ms {
                 continue;
             }
+            self.nodes[index].take_report(self.now_ms, &report);
             let is_answer_lost = self.is_lost();
             let (node, poison) = (&mut self.nodes[index], &mut self.doors[number].poison);
             let name = index.to_string();
@@ -465,6 +470,7 @@
         for record in &self.disk {
             self.store.merge(up_since_ms, record);
         }
+        self.in_hand = RunsInHand::default();
         self.up_since_ms = up_since_ms;
     }
 
@@ -477,6 +483,12 @@
         StrikesMark { start: self.start(), number }
     }
 
+    fn take_report(&mut self, now_ms: u64, report: &DoorReport) {
+        let mut left_behind = self.in_hand.report(now_ms, report);
+        left_behind.extend(self.in_hand.expire(now_ms));
+        self.store(now_ms, left_behind.into_iter().map(LedgerRecord::Suspected));
+    }
+
     fn store(&mut self, now_ms: u64, records: impl Iterator<Item = LedgerRecord>) {
         for record in records {
             if self.store.merge(now_ms, &record) {
@@ -537,6 +549,25 @@
         self.poison.strikes.add(now_ms, &strike);
         self.poison.update_local(now_ms);
     }
+
+    fn report(&self, now_ms: u64) -> DoorReport {
+        DoorReport {
+            callers: self.name.clone(),
+            doors_mark: None,
+            helper: None,
+            leaving: Vec::new(),
+            loads: Vec::new(),
+            marks: Vec::new(),
+            name: self.name.clone(),
+            ready: true,
+            started: self.started.to_string(),
+            strikes_mark: None,
+            limits: Vec::new(),
+            unresolved: self.poison.runs_in_hand(now_ms),
+            wants_fleet: true,
+            zone: String::new(),
+        }
+    }
 }
 
 impl Replica {
--- a/tests/unresolved_runs.rs
+++ b/tests/unresolved_runs.rs
@@ -1,5 +1,6 @@
 //! runs with an unknown outcome, as ledger nodes store them and pass them on between doors.
 
+use flamingostand::fleet::RunsInHand;
 use flamingostand::ledger::RecordStore;
 use flamingostand::poison::Hold;
 use flamingostand::poison::LifeSign;
@@ -8,6 +9,7 @@
 use flamingostand::poison::RunMerge;
 use flamingostand::poison::UnansweredRun;
 use flamingostand::poison::UnresolvedRuns;
+use flamingostand::schema::DoorReport;
 use flamingostand::schema::LedgerRecord;
 use flamingostand::schema::SuspectedRun;
 
@@ -59,6 +61,19 @@
     assert_eq!(store.suspected_count(), 0);
 }
 
+/// Guards against forgetting the runs of a door that was killed and started again, or removed.
+#[test]
+fn runs_in_hand_of_an_ended_door_are_left_behind() {
+    let mut in_hand = RunsInHand::default();
+    assert!(in_hand.report(0, &report("a", "1", &["1", "2"])).is_empty());
+    assert!(in_hand.report(250, &report("b", "1", &["3"])).is_empty());
+    assert!(in_hand.report(500, &report("a", "1", &["2"])).is_empty(), "a run that was answered");
+    assert_eq!(in_hand.report(1_000, &report("a", "2", &[])), [run("2", 1)]);
+    assert!(in_hand.expire(10_249).is_empty());
+    assert_eq!(in_hand.expire(10_250), [run("3", 1)]);
+    assert!(in_hand.report(20_000, &report("b", "2", &[])).is_empty(), "each is left behind once");
+}
+
 /// Guards against runs that are forgotten when a node starts again or copies the records of another one.
 #[test]
 fn stored_runs_are_copied() {
@@ -139,3 +154,22 @@
     }
     assert_eq!((told, door.unresolved_counts()), (1_000, (1_000, 0)));
 }
+
+fn report(door: &str, started: &str, requests: &[&str]) -> DoorReport {
+    DoorReport {
+        callers: String::new(),
+        doors_mark: None,
+        helper: None,
+        leaving: Vec::new(),
+        loads: Vec::new(),
+        marks: Vec::new(),
+        name: door.to_owned(),
+        ready: true,
+        started: started.to_owned(),
+        strikes_mark: None,
+        limits: Vec::new(),
+        unresolved: requests.iter().map(|request| run(request, 1)).collect(),
+        wants_fleet: true,
+        zone: String::new(),
+    }
+}
