Let a cut explain a run for a while, and only one that it may have ended

What callers would see: a request goes on to further replicas although three have ended under it, where doors are cut off from the replicas now and then.

Cause: a door that was cut off cleared all runs that had ended since its last sign of any replica, for good. With little other traffic these include runs whose replicas had ended long before the cut. Class of fault: absence of evidence taken for innocence.

Change: a cut explains a run only if its replica had not been silent for a second more than the others when the cut began; a run under way counts in the same way. Of several runs of one content that a cut explains, one weighs all the same, as a replica that ended when the cut began looks alike. What else a cut explains does not weigh while it lasts and ten seconds more, in which the replicas that live are heard again, and then weighs unless they were.

Why it works: the silence of the others is compared with that of the one replica, and an excuse ends.

--- a/src/door/poisoned_contents.rs
+++ b/src/door/poisoned_contents.rs
@@ -53,8 +53,8 @@
                 return;
             };
             let run = ended.to_replica_run();
-            let unanswered = UnansweredRun { run: run.clone(), begun_ms: ended.begun_ms, is_silent };
-            poison.suspect(now_ms, unanswered);
+            let (begun_ms, heard_ms) = (ended.begun_ms, ended.heard_ms);
+            poison.suspect(now_ms, UnansweredRun { run: run.clone(), begun_ms, heard_ms, is_silent });
             run
         };
         if self.reach.is_cut_off() {
@@ -67,11 +67,11 @@
             "is_silent" => is_silent);
     }
 
-    /// clears the runs whose ends a cut from all replicas explains, and notes whether it lasts.
+    /// notes the runs whose ends a cut from all replicas explains, and whether it lasts.
     pub fn explain_by_cut(&self, is_cut_off: bool) {
         let heard_ms = self.reach.reach().heard_ms();
-        let cleared = self.poison().set_cut_off(self.now_ms(), is_cut_off, heard_ms);
-        self.log_cleared(&cleared, "cut_off");
+        let explained = self.poison().set_cut_off(self.now_ms(), is_cut_off, heard_ms);
+        self.log_cleared(&explained, "cut_off");
     }
 
     /// handles an answer of a replica, over a connection that was opened at `connected`.
--- a/src/poison/active_runs.rs
+++ b/src/poison/active_runs.rs
@@ -9,7 +9,7 @@
 
 /// silence of a replica after which a run counts as unresolved: several times as long as a busy replica is
 /// silent on all its connections.
-const OVERDUE_MS: u64 = 1_000;
+pub(super) const OVERDUE_MS: u64 = 1_000;
 /// silence of a replica after which ledger nodes are told of a run in hand, in case this door ends.
 const IN_HAND_MS: u64 = 200;
 
@@ -36,7 +36,7 @@
     /// when it began.
     pub begun_ms: u64,
     /// when the replica process last sent a byte, of this answer or of another one.
-    heard_ms: u64,
+    pub heard_ms: u64,
 }
 
 impl ActiveRuns {
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -41,8 +41,8 @@
     local: BTreeMap<String, Vec<ReplicaRun>>,
     /// what the ledger nodes are told of these runs.
     told: ToldRuns,
-    /// whether the door is cut off from the replicas, so that their silence says nothing of them.
-    is_cut_off: bool,
+    /// last sign of any replica while the door is cut off from them, so that their silence since says nothing of them.
+    cut_since_ms: Option<u64>,
 }
 
 impl PoisonState {
@@ -69,10 +69,15 @@
     /// handles the door's belief in its way to the replicas; `heard_ms` is the last sign of any of them. Returns the
     /// runs that a cut explains.
     pub fn set_cut_off(&mut self, now_ms: u64, is_cut_off: bool, heard_ms: u64) -> Vec<ReplicaRun> {
-        self.is_cut_off = is_cut_off;
-        let cleared = if is_cut_off { self.suspects.way_was_cut(heard_ms) } else { Vec::new() };
+        self.cut_since_ms = is_cut_off.then_some(heard_ms);
+        let explained = if is_cut_off {
+            self.suspects.way_was_cut(heard_ms)
+        } else {
+            self.suspects.way_is_back(now_ms);
+            Vec::new()
+        };
         self.update_local(now_ms);
-        cleared
+        explained
     }
 
     /// adds unanswered runs of any doors that a ledger node told.
@@ -88,10 +93,14 @@
     /// the ledger nodes are to be told.
     pub fn update_local(&mut self, now_ms: u64) {
         self.local.clear();
-        let overdue = self.active.overdue(now_ms).filter(|_| !self.is_cut_off);
-        for run in self.suspects.unresolved().cloned().chain(overdue) {
+        let overdue = self.active.overdue(self.cut_since_ms.unwrap_or(now_ms));
+        for run in self.suspects.unresolved(now_ms).cloned().chain(overdue) {
             self.local.entry(run.content.clone()).or_default().push(run);
         }
+        // A cut may explain the others, but for one of each content.
+        for run in self.active.overdue(now_ms).filter(|_| self.cut_since_ms.is_some()) {
+            self.local.entry(run.content.clone()).or_insert_with(|| vec![run]);
+        }
         for run in self.told.update(now_ms, self.local.values().flatten()) {
             self.pending.add_run(run);
         }
@@ -145,7 +154,7 @@
 
     /// runs that would be forgotten if this process ended now, oldest first.
     pub fn runs_in_hand(&self, now_ms: u64) -> Vec<SuspectedRun> {
-        let in_hand = self.active.in_hand(now_ms).filter(|_| !self.is_cut_off);
+        let in_hand = self.active.in_hand(self.cut_since_ms.unwrap_or(now_ms));
         in_hand.take(MAX_IN_HAND).map(|run| run.to_suspected(1)).collect()
     }
 
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -1,6 +1,9 @@
+use std::collections::HashSet;
+
 use crate::poison::Evidence;
 use crate::poison::LifeSign;
 use crate::poison::ReplicaRun;
+use crate::poison::active_runs::OVERDUE_MS;
 
 /// how long after an unanswered run the end of its replica is evidence against the content.
 ///
@@ -12,6 +15,8 @@
 const IN_FLIGHT_MS: u64 = 100;
 /// time in which a restarted replica is listed with its new start: a few heartbeats.
 const LISTING_MS: u64 = 3_000;
+/// time after a cut of the door within which the replicas of the runs that it explains are heard again.
+const AFTER_CUT_MS: u64 = 10_000;
 /// limit of watched runs; beyond it, the oldest is dropped, cleared ones first.
 const MAX_RUNS: usize = 4_096;
 
@@ -29,6 +34,8 @@
     pub run: ReplicaRun,
     /// when it began.
     pub begun_ms: u64,
+    /// when the replica process was last heard, not before the run began.
+    pub heard_ms: u64,
     /// whether the replica's address did not answer a probe after the run.
     pub is_silent: bool,
 }
@@ -37,10 +44,13 @@
 struct Suspicion {
     run: ReplicaRun,
     begun_ms: u64,
+    heard_ms: u64,
     since_ms: u64,
     is_silent: bool,
     /// whether the end of the replica is too late to be evidence.
     is_evidence_late: bool,
+    /// until when a cut of the door explains the run.
+    explained_until_ms: Option<u64>,
     standing: Standing,
 }
 
@@ -51,22 +61,37 @@
     Unknown,
     /// a process answers under the replica's id, which may have started since.
     Answering { since_ms: u64 },
-    /// the same process has answered since.
-    Cleared,
+    /// the same process has answered since. It may still go on with the run.
+    Alive,
+    /// the content has been run to a successful end.
+    Harmless,
 }
 
 impl Suspicion {
     fn new(now_ms: u64, unanswered: UnansweredRun) -> Self {
-        let UnansweredRun { run, begun_ms, is_silent } = unanswered;
+        let UnansweredRun { run, begun_ms, heard_ms, is_silent } = unanswered;
         Self {
             run,
             begun_ms,
+            heard_ms,
             since_ms: now_ms,
             is_silent,
             is_evidence_late: false,
+            explained_until_ms: None,
             standing: Standing::Unknown,
         }
     }
+
+    fn is_cleared(&self) -> bool {
+        match self.standing {
+            Standing::Unknown | Standing::Answering { .. } => false,
+            Standing::Alive | Standing::Harmless => true,
+        }
+    }
+
+    fn is_weighing(&self, now_ms: u64) -> bool {
+        !self.is_cleared() && self.explained_until_ms.is_none_or(|until_ms| now_ms >= until_ms)
+    }
 }
 
 impl SuspectRuns {
@@ -77,14 +102,14 @@
 
     /// watches the replica of another door's run, as `add` does. Its end is no evidence, as the run may be long ago.
     pub fn adopt(&mut self, now_ms: u64, run: ReplicaRun) -> Option<ReplicaRun> {
-        let adopted = UnansweredRun { run, begun_ms: 0, is_silent: false };
+        let adopted = UnansweredRun { run, begun_ms: 0, heard_ms: 0, is_silent: false };
         self.push(Suspicion { is_evidence_late: true, ..Suspicion::new(now_ms, adopted) })
     }
 
     fn push(&mut self, suspicion: Suspicion) -> Option<ReplicaRun> {
         let is_full = self.runs.len() >= MAX_RUNS;
         let dropped = is_full.then(|| {
-            let cleared = self.runs.iter().position(|known| known.standing == Standing::Cleared);
+            let cleared = self.runs.iter().position(Suspicion::is_cleared);
             self.runs.remove(cleared.unwrap_or(0)).run
         });
         self.runs.push(suspicion);
@@ -94,7 +119,7 @@
     /// clears a run that another door has cleared.
     pub fn settle(&mut self, run: &ReplicaRun) {
         for suspicion in self.runs.iter_mut().filter(|suspicion| suspicion.run == *run) {
-            suspicion.standing = Standing::Cleared;
+            suspicion.standing = Standing::Alive;
         }
     }
 
@@ -112,6 +137,14 @@
         self.confirm(replica, Evidence::Gone, |suspicion| suspicion.is_silent)
     }
 
+    /// runs at a replica that were cleared a short time ago.
+    pub fn recently_cleared<'a>(&'a self, replica: &'a str) -> impl Iterator<Item = &'a ReplicaRun> {
+        let is_cleared = move |suspicion: &&Suspicion| {
+            suspicion.run.replica == replica && suspicion.is_cleared() && !suspicion.is_evidence_late
+        };
+        self.runs.iter().filter(is_cleared).map(|suspicion| &suspicion.run)
+    }
+
     fn confirm(
         &mut self,
         replica: &str,
@@ -136,11 +169,11 @@
                 continue;
             }
             match suspicion.standing {
-                Standing::Cleared => {}
+                Standing::Alive | Standing::Harmless => {}
                 Standing::Unknown | Standing::Answering { .. }
                     if sign.is_same_process(suspicion.begun_ms) =>
                 {
-                    suspicion.standing = Standing::Cleared;
+                    suspicion.standing = Standing::Alive;
                     cleared.push(run.clone());
                 }
                 Standing::Unknown => suspicion.standing = Standing::Answering { since_ms: now_ms },
@@ -150,41 +183,48 @@
         cleared
     }
 
-    /// clears the runs that ended after `heard_ms`, the last sign of any replica, since no replica could be reached
-    /// after it; returns them. The end of their replicas is still evidence.
+    /// notes that a cut explains the runs that ended after `heard_ms`, the last sign of any replica, but those whose
+    /// replicas had been silent for long by then; returns the runs that are explained from now on.
+    ///
+    /// One run of each content still weighs: a replica that ended as the cut began looks the same.
     pub fn way_was_cut(&mut self, heard_ms: u64) -> Vec<ReplicaRun> {
-        let unexplained = self
-            .runs
-            .iter_mut()
-            .filter(|suspicion| suspicion.since_ms > heard_ms && suspicion.standing != Standing::Cleared);
-        let cleared = unexplained.map(|suspicion| {
-            suspicion.standing = Standing::Cleared;
-            suspicion.run.clone()
-        });
-        cleared.collect()
+        let mut explained = Vec::new();
+        let mut weighing = HashSet::new();
+        for suspicion in &mut self.runs {
+            let was_overdue = heard_ms >= suspicion.heard_ms + OVERDUE_MS;
+            let may_be_explained = suspicion.since_ms > heard_ms && !was_overdue;
+            if !may_be_explained || suspicion.is_cleared() || suspicion.explained_until_ms.is_some() {
+                continue;
+            }
+            if weighing.insert(suspicion.run.content.as_str()) {
+                continue;
+            }
+            suspicion.explained_until_ms = Some(u64::MAX);
+            explained.push(suspicion.run.clone());
+        }
+        explained
     }
 
-    /// runs at a replica that were cleared a short time ago.
-    pub fn recently_cleared<'a>(&'a self, replica: &'a str) -> impl Iterator<Item = &'a ReplicaRun> {
-        let is_cleared = move |suspicion: &&Suspicion| {
-            suspicion.run.replica == replica
-                && suspicion.standing == Standing::Cleared
-                && !suspicion.is_evidence_late
-        };
-        self.runs.iter().filter(is_cleared).map(|suspicion| &suspicion.run)
+    /// handles the end of a cut: what it explains weighs again unless the replicas are heard soon.
+    pub fn way_is_back(&mut self, now_ms: u64) {
+        for suspicion in &mut self.runs {
+            if suspicion.explained_until_ms == Some(u64::MAX) {
+                suspicion.explained_until_ms = Some(now_ms + AFTER_CUT_MS);
+            }
+        }
     }
 
     /// clears all runs of a content that a replica has run to a successful end.
     pub fn content_succeeded(&mut self, content: &str) {
         for suspicion in self.runs.iter_mut().filter(|suspicion| suspicion.run.content == content) {
-            suspicion.standing = Standing::Cleared;
+            suspicion.standing = Standing::Harmless;
         }
     }
 
-    /// runs that are not cleared.
-    pub fn unresolved(&self) -> impl Iterator<Item = &ReplicaRun> {
-        let unresolved = self.runs.iter().filter(|suspicion| suspicion.standing != Standing::Cleared);
-        unresolved.map(|suspicion| &suspicion.run)
+    /// runs that weigh: they are not cleared, nor explained by a cut.
+    pub fn unresolved(&self, now_ms: u64) -> impl Iterator<Item = &ReplicaRun> {
+        let weighing = self.runs.iter().filter(move |suspicion| suspicion.is_weighing(now_ms));
+        weighing.map(|suspicion| &suspicion.run)
     }
 
     /// drops runs whose time limit has passed, and returns those that it clears: their replicas have answered
@@ -199,13 +239,13 @@
             if !is_list_current {
                 *since_ms = now_ms;
             } else if now_ms >= *since_ms + LISTING_MS {
-                suspicion.standing = Standing::Cleared;
+                suspicion.standing = Standing::Alive;
                 cleared.push(suspicion.run.clone());
             }
         }
         self.runs.retain(|suspicion| {
             let keep_ms = match suspicion.standing {
-                Standing::Cleared => EVIDENCE_MS,
+                Standing::Alive | Standing::Harmless => EVIDENCE_MS,
                 Standing::Unknown | Standing::Answering { .. } => RETENTION_MS,
             };
             now_ms < suspicion.since_ms + keep_ms
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -20,9 +20,12 @@
     }
 }
 
-/// adds a run that began at `begun_ms` and ended at `now_ms`.
+/// when the weight of runs is looked at: later than all that happens in these tests.
+const NOW_MS: u64 = 100_000;
+
+/// adds a run that began at `begun_ms` and ended at `now_ms`; its replica was not heard in between.
 fn add(suspects: &mut SuspectRuns, now_ms: u64, begun_ms: u64, run: ReplicaRun, is_silent: bool) {
-    let unanswered = UnansweredRun { run, begun_ms, is_silent };
+    let unanswered = UnansweredRun { run, begun_ms, heard_ms: begun_ms, is_silent };
     assert_eq!(suspects.add(now_ms, unanswered), None);
 }
 
@@ -84,7 +87,7 @@
     add(&mut suspects, 1_000, 500, run("a", "1"), false);
     add(&mut suspects, 1_000, 500, run("b", "2"), false);
     assert_eq!(suspects.replica_answered(1_100, &answer(500)), [run("a", "1")]);
-    assert_eq!(suspects.unresolved().collect::<Vec<_>>(), [&run("b", "2")]);
+    assert_eq!(suspects.unresolved(NOW_MS).collect::<Vec<_>>(), [&run("b", "2")]);
     assert_eq!(suspects.replica_started("a", 101).len(), 1, "a restart soon after still counts");
 }
 
@@ -94,7 +97,7 @@
     let mut suspects = SuspectRuns::default();
     add(&mut suspects, 1_000, 500, run("a", "1"), false);
     assert!(suspects.replica_answered(1_099, &answer(0)).is_empty());
-    assert_eq!(suspects.unresolved().count(), 1);
+    assert_eq!(suspects.unresolved(NOW_MS).count(), 1);
 }
 
 /// Guards against clearing a run by an answer of the replica's next process, which may have the same id.
@@ -107,7 +110,7 @@
     assert!(suspects.expire(5_000, false).is_empty(), "the list shows no restart while it is out of date");
     assert!(suspects.expire(7_999, true).is_empty());
     assert_eq!(suspects.expire(8_000, true), [run("a", "1")]);
-    assert_eq!(suspects.unresolved().count(), 0);
+    assert_eq!(suspects.unresolved(NOW_MS).count(), 0);
 }
 
 /// Guards against runs that weigh nothing while their callers wait for a silent replica.
@@ -128,3 +131,32 @@
     active.record_progress(1_700, first);
     assert_eq!(active.overdue(2_500).count(), 0);
 }
+
+/// Guards against a cut of the door that explains a run although its replica was silent long before the others.
+#[test]
+fn cut_explains_only_runs_that_it_may_have_ended() {
+    let mut suspects = SuspectRuns::default();
+    add(&mut suspects, 2_500, 500, run("a", "overdue"), false);
+    add(&mut suspects, 2_500, 1_600, run("b", "under way"), false);
+    add(&mut suspects, 2_500, 1_600, run("c", "under way as well"), false);
+    assert_eq!(suspects.way_was_cut(2_000), [run("c", "under way as well")], "one of a content still weighs");
+    let weighing: Vec<_> = suspects.unresolved(2_500).collect();
+    assert_eq!(weighing, [&run("a", "overdue"), &run("b", "under way")]);
+    assert_eq!(suspects.way_was_cut(2_000), [], "each is told once");
+}
+
+/// Guards against a run that a cut explains for good although its replica is never heard again.
+#[test]
+fn explained_run_weighs_again_unless_its_replica_is_heard_after_the_cut() {
+    let mut suspects = SuspectRuns::default();
+    add(&mut suspects, 1_000, 500, run("d", "first"), false);
+    add(&mut suspects, 1_000, 500, run("a", "silent"), false);
+    add(&mut suspects, 1_000, 500, run("b", "heard"), false);
+    suspects.way_was_cut(700);
+    assert_eq!(suspects.unresolved(60_000).collect::<Vec<_>>(), [&run("d", "first")], "the cut lasts");
+    suspects.way_is_back(6_000);
+    suspects.replica_answered(7_000, &LifeSign { replica: "b", started_unix_ms: 100, connected_ms: 500 });
+    assert_eq!(suspects.unresolved(15_999).collect::<Vec<_>>(), [&run("d", "first")]);
+    let weighing: Vec<_> = suspects.unresolved(16_000).collect();
+    assert_eq!(weighing, [&run("d", "first"), &run("a", "silent")]);
+}
--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -523,7 +523,7 @@
                 replica: "gone".to_owned(),
                 started_unix_ms: 1,
             };
-            let unanswered = UnansweredRun { run, begun_ms: now_ms, is_silent: false };
+            let unanswered = UnansweredRun { run, begun_ms: now_ms, heard_ms: now_ms, is_silent: false };
             self.poison.suspect(now_ms, unanswered);
         }
     }
@@ -532,8 +532,8 @@
         let Some(ended) = self.poison.active.remove(run) else {
             return;
         };
-        let begun_ms = ended.begun_ms;
-        let unanswered = UnansweredRun { run: ended.to_replica_run(), begun_ms, is_silent: false };
+        let (begun_ms, heard_ms) = (ended.begun_ms, ended.heard_ms);
+        let unanswered = UnansweredRun { run: ended.to_replica_run(), begun_ms, heard_ms, is_silent: false };
         self.poison.suspect(now_ms, unanswered);
     }
 
--- a/tests/unresolved_runs.rs
+++ b/tests/unresolved_runs.rs
@@ -144,7 +144,7 @@
     let mut door = PoisonState::default();
     for number in 0..1_000 {
         let run = ReplicaRun { content: format!("content-{number}"), ..replica_run(&number.to_string()) };
-        door.suspect(0, UnansweredRun { run, begun_ms: 0, is_silent: false });
+        door.suspect(0, UnansweredRun { run, begun_ms: 0, heard_ms: 0, is_silent: false });
     }
     assert_eq!(door.unresolved_counts(), (1_000, 1_000));
     let mut told = 0;
