Let a cleared run weigh again if its replica ends soon after

What callers saw, or would: a request goes on to further replicas although three have ended under it, where callers give up and replicas go on with what they began.

Cause: a run whose caller had left was cleared by the replica's next answer to another request, although the replica still had it in hand and ended under it seconds later, to come back under a new id. Class of fault: absence of evidence taken for innocence; an answer shows that a replica lives, not that it is done with a run.

Change: the end of a replica within 15 s after a run lets the run weigh again that was cleared, or explained by a cut. Besides the removal of its entry, two more signs tell of the end: another replica that is listed at its address, and an answer from there that names another one. A content that was run to a successful end stays cleared.

Why it works: whatever cleared the run, it counts once the replica is gone. It is cleared again if the replica answers after all, as one whose entry had only lapsed.

--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -129,7 +129,12 @@
                     }
                     door.replica_answered(&lease.pick.id, lease.pick.started_unix_ms, connection.opened);
                 }
-                AnswerClass::OtherReplica | AnswerClass::Foreign => {}
+                AnswerClass::OtherReplica => {
+                    if answering_replica(response.headers()).is_some_and(|id| id != lease.pick.id) {
+                        door.replica_gone(&lease.pick.id);
+                    }
+                }
+                AnswerClass::Foreign => {}
             }
             if let Some(result) = result {
                 record_outcome(door, &lease, &result);
--- a/src/door/follow.rs
+++ b/src/door/follow.rs
@@ -77,7 +77,7 @@
             "replica" => id, "may_have_lapsed" => object.may_have_lapsed);
         door.replicas().remove(now_ms, id, object.may_have_lapsed);
         if !object.may_have_lapsed {
-            door.replica_removed(id);
+            door.replica_gone(id);
         }
         return;
     };
@@ -87,8 +87,12 @@
                 info!(door.log, "replica entry marks it as leaving"; "replica" => id);
             }
             let started_unix_ms = entry.started_unix_ms;
+            let replaced = door.replicas().replaced_by(&entry);
             door.replicas().upsert(entry);
             door.replica_started(id, started_unix_ms);
+            for ended in replaced {
+                door.replica_gone(&ended);
+            }
         }
         Err(error) => {
             metrics::counter!("door_unreadable_entries_total").increment(1);
--- a/src/door/poisoned_contents.rs
+++ b/src/door/poisoned_contents.rs
@@ -134,13 +134,17 @@
         }
     }
 
-    /// handles the removal of a replica's entry.
-    pub fn replica_removed(&self, replica: &str) {
-        for run in self.poison().suspects.recently_cleared(replica) {
-            info!(self.log, "replica is gone soon after an unanswered run was cleared";
+    /// handles the end of a replica: its entry was removed, or its address belongs to another one.
+    pub fn replica_gone(&self, replica: &str) {
+        let ended = self.poison().suspects.replica_gone(replica);
+        let reopened = self.poison().suspects.reopen(replica);
+        for run in reopened {
+            metrics::counter!("door_runs_reopened_total").increment(1);
+            info!(self.log, "replica is gone soon after an unanswered run was cleared; the run weighs again";
                 "request" => &run.request, "content" => &run.content, "replica" => replica);
         }
-        let ended = self.poison().suspects.replica_gone(replica);
+        self.poison().update_local(self.now_ms());
+        self.poison_sender.wake();
         for (run, evidence) in ended {
             self.strike(&run, evidence);
         }
--- a/src/poison/run.rs
+++ b/src/poison/run.rs
@@ -64,6 +64,7 @@
     Refused,
     /// a later process start was seen under the same id.
     Restarted,
-    /// its address did not answer after a connection broke, and its entry was removed later.
+    /// its address did not answer after a connection broke, and its entry was removed or another replica listed there
+    /// later.
     Gone,
 }
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -137,12 +137,22 @@
         self.confirm(replica, Evidence::Gone, |suspicion| suspicion.is_silent)
     }
 
-    /// runs at a replica that were cleared a short time ago.
-    pub fn recently_cleared<'a>(&'a self, replica: &'a str) -> impl Iterator<Item = &'a ReplicaRun> {
-        let is_cleared = move |suspicion: &&Suspicion| {
-            suspicion.run.replica == replica && suspicion.is_cleared() && !suspicion.is_evidence_late
-        };
-        self.runs.iter().filter(is_cleared).map(|suspicion| &suspicion.run)
+    /// lets the runs of a replica that is gone weigh again that were cleared, or explained by a cut, a short time ago:
+    /// it may have gone on with them until its end. Returns these runs.
+    pub fn reopen(&mut self, replica: &str) -> Vec<ReplicaRun> {
+        let mut reopened = Vec::new();
+        for suspicion in &mut self.runs {
+            let is_harmless = suspicion.standing == Standing::Harmless;
+            if suspicion.run.replica != replica || suspicion.is_evidence_late || is_harmless {
+                continue;
+            }
+            let was_explained = suspicion.explained_until_ms.take().is_some();
+            if suspicion.is_cleared() || was_explained {
+                reopened.push(suspicion.run.clone());
+            }
+            suspicion.standing = Standing::Unknown;
+        }
+        reopened
     }
 
     fn confirm(
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -176,6 +176,16 @@
         }
     }
 
+    /// other replicas that are listed at the address of one that is new there: they have ended.
+    pub fn replaced_by(&self, entry: &ReplicaEntry) -> Vec<String> {
+        if self.entry(&entry.id).is_some_and(|known| known.address == entry.address) {
+            return Vec::new();
+        }
+        let entries = self.replicas.values().map(|replica| &replica.entry);
+        let others = entries.filter(|other| other.address == entry.address && other.id != entry.id);
+        others.map(|other| other.id.clone()).collect()
+    }
+
     /// adds or updates an entry; a new start of the replica clears its backoff.
     pub fn upsert(&mut self, entry: ReplicaEntry) {
         self.leaving.observe_start(&entry.id, entry.started_unix_ms);
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -132,6 +132,32 @@
     assert_eq!(active.overdue(2_500).count(), 0);
 }
 
+/// Guards against a run that is cleared by an answer of its replica, which goes on with it and ends later.
+#[test]
+fn run_weighs_again_if_its_replica_goes_soon_after_an_answer() {
+    let mut suspects = SuspectRuns::default();
+    add(&mut suspects, 1_000, 500, run("a", "1"), false);
+    suspects.replica_answered(1_500, &answer(500));
+    suspects.expire(2_000, true);
+    assert_eq!(suspects.reopen("b"), []);
+    assert_eq!(suspects.reopen("a"), [run("a", "1")]);
+    assert_eq!(suspects.unresolved(NOW_MS).count(), 1);
+    suspects.replica_answered(2_500, &answer(500));
+    assert_eq!(suspects.unresolved(NOW_MS).count(), 0, "the entry had only lapsed");
+    suspects.expire(16_000, true);
+    assert_eq!(suspects.reopen("a"), [], "a replica that goes long after its answer");
+}
+
+/// Guards against holding a content that has been run to its end because of a replica that goes.
+#[test]
+fn run_of_a_content_that_succeeded_stays_cleared() {
+    let mut suspects = SuspectRuns::default();
+    add(&mut suspects, 1_000, 500, run("a", "1"), false);
+    suspects.content_succeeded("x");
+    assert_eq!(suspects.reopen("a"), []);
+    assert_eq!(suspects.unresolved(NOW_MS).count(), 0);
+}
+
 /// Guards against a cut of the door that explains a run although its replica was silent long before the others.
 #[test]
 fn cut_explains_only_runs_that_it_may_have_ended() {
@@ -152,11 +178,13 @@
     add(&mut suspects, 1_000, 500, run("d", "first"), false);
     add(&mut suspects, 1_000, 500, run("a", "silent"), false);
     add(&mut suspects, 1_000, 500, run("b", "heard"), false);
+    add(&mut suspects, 1_000, 500, run("c", "gone"), false);
     suspects.way_was_cut(700);
     assert_eq!(suspects.unresolved(60_000).collect::<Vec<_>>(), [&run("d", "first")], "the cut lasts");
     suspects.way_is_back(6_000);
     suspects.replica_answered(7_000, &LifeSign { replica: "b", started_unix_ms: 100, connected_ms: 500 });
-    assert_eq!(suspects.unresolved(15_999).collect::<Vec<_>>(), [&run("d", "first")]);
+    assert_eq!(suspects.reopen("c"), [run("c", "gone")]);
+    assert_eq!(suspects.unresolved(15_999).collect::<Vec<_>>(), [&run("d", "first"), &run("c", "gone")]);
     let weighing: Vec<_> = suspects.unresolved(16_000).collect();
-    assert_eq!(weighing, [&run("d", "first"), &run("a", "silent")]);
+    assert_eq!(weighing, [&run("d", "first"), &run("a", "silent"), &run("c", "gone")]);
 }
--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -244,7 +244,11 @@
         let replica = &self.replicas[index];
         let (id, started) = replica.listed.clone().expect("it is listed");
         // A dead replica refuses, and a later process under another id says that it is not meant.
-        if replica.back_at_ms.is_some() || replica.ends_at_ms.is_some() || replica.id != id {
+        if replica.id != id && replica.back_at_ms.is_none() {
+            self.doors[number].replica_gone(self.now_ms, &id);
+            return;
+        }
+        if replica.back_at_ms.is_some() || replica.ends_at_ms.is_some() {
             return;
         }
         self.attempts += 1;
@@ -325,14 +329,17 @@
                 && let Some((id, _)) = replica.listed.take()
             {
                 for door in &mut self.doors {
-                    let ended = door.poison.suspects.replica_gone(&id);
-                    door.strike_all(now_ms, &ended);
+                    door.replica_gone(now_ms, &id);
                 }
             }
             let replica = &mut self.replicas[index];
             if replica.listed_at_ms.take_if(|at_ms| now_ms >= *at_ms).is_some() {
-                replica.listed = Some((replica.id.clone(), replica.started));
+                let previous = replica.listed.replace((replica.id.clone(), replica.started));
+                let replaced = previous.filter(|(id, _)| *id != replica.id);
                 for door in &mut self.doors {
+                    if let Some((id, _)) = &replaced {
+                        door.replica_gone(now_ms, id);
+                    }
                     let ended = door.poison.suspects.replica_started(&replica.id, replica.started);
                     door.strike_all(now_ms, &ended);
                 }
@@ -537,6 +544,13 @@
         self.poison.suspect(now_ms, unanswered);
     }
 
+    fn replica_gone(&mut self, now_ms: u64, id: &str) {
+        let ended = self.poison.suspects.replica_gone(id);
+        self.poison.suspects.reopen(id);
+        self.poison.update_local(now_ms);
+        self.strike_all(now_ms, &ended);
+    }
+
     fn strike_all(&mut self, now_ms: u64, ended: &[(ReplicaRun, Evidence)]) {
         for (run, _) in ended {
             self.strike(now_ms, run);
