Bound what all streams of a door buffer together, and keep room for small answers

Cause: what a door buffers of an answer was bounded for each stream alone: a megabyte of an event that has not ended, and events of any size that a retained turn keeps until its end. The sum was bounded for whole answers only, by one limit that endless answers could take up.

Change: one budget of 16 MB for all answers that are still read: whole ones, parts of events and the event on its way to the caller, and what turns retain. Answers of 64 KB and less have 8 MB more.

Why it works: whatever grows is counted, and large answers cannot take the room of small ones.

--- a/crates/standins/src/replica/endless.rs
+++ b/crates/standins/src/replica/endless.rs
@@ -21,6 +21,11 @@
 /// how long a write may wait for a caller that reads nothing more.
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
 
+/// size of a large event, below what a door takes for one.
+const LARGE_EVENT_BYTES: usize = 1_000_000;
+/// time between two bytes of a slow event.
+const SLOW_PAUSE: Duration = Duration::from_millis(50);
+
 /// what comes without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -39,8 +44,16 @@
     Unframed,
     /// whole events of a stream.
     Events,
+    /// whole events of a stream, each of almost a megabyte.
+    LargeEvents,
+    /// almost a megabyte of one event of a stream, and then a byte now and then.
+    SlowEvent,
     /// one event of a stream.
     OneEvent,
+    /// the body of a failure.
+    FailureBody,
+    /// the body of a rejection, which has not run the request.
+    RejectionBody,
     /// bytes after a whole answer.
     AfterAnswer,
 }
@@ -127,9 +140,11 @@
         // A socket that refuses the limit only makes a failing test slower.
         let _ = stream.set_write_timeout(Some(WRITE_LIMIT));
         let (start, piece) = bytes_of(part, &id);
+        let pause = if part == EndlessPart::SlowEvent { SLOW_PAUSE } else { Duration::ZERO };
         let mut sent_bytes = 0;
         let mut result = stream.write_all(start.as_bytes());
         while result.is_ok() && sent_bytes < MOST_BYTES && !self.ends.load(Ordering::Relaxed) {
+            std::thread::sleep(pause);
             result = stream.write_all(piece.as_bytes());
             sent_bytes += piece.len() as u64;
             self.sent_bytes.fetch_add(piece.len() as u64, Ordering::Relaxed);
@@ -173,7 +188,22 @@
         EndlessPart::Events => {
             (chunked("text/event-stream"), chunk(&format!("id: 1\ndata: {}\n\n", &filler[..1_000])))
         }
+        EndlessPart::LargeEvents => {
+            let event = format!("id: 1\ndata: {}\n\n", "a".repeat(LARGE_EVENT_BYTES));
+            (chunked("text/event-stream"), chunk(&event))
+        }
+        EndlessPart::SlowEvent => {
+            let event = format!("id: 1\ndata: {}", "a".repeat(LARGE_EVENT_BYTES));
+            (chunked("text/event-stream") + &chunk(&event), chunk("a"))
+        }
         EndlessPart::OneEvent => (chunked("text/event-stream") + &chunk("id: 1\ndata: "), chunk(&filler)),
+        EndlessPart::FailureBody => {
+            (chunked("text/plain").replacen("200 OK", "500 Internal Server Error", 1), chunk(&filler))
+        }
+        EndlessPart::RejectionBody => {
+            let rejection = "429 Too Many Requests\r\nx-not-executed: 1";
+            (chunked("text/plain").replacen("200 OK", rejection, 1), chunk(&filler))
+        }
         EndlessPart::AfterAnswer => {
             (format!("HTTP/1.1 200 OK\r\n{signed}content-length: 4\r\n\r\ndone"), filler)
         }
--- a/src/door/answer_buffer.rs
+++ b/src/door/answer_buffer.rs
@@ -1,21 +1,18 @@
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use crate::door::BufferBudget;
+use crate::door::BufferShare;
+
 /// size limit of an answer that is not streamed.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// size limit of all incomplete answers of a door together: a fifth of the memory of a small front machine.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
-/// memory use of all answers that a door is still reading.
+/// reads answers, within the memory that all of a door may take.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AnswerBuffers {
-    buffered_bytes: Arc<AtomicUsize>,
+    budget: BufferBudget,
 }
 
 /// why an answer could not be read completely.
@@ -33,7 +30,8 @@
         if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
             return Err(ReadFailure::TooLarge);
         }
-        let mut reserved = ReservedBytes { buffers: self, bytes: 0 };
+        let mut share = self.share();
+        let mut byte_count = 0;
         // Chunks are copied: a received chunk may keep a larger connection buffer alive.
         let mut chunks: Vec<Box<[u8]>> = Vec::new();
         while let Some(frame) = body.frame().await {
@@ -41,32 +39,17 @@
             let Some(data) = frame.data_ref() else {
                 continue;
             };
-            if !reserved.grow(data.len()) {
+            byte_count += data.len();
+            if byte_count > MAX_ANSWER_BYTES || !share.grow(data.len()) {
                 return Err(ReadFailure::TooLarge);
             }
             chunks.push(Box::from(data.as_ref()));
         }
         Ok(Bytes::from(chunks.concat()))
     }
-}
-
-/// bytes of one answer, counted against the total until it is complete or abandoned.
-struct ReservedBytes<'a> {
-    buffers: &'a AnswerBuffers,
-    bytes: usize,
-}
-
-impl ReservedBytes<'_> {
-    /// counts further bytes; `false` if a limit is exceeded.
-    fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let buffered_bytes = self.buffers.buffered_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.bytes <= MAX_ANSWER_BYTES && buffered_bytes <= MAX_BUFFERED_BYTES
-    }
-}
 
-impl Drop for ReservedBytes<'_> {
-    fn drop(&mut self) {
-        self.buffers.buffered_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    /// a share of the memory, for an answer that is read elsewhere.
+    pub fn share(&self) -> BufferShare {
+        self.budget.share()
     }
 }
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod answer_buffer;
 mod attempt;
+mod buffer_share;
 mod call;
 mod connections;
 mod daemon;
@@ -33,6 +34,8 @@
 mod stream_origin;
 mod turn;
 
+pub use buffer_share::BufferBudget;
+pub use buffer_share::BufferShare;
 pub use daemon::run_door;
 pub use fleet_view::FleetView;
 pub use fleet_view::OwnDoor;
--- a/src/door/sse_splitter.rs
+++ b/src/door/sse_splitter.rs
@@ -45,6 +45,11 @@
         Some(SseEvent { bytes: self.pending.split_to(start + end).freeze() })
     }
 
+    /// bytes of events that have not been taken out.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// whether no bytes of an incomplete event are left.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use slog::info;
 
+use crate::door::BufferShare;
 use crate::door::SseSplitter;
 use crate::door::answer::DoorBody;
 use crate::door::attempt::AttemptResult;
@@ -44,6 +45,8 @@
     software: Software,
     run: ActiveRun,
     splitter: SseSplitter,
+    /// memory of what the replica has sent and the caller has not taken.
+    share: BufferShare,
     last_event: Option<String>,
     account: Option<TurnAccount>,
     /// attempts counted against the route's limit; a resume after the replica ended does not count.
@@ -91,6 +94,7 @@
         software: lease.pick.software.clone(),
         run: ActiveRun { body, connection, lease, idle_timeout },
         splitter: SseSplitter::default(),
+        share: door.answers.share(),
         last_event: request.caller.last_event_id.clone(),
         account,
         attempt_count: 1,
@@ -156,6 +160,8 @@
                     self.last_event = Some(id.to_owned());
                 }
                 self.run.lease.record_progress();
+                // The event is on its way to the caller until the next one is asked for.
+                self.share.resize(self.splitter.len() + event.bytes.len());
                 let fits = self.account.as_mut().is_none_or(|account| account.record_event(&event));
                 return if fits { StreamStep::Event(event.bytes) } else { StreamStep::Overlong };
             }
@@ -168,7 +174,7 @@
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            if !self.splitter.push(bytes) {
+            if !self.splitter.push(bytes) || !self.share.resize(self.splitter.len()) {
                 return StreamStep::Broken;
             }
         }
@@ -246,6 +252,7 @@
         }
         self.run = ActiveRun { body: response.into_body(), connection, lease, idle_timeout };
         self.splitter = SseSplitter::default();
+        self.share.resize(0);
     }
 
     /// returns the connection to the pool.
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -7,6 +7,7 @@
 use hyper::Response;
 use slog::info;
 
+use crate::door::BufferShare;
 use crate::door::answer::DoorBody;
 use crate::door::call::Attempts;
 use crate::door::call::read_full_answer;
@@ -60,6 +61,8 @@
 struct RetainedTurn {
     previous: Option<String>,
     said: Vec<u8>,
+    /// memory of what was said.
+    share: BufferShare,
     keep_ms: u64,
 }
 
@@ -80,7 +83,7 @@
         }
     }
 
-    /// records an event for the caller; `false` if it exceeds the reserved tokens.
+    /// records an event for the caller; `false` if it exceeds the reserved tokens, or the memory for what is retained.
     pub fn record_event(&mut self, event: &SseEvent) -> bool {
         let Some(data) = event.data() else {
             return true;
@@ -90,11 +93,12 @@
             return false;
         }
         self.event_count += 1;
-        if let Some(retained) = &mut self.retained {
-            retained.said.extend_from_slice(data.as_bytes());
-            retained.said.push(b'\n');
-        }
-        true
+        let Some(retained) = &mut self.retained else {
+            return true;
+        };
+        retained.said.extend_from_slice(data.as_bytes());
+        retained.said.push(b'\n');
+        retained.share.grow(data.len())
     }
 
     /// records the replica that runs the turn from now on.
@@ -238,6 +242,7 @@
         account.retained = Some(RetainedTurn {
             previous: request.caller.previous_turn.clone(),
             said: request.body.to_vec(),
+            share: door.answers.share(),
             keep_ms: retention_ms + RETENTION_MARGIN_MS,
         });
     }
