Show that a door with an old list goes on with no stream at another version

A report of other operators: a door that stood still, or was cut off, while replicas of a new version joined took streams of other doors up and went on with them at another version (ORDER).

It does not happen here, for turns and for streams without a program: the version of a stream comes from a quorum of ledger nodes, and a new connection on a route that may be resumed is asked which start of the replica answers. Ten cases, all of which passed at once: requests that wait in the sockets of a frozen door when it wakes, with replicas that joined, that came back upgraded under their ids, before and after the stream began; streams that such a door begins itself; a door that reaches no ledger node.

Not shown: replicas of services that cannot be asked which start answers, where the list alone decides.

--- a/tests/fleet_versions.rs
+++ b/tests/fleet_versions.rs
@@ -3,6 +3,7 @@
 mod fleet;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use flamingo_standins::replica::ReplicaFault;
 use fleet::Answer;
@@ -227,3 +228,139 @@
     fleet.register_replicas();
     wait_for_both_versions(&fleet);
 }
+
+/// what happens to the replicas while a door stands still.
+#[derive(Clone, Copy, Debug)]
+enum Meanwhile {
+    /// replicas of a new version join, and those of the old one leave for a while.
+    NewOnesJoin,
+    /// all replicas come back under their ids with a new version.
+    AllAreUpgraded,
+}
+
+impl Meanwhile {
+    fn happen(self, fleet: &mut Fleet) {
+        match self {
+            Self::NewOnesJoin => {
+                fleet.add_version("new-1", "models", fleet::EVENTS, NEW);
+                fleet.add_version("new-2", "models", fleet::EVENTS, NEW);
+                for replica in &fleet.models[..2] {
+                    fleet.register_replica(replica, "draining");
+                }
+            }
+            Self::AllAreUpgraded => {
+                for replica in &fleet.models {
+                    replica.upgrade(NEW);
+                }
+                fleet.register_replicas();
+            }
+        }
+    }
+}
+
+/// two replicas of the old version behind two doors that have not sent them anything.
+fn start_old(name: &str) -> Fleet {
+    let mut fleet = Fleet::start(&format!("versions-{name}"), 2);
+    let more = json!({ "resumable": true, "max_attempts": 1 });
+    fleet.put_config(&json!([fleet::route("chat", "/chat/", "streaming", "models", more)]));
+    for door in &fleet.doors {
+        fleet.wait("the new route is in force", || door.lines_with("configuration activated").len() > 1);
+    }
+    fleet
+}
+
+/// begins a stream through a door until it begins at a version; earlier ones stay as they are.
+fn begin_at(fleet: &Fleet, door: usize, owner: Owner, version: &str, number: &mut usize) -> Stream {
+    fleet.set_faults(ReplicaFault::BreakAfter(BREAK_AFTER));
+    let mut begun = None;
+    fleet.wait(&format!("a stream begins at {version}"), || {
+        *number += 1;
+        let mut stream = Stream::new(owner, *number);
+        stream.send(fleet, door);
+        if stream.versions(fleet) == BTreeSet::from([version.to_owned()]) {
+            begun = Some(stream);
+        }
+        begun.is_some()
+    });
+    fleet.set_faults(ReplicaFault::None);
+    begun.expect("the wait is over")
+}
+
+/// wakes a door that stands still while each stream waits to be taken up there.
+fn take_up_while_it_wakes(fleet: &Fleet, door: usize, streams: &mut [Stream]) -> Vec<Answer> {
+    std::thread::scope(|scope| {
+        let waiting: Vec<_> =
+            streams.iter_mut().map(|stream| scope.spawn(move || stream.send(fleet, door))).collect();
+        // The requests are in the door's sockets before it runs again.
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.doors[door].signal("CONT");
+        waiting.into_iter().map(|caller| caller.join().expect("a caller finishes")).collect()
+    })
+}
+
+/// Guards against a door that stood still while a new version joined, and goes on with streams of other doors at the
+/// version that its old list names.
+#[test_case(Meanwhile::NewOnesJoin, Owner::Program, NEW; "turns of replicas that joined")]
+#[test_case(Meanwhile::NewOnesJoin, Owner::Nobody, NEW; "streams of replicas that joined")]
+#[test_case(Meanwhile::AllAreUpgraded, Owner::Program, NEW; "turns of upgraded replicas")]
+#[test_case(Meanwhile::AllAreUpgraded, Owner::Nobody, NEW; "streams of upgraded replicas")]
+#[test_case(Meanwhile::AllAreUpgraded, Owner::Program, OLD; "turns of replicas before an upgrade")]
+#[test_case(Meanwhile::AllAreUpgraded, Owner::Nobody, OLD; "streams of replicas before an upgrade")]
+fn frozen_door_goes_on_at_the_version_of_a_stream(meanwhile: Meanwhile, owner: Owner, begun_at: &str) {
+    let mut fleet = start_old(&format!("frozen-{meanwhile:?}-{owner:?}-{begun_at}"));
+    let mut number = 0;
+    let mut streams = Vec::new();
+    if begun_at == OLD {
+        streams.extend((0..STREAMS).map(|_| begin_at(&fleet, 0, owner, OLD, &mut number)));
+    }
+    fleet.doors[1].signal("STOP");
+    meanwhile.happen(&mut fleet);
+    if begun_at == NEW {
+        streams.extend((0..STREAMS).map(|_| begin_at(&fleet, 0, owner, NEW, &mut number)));
+    }
+    for replica in &fleet.models {
+        fleet.register_replica(replica, "ready");
+    }
+    let answers = take_up_while_it_wakes(&fleet, 1, &mut streams);
+    for (stream, answer) in streams.iter().zip(&answers) {
+        assert_eq!(stream.versions(&fleet), BTreeSet::from([begun_at.to_owned()]), "{answer:?}");
+        assert!(answer.is_whole || answer.status == 503, "{answer:?}");
+    }
+}
+
+/// Guards against a stream that is recorded under the version that an old list names, and taken up at that version.
+#[test_case(Owner::Program; "turns")]
+#[test_case(Owner::Nobody; "streams without a program")]
+fn stream_begun_by_a_frozen_door_stays_at_its_version(owner: Owner) {
+    let mut fleet = start_old(&format!("frozen-begins-{owner:?}"));
+    fleet.doors[1].signal("STOP");
+    Meanwhile::AllAreUpgraded.happen(&mut fleet);
+    fleet.set_faults(ReplicaFault::BreakAfter(BREAK_AFTER));
+    let mut streams: Vec<Stream> = (0..STREAMS).map(|number| Stream::new(owner, number)).collect();
+    take_up_while_it_wakes(&fleet, 1, &mut streams);
+    fleet.set_faults(ReplicaFault::None);
+    fleet.add_version("old-1", "models", fleet::EVENTS, OLD);
+    wait_for_both_versions(&fleet);
+    for stream in &mut streams {
+        let answer = stream.send(&fleet, 0);
+        assert!(stream.versions(&fleet).len() < 2, "{answer:?}");
+    }
+}
+
+/// Guards against a door that is cut off from the ledger and goes on with a stream at any version.
+#[test_case(Owner::Program; "turns")]
+#[test_case(Owner::Nobody; "streams without a program")]
+fn door_without_the_ledger_takes_no_stream_up(owner: Owner) {
+    let fleet = start(&format!("no-ledger-{owner:?}"), 1);
+    wait_for_both_versions(&fleet);
+    let mut streams = begin_streams(&fleet, owner);
+    for ledger in &fleet.ledgers {
+        ledger.signal("STOP");
+    }
+    for stream in &mut streams {
+        let request = stream.next().with("X-Deadline-Ms", "600");
+        let answer = fleet.doors[1].send(&request);
+        assert!(answer.status >= 500, "{answer:?}");
+        assert_eq!(stream.versions(&fleet).len(), 1, "{answer:?}");
+    }
+}
