--- a/tests/poison_world/mod.rs
+++ b/tests/poison_world/mod.rs
@@ -1,24 +1,24 @@
 //! doors, ledger nodes and replicas in virtual time, around one content that ends each replica that runs it.
 
+mod door;
+mod node;
+mod replica;
+
 use bytes::Bytes;
-use flamingostand::fleet::RunsInHand;
-use flamingostand::ledger::RecordStore;
 use flamingostand::poison::Content;
-use flamingostand::poison::Evidence;
 use flamingostand::poison::LifeSign;
-use flamingostand::poison::PoisonState;
-use flamingostand::poison::ReplicaRun;
-use flamingostand::poison::RunKey;
-use flamingostand::poison::UnansweredRun;
-use flamingostand::schema::DoorReport;
 use flamingostand::schema::LedgerRecord;
-use flamingostand::schema::StrikesMark;
 use hyper::Method;
 use hyper::Uri;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use door::Door;
+use door::Waiting;
+use node::Node;
+use replica::Replica;
+
 const STEP_MS: u64 = 50;
 const DURATION_MS: u64 = 60_000;
 const REPORT_INTERVAL_MS: u64 = 250;
@@ -32,7 +32,6 @@
 const SETTLE_MS: u64 = 2_000;
 /// time that a process is down after a loss of power.
 const DOWN_MS: u64 = 1_000;
-
 /// silence of all replicas after which a door takes itself for cut off.
 const CUT_NOTICED_MS: u64 = 600;
 
@@ -75,51 +74,6 @@
     Later,
 }
 
-#[derive(Debug)]
-struct Door {
-    poison: PoisonState,
-    name: String,
-    started: u64,
-    waiting: Vec<Waiting>,
-    report_at_ms: u64,
-    busy_until_ms: u64,
-    up_since_ms: u64,
-    /// last sign of any replica.
-    heard_ms: u64,
-    /// end of a cut from all replicas.
-    cut_until_ms: Option<u64>,
-}
-
-/// a run whose caller waits.
-#[derive(Debug)]
-struct Waiting {
-    run: RunKey,
-    until_ms: u64,
-}
-
-#[derive(Debug, Default)]
-struct Node {
-    store: RecordStore,
-    /// what the disk holds, oldest first.
-    disk: Vec<LedgerRecord>,
-    in_hand: RunsInHand,
-    up_since_ms: u64,
-}
-
-#[derive(Debug)]
-struct Replica {
-    id: String,
-    started: u64,
-    /// what the list says of it; `None` while it has no entry.
-    listed: Option<(String, u64)>,
-    process_since_ms: u64,
-    back_at_ms: Option<u64>,
-    /// when it ends under a run that its caller has given up.
-    ends_at_ms: Option<u64>,
-    unlisted_at_ms: Option<u64>,
-    listed_at_ms: Option<u64>,
-}
-
 /// one history.
 pub struct World {
     random: SmallRng,
@@ -470,135 +424,6 @@
     }
 }
 
-impl Node {
-    /// starts again after a loss of power, with what is on its disk.
-    fn restart(&mut self, up_since_ms: u64) {
-        self.store = RecordStore::default();
-        for record in &self.disk {
-            self.store.merge(up_since_ms, record);
-        }
-        self.in_hand = RunsInHand::default();
-        self.up_since_ms = up_since_ms;
-    }
-
-    /// names the current process.
-    fn start(&self) -> String {
-        self.up_since_ms.to_string()
-    }
-
-    fn mark(&self, number: u64) -> StrikesMark {
-        StrikesMark { start: self.start(), number }
-    }
-
-    fn take_report(&mut self, now_ms: u64, report: &DoorReport) {
-        let mut left_behind = self.in_hand.report(now_ms, report);
-        left_behind.extend(self.in_hand.expire(now_ms));
-        self.store(now_ms, left_behind.into_iter().map(LedgerRecord::Suspected));
-    }
-
-    fn store(&mut self, now_ms: u64, records: impl Iterator<Item = LedgerRecord>) {
-        for record in records {
-            if self.store.merge(now_ms, &record) {
-                self.disk.push(record);
-            }
-        }
-    }
-}
-
-impl Door {
-    fn new(name: String, report_at_ms: u64) -> Self {
-        Self {
-            poison: PoisonState::default(),
-            name,
-            started: 1,
-            waiting: Vec::new(),
-            report_at_ms,
-            busy_until_ms: 0,
-            up_since_ms: 0,
-            heard_ms: report_at_ms,
-            cut_until_ms: None,
-        }
-    }
-
-    /// adds runs of other contents, whose replicas are gone for good.
-    fn add_crowd(&mut self, now_ms: u64, count: usize) {
-        for number in 0..count {
-            let request = format!("{}-{}-{number}", self.name, self.started);
-            let run = ReplicaRun {
-                content: format!("{number:08}-{request}"),
-                request,
-                replica: "gone".to_owned(),
-                started_unix_ms: 1,
-            };
-            let unanswered = UnansweredRun { run, begun_ms: now_ms, heard_ms: now_ms, is_silent: false };
-            self.poison.suspect(now_ms, unanswered);
-        }
-    }
-
-    fn suspect(&mut self, now_ms: u64, run: RunKey) {
-        let Some(ended) = self.poison.active.remove(run) else {
-            return;
-        };
-        let (begun_ms, heard_ms) = (ended.begun_ms, ended.heard_ms);
-        let unanswered = UnansweredRun { run: ended.to_replica_run(), begun_ms, heard_ms, is_silent: false };
-        self.poison.suspect(now_ms, unanswered);
-    }
-
-    fn replica_gone(&mut self, now_ms: u64, id: &str) {
-        let ended = self.poison.suspects.replica_gone(id);
-        self.poison.suspects.reopen(id);
-        self.poison.update_local(now_ms);
-        self.strike_all(now_ms, &ended);
-    }
-
-    fn strike_all(&mut self, now_ms: u64, ended: &[(ReplicaRun, Evidence)]) {
-        for (run, _) in ended {
-            self.strike(now_ms, run);
-        }
-    }
-
-    fn strike(&mut self, now_ms: u64, run: &ReplicaRun) {
-        let strike = run.to_strike();
-        self.poison.pending.add_strike(strike.clone());
-        self.poison.strikes.add(now_ms, &strike);
-        self.poison.update_local(now_ms);
-    }
-
-    fn report(&self, now_ms: u64) -> DoorReport {
-        DoorReport {
-            callers: self.name.clone(),
-            doors_mark: None,
-            helper: None,
-            leaving: Vec::new(),
-            loads: Vec::new(),
-            marks: Vec::new(),
-            name: self.name.clone(),
-            ready: true,
-            started: self.started.to_string(),
-            strikes_mark: None,
-            limits: Vec::new(),
-            unresolved: self.poison.runs_in_hand(now_ms),
-            wants_fleet: true,
-            zone: String::new(),
-        }
-    }
-}
-
-impl Replica {
-    fn new(id: String) -> Self {
-        Self {
-            listed: Some((id.clone(), 1)),
-            id,
-            started: 1,
-            process_since_ms: 0,
-            back_at_ms: None,
-            ends_at_ms: None,
-            unlisted_at_ms: None,
-            listed_at_ms: None,
-        }
-    }
-}
-
 fn content() -> Content {
     let body = Bytes::from_static(b"deadly");
     Content::new(&Method::POST, Some("host"), &Uri::from_static("/path"), &body, None)
