Check the replicas of all suspected contents in turn

What callers would see: a request that is refused as suspected for up to ten minutes although its replicas live, while another content is held whose replicas never answer.

Cause: a door asked the replicas of four runs a second, always those of the same contents.

Evidence, before: replicas_of_all_suspected_contents_are_checked_in_turn, 4 of 15 replicas were ever asked.

Change: each round goes on where the one before ended. Figures: 15 of 15 in four rounds.

--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -43,6 +43,8 @@
     told: ToldRuns,
     /// last sign of any replica while the door is cut off from them, so that their silence since says nothing of them.
     cut_since_ms: Option<u64>,
+    /// runs whose replicas were checked so far.
+    checked_count: usize,
 }
 
 impl PoisonState {
@@ -163,10 +165,15 @@
         (self.local.values().map(Vec::len).sum(), self.pending.untold_count())
     }
 
-    /// runs of this door whose replicas decide whether a content stays held.
-    pub fn runs_to_check(&self) -> Vec<ReplicaRun> {
+    /// runs of this door whose replicas decide whether a content stays held, some of them at each call.
+    pub fn runs_to_check(&mut self) -> Vec<ReplicaRun> {
         let suspected = self.local.iter().filter(|(content, _)| self.hold(content) == Some(Hold::Suspected));
-        suspected.flat_map(|(_, runs)| runs).take(MAX_CHECKED).cloned().collect()
+        let runs: Vec<&ReplicaRun> = suspected.flat_map(|(_, runs)| runs).collect();
+        let count = runs.len().min(MAX_CHECKED);
+        // In turn, as some replicas never answer.
+        let checked = (0..count).map(|step| runs[(self.checked_count + step) % runs.len()].clone()).collect();
+        self.checked_count = self.checked_count.wrapping_add(count);
+        checked
     }
 
     /// drops what has outlived its time limit; returns the runs that are cleared by now. `is_list_current`
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -1,10 +1,13 @@
 //! evidence on which an unanswered run counts against its content, or is cleared.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use flamingostand::poison::ActiveRuns;
 use flamingostand::poison::Content;
 use flamingostand::poison::Evidence;
 use flamingostand::poison::LifeSign;
+use flamingostand::poison::PoisonState;
 use flamingostand::poison::ReplicaRun;
 use flamingostand::poison::SuspectRuns;
 use flamingostand::poison::UnansweredRun;
@@ -188,3 +191,21 @@
     let weighing: Vec<_> = suspects.unresolved(16_000).collect();
     assert_eq!(weighing, [&run("d", "first"), &run("a", "silent"), &run("c", "gone")]);
 }
+
+/// Guards against a content that stays held because the replicas of another one, which never answer, take up all
+/// checks.
+#[test]
+fn replicas_of_all_suspected_contents_are_checked_in_turn() {
+    let mut door = PoisonState::default();
+    for content in ["a", "b", "c"] {
+        for number in 0..5 {
+            let run = ReplicaRun { content: content.to_owned(), ..run(&format!("{content}-{number}"), "1") };
+            door.suspect(0, UnansweredRun { run, begun_ms: 0, heard_ms: 0, is_silent: false });
+        }
+    }
+    let mut checked = BTreeSet::new();
+    for _ in 0..4 {
+        checked.extend(door.runs_to_check().into_iter().map(|run| run.replica));
+    }
+    assert_eq!(checked.len(), 15);
+}
