Report as in hand only runs that are not told otherwise

What callers would see: nothing yet; a run that its door takes along would be forgotten while many others are overdue.

Cause: a report has room for some runs in hand, and those that had been silent for a second, which are told as unanswered runs anyway, took it up. The order was that of the table, not of age, so the same ones stayed out.

Change: a run in hand is named while its replica has been silent for 200 ms to a second, 64 at most, which is more than an instance begins in that time at the size of docs/CAPACITY.md. Pending records of a run are found by its fields, not by a name that is put together for each comparison.

--- a/src/poison/active_runs.rs
+++ b/src/poison/active_runs.rs
@@ -1,4 +1,5 @@
 use std::cell::OnceCell;
+use std::ops::RangeBounds;
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -90,16 +91,16 @@
 
     /// runs whose replicas have been silent for so long that they may have ended.
     pub fn overdue(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
-        self.silent_for(now_ms, OVERDUE_MS)
+        self.silent_for(now_ms, OVERDUE_MS..)
     }
 
-    /// runs whose replicas have been silent for a moment.
+    /// runs whose replicas have been silent for a moment, but are not overdue.
     pub fn in_hand(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
-        self.silent_for(now_ms, IN_HAND_MS)
+        self.silent_for(now_ms, IN_HAND_MS..OVERDUE_MS)
     }
 
-    fn silent_for(&self, now_ms: u64, silence_ms: u64) -> impl Iterator<Item = ReplicaRun> {
-        let is_silent = move |run: &&ActiveRun| now_ms >= run.heard_ms + silence_ms;
+    fn silent_for(&self, now_ms: u64, silence_ms: impl RangeBounds<u64>) -> impl Iterator<Item = ReplicaRun> {
+        let is_silent = move |run: &&ActiveRun| silence_ms.contains(&now_ms.saturating_sub(run.heard_ms));
         self.runs.values().filter(is_silent).map(ActiveRun::to_replica_run)
     }
 }
--- a/src/poison/pending_records.rs
+++ b/src/poison/pending_records.rs
@@ -1,6 +1,5 @@
 use std::collections::BTreeSet;
 
-use crate::poison::ReplicaRun;
 use crate::schema::LedgerStrikes;
 use crate::schema::PoisonStrike;
 use crate::schema::SuspectedRun;
@@ -34,6 +33,14 @@
     Run(SuspectedRun),
 }
 
+/// whether two records are about one run.
+fn is_same_run(first: &SuspectedRun, second: &SuspectedRun) -> bool {
+    first.request == second.request
+        && first.replica == second.replica
+        && first.replica_started == second.replica_started
+        && first.content == second.content
+}
+
 impl PendingRecords {
     /// adds a strike that no ledger node has stored.
     pub fn add_strike(&mut self, strike: PoisonStrike) {
@@ -42,9 +49,8 @@
 
     /// adds what has changed of a run, in place of an earlier change of it.
     pub fn add_run(&mut self, run: SuspectedRun) {
-        let victim = ReplicaRun::from(&run).victim();
         self.rows.retain(|row| match &row.record {
-            PoisonRecord::Run(known) => ReplicaRun::from(known).victim() != victim,
+            PoisonRecord::Run(known) => !is_same_run(known, &run),
             PoisonRecord::Strike(_) => true,
         });
         self.add(PoisonRecord::Run(run));
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -19,8 +19,8 @@
 
 /// replicas that are checked at once.
 const MAX_CHECKED: usize = 4;
-/// runs in hand in one report; reports go out several times a second.
-const MAX_IN_HAND: usize = 32;
+/// runs in hand in one report: as many as an instance begins in a second.
+const MAX_IN_HAND: usize = 64;
 
 /// what a front door knows of contents that crash replicas.
 #[derive(Debug, Default)]
@@ -154,7 +154,7 @@
         self.update_local(now_ms);
     }
 
-    /// runs that would be forgotten if this process ended now, oldest first.
+    /// runs that would be forgotten if this process ended now; those that are overdue are told as unresolved.
     pub fn runs_in_hand(&self, now_ms: u64) -> Vec<SuspectedRun> {
         let in_hand = self.active.in_hand(self.cut_since_ms.unwrap_or(now_ms));
         in_hand.take(MAX_IN_HAND).map(|run| run.to_suspected(1)).collect()
