--- a/src/door/poisoned_contents.rs
+++ b/src/door/poisoned_contents.rs
@@ -71,7 +71,11 @@
     pub fn explain_by_cut(&self, is_cut_off: bool) {
         let heard_ms = self.reach.reach().heard_ms();
         let explained = self.poison().set_cut_off(self.now_ms(), is_cut_off, heard_ms);
-        self.log_cleared(&explained, "cut_off");
+        for run in explained {
+            metrics::counter!("door_runs_cleared_total", "evidence" => "cut_off").increment(1);
+            info!(self.log, "cut from the replicas explains an unanswered run; it does not weigh for now";
+                "request" => &run.request, "content" => &run.content, "replica" => &run.replica);
+        }
     }
 
     /// handles an answer of a replica, over a connection that was opened at `connected`.
@@ -96,9 +100,9 @@
 
     /// shows how many runs weigh against contents, and how many of them no ledger node has stored.
     pub fn record_unresolved(&self) {
-        let (unresolved, untold) = self.poison().unresolved_counts();
+        let (unresolved, unreported) = self.poison().unresolved_counts();
         metrics::gauge!("door_unresolved_runs").set(unresolved as f64);
-        metrics::gauge!("door_untold_runs").set(untold as f64);
+        metrics::gauge!("door_unreported_runs").set(unreported as f64);
         let dropped = self.poison().pending.take_dropped();
         if dropped > 0 {
             metrics::counter!("door_poison_records_dropped_total").increment(dropped);
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -108,7 +108,7 @@
             helper: door.helper(),
         };
         let view = door.ledger.view();
-        let in_hand = door.poison().runs_in_hand(door.now_ms());
+        let in_flight = door.poison().in_flight_runs(door.now_ms());
         // One node sends this door the state of the others; the choice spreads doors over the nodes.
         let fleet_source = door.ledger.preferred_member(&view, &report.name);
         for member in &view.members {
@@ -119,7 +119,7 @@
             report.strikes_mark = door.poison().marks.get(&member.name).cloned();
             report.wants_fleet = fleet_source.as_deref() == Some(&member.name);
             // One node is enough to notice that this door ends.
-            report.unresolved = if report.wants_fleet { in_hand.clone() } else { Vec::new() };
+            report.unresolved = if report.wants_fleet { in_flight.clone() } else { Vec::new() };
             report.doors_mark = door.fleet().mark().filter(|_| report.wants_fleet).cloned();
             // An unreachable node is detected by its missing answers.
             door.ledger.ask(member, view.epoch, LedgerRequest::Report(report.clone()), None, &sender);
--- a/src/fleet/runs_in_hand.rs
+++ b/src/fleet/in_flight_runs.rs
@@ -6,9 +6,9 @@
 /// time without a report after which a door counts as ended: longer than one that is busy or cut off is silent.
 const ENDED_AFTER_MS: u64 = 10_000;
 
-/// runs that doors have in hand, as one ledger node knows them. Those of a door that ends are left to nobody.
+/// runs that doors have in flight, as one ledger node knows them; those of a door that ends are orphaned.
 #[derive(Debug, Default)]
-pub struct RunsInHand {
+pub struct InFlightRuns {
     /// by name of the door.
     doors: BTreeMap<String, Row>,
 }
@@ -21,7 +21,7 @@
     reported_ms: u64,
 }
 
-impl RunsInHand {
+impl InFlightRuns {
     /// replaces the runs of a door by those in its report; returns those of an earlier start of it.
     pub fn report(&mut self, now_ms: u64, report: &DoorReport) -> Vec<SuspectedRun> {
         let row =
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -2,9 +2,9 @@
 use std::collections::BTreeSet;
 
 use crate::fleet::DoorRegistry;
+use crate::fleet::InFlightRuns;
 use crate::fleet::LimitShares;
 use crate::fleet::Mirror;
-use crate::fleet::RunsInHand;
 use crate::fleet::WatchUpdate;
 use crate::ledger::CatchUp;
 use crate::ledger::LedgerNode;
@@ -122,8 +122,8 @@
         /// victims of the content, this one included.
         victims: usize,
     },
-    /// a door ended with these runs in hand.
-    RunsLeftBehind(Vec<SuspectedRun>),
+    /// a door ended with these runs in flight.
+    RunsOrphaned(Vec<SuspectedRun>),
 }
 
 /// all decisions of a ledger node: its copy of the records, its membership, and the reports that doors
@@ -133,8 +133,8 @@
     node: LedgerNode,
     own: LedgerMember,
     board: DoorRegistry,
-    /// runs that weigh once the doors that have them in hand end.
-    runs_in_hand: RunsInHand,
+    /// runs that weigh once the doors that run them end.
+    in_flight_runs: InFlightRuns,
     /// rate limits of replicas, and what doors would use of them.
     limits: LimitShares,
     /// platform objects that doors read from this node, by prefix.
@@ -161,7 +161,7 @@
             node: LedgerNode::new(identity, empty),
             own,
             board: DoorRegistry::new(start),
-            runs_in_hand: RunsInHand::default(),
+            in_flight_runs: InFlightRuns::default(),
             limits: LimitShares::default(),
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
@@ -240,8 +240,8 @@
             return;
         };
         let mut news = self.board.report(now_ms, report);
-        let left_behind = self.runs_in_hand.report(now_ms, report);
-        self.suspect(now_ms, &left_behind, out);
+        let orphaned = self.in_flight_runs.report(now_ms, report);
+        self.suspect(now_ms, &orphaned, out);
         self.limits.report(now_ms, report);
         if report.wants_fleet {
             news.limits = self.limits.for_door(now_ms, &report.name);
@@ -272,12 +272,12 @@
     }
 
     /// stores runs whose doors have ended.
-    fn suspect(&mut self, now_ms: u64, left_behind: &[SuspectedRun], out: &mut Vec<CoreAction>) {
-        if left_behind.is_empty() {
+    fn suspect(&mut self, now_ms: u64, orphaned: &[SuspectedRun], out: &mut Vec<CoreAction>) {
+        if orphaned.is_empty() {
             return;
         }
-        out.push(CoreAction::RunsLeftBehind(left_behind.to_vec()));
-        let actions = self.node.suspect(now_ms, left_behind);
+        out.push(CoreAction::RunsOrphaned(orphaned.to_vec()));
+        let actions = self.node.suspect(now_ms, orphaned);
         self.perform(now_ms, actions, out);
     }
 
@@ -347,8 +347,8 @@
             self.last_expiry_ms = now_ms;
             self.node.expire(now_ms);
             self.board.expire(now_ms);
-            let left_behind = self.runs_in_hand.expire(now_ms);
-            self.suspect(now_ms, &left_behind, out);
+            let orphaned = self.in_flight_runs.expire(now_ms);
+            self.suspect(now_ms, &orphaned, out);
             self.limits.expire(now_ms);
             for mirror in self.mirrors.values_mut() {
                 mirror.expire(now_ms);
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -137,10 +137,10 @@
                 info!(self.log, "received a strike: request content ended a replica";
                     "content" => strike.content, "victim" => strike.victim, "victims" => victims);
             }
-            CoreAction::RunsLeftBehind(runs) => {
+            CoreAction::RunsOrphaned(runs) => {
                 for run in runs {
-                    metrics::counter!("ledger_runs_left_behind_total").increment(1);
-                    info!(self.log, "a door ended with a run in hand; its replica is suspected to have ended";
+                    metrics::counter!("ledger_runs_orphaned_total").increment(1);
+                    info!(self.log, "a door ended with a run in flight; its replica is suspected to have ended";
                         "request" => run.request, "content" => run.content, "replica" => run.replica);
                 }
             }
--- a/src/poison/active_runs.rs
+++ b/src/poison/active_runs.rs
@@ -11,8 +11,8 @@
 /// silence of a replica after which a run counts as unresolved: several times as long as a busy replica is
 /// silent on all its connections.
 pub(super) const OVERDUE_MS: u64 = 1_000;
-/// silence of a replica after which ledger nodes are told of a run in hand, in case this door ends.
-const IN_HAND_MS: u64 = 200;
+/// silence of a replica after which ledger nodes are told of a run in flight, in case this door ends.
+const REPORTED_SILENCE_MS: u64 = 200;
 
 new_key_type! {
     /// key of a run that has not ended.
@@ -95,8 +95,8 @@
     }
 
     /// runs whose replicas have been silent for a moment, but are not overdue.
-    pub fn in_hand(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
-        self.silent_for(now_ms, IN_HAND_MS..OVERDUE_MS)
+    pub fn in_flight(&self, now_ms: u64) -> impl Iterator<Item = ReplicaRun> {
+        self.silent_for(now_ms, REPORTED_SILENCE_MS..OVERDUE_MS)
     }
 
     fn silent_for(&self, now_ms: u64, silence_ms: impl RangeBounds<u64>) -> impl Iterator<Item = ReplicaRun> {
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -13,10 +13,10 @@
 mod pending_records;
 mod poison_state;
 mod remote_runs;
+mod reported_runs;
 mod run;
 mod strikes;
 mod suspect_runs;
-mod told_runs;
 mod unresolved_runs;
 
 pub use active_runs::ActiveRuns;
--- a/src/poison/pending_records.rs
+++ b/src/poison/pending_records.rs
@@ -81,7 +81,7 @@
     }
 
     /// records that no node has stored.
-    pub fn untold_count(&self) -> usize {
+    pub fn unreported_count(&self) -> usize {
         self.rows.iter().filter(|row| row.stored_at.is_empty()).count()
     }
 
--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -12,15 +12,15 @@
 use crate::poison::SuspectRuns;
 use crate::poison::UnansweredRun;
 use crate::poison::remote_runs::RemoteRuns;
+use crate::poison::reported_runs::ReportedRuns;
 use crate::poison::run::is_weighing;
-use crate::poison::told_runs::ToldRuns;
 use crate::schema::StrikesMark;
 use crate::schema::SuspectedRun;
 
 /// replicas that are checked at once.
 const MAX_CHECKED: usize = 4;
-/// runs in hand in one report: as many as an instance begins in a second.
-const MAX_IN_HAND: usize = 64;
+/// runs in flight in one report: as many as an instance begins in a second.
+const MAX_IN_FLIGHT: usize = 64;
 
 /// what a front door knows of contents that crash replicas.
 #[derive(Debug, Default)]
@@ -40,7 +40,7 @@
     /// runs of this door that weigh, by content.
     local: BTreeMap<String, Vec<ReplicaRun>>,
     /// what the ledger nodes are told of these runs.
-    told: ToldRuns,
+    reported: ReportedRuns,
     /// last sign of any replica while the door is cut off from them, so that their silence since says nothing of them.
     cut_since_ms: Option<u64>,
     /// runs whose replicas were checked so far.
@@ -103,7 +103,7 @@
         for run in self.active.overdue(now_ms).filter(|_| self.cut_since_ms.is_some()) {
             self.local.entry(run.content.clone()).or_insert_with(|| vec![run]);
         }
-        for run in self.told.update(now_ms, self.local.values().flatten()) {
+        for run in self.reported.update(now_ms, self.local.values().flatten()) {
             self.pending.add_run(run);
         }
     }
@@ -125,7 +125,7 @@
     fn possible_victims(&self, content: &str) -> BTreeSet<String> {
         let mut victims: BTreeSet<String> = self.strikes.victims(content).map(str::to_owned).collect();
         // What this door has cleared since, the ledger nodes may not know yet.
-        let is_current = |(victim, run): &(&str, &SuspectedRun)| self.told.changes(victim) <= run.changes;
+        let is_current = |(victim, run): &(&str, &SuspectedRun)| self.reported.changes(victim) <= run.changes;
         let remote = self.remote.weighing(content).filter(is_current);
         victims.extend(remote.map(|(victim, _)| victim.to_owned()));
         victims.extend(self.local.get(content).into_iter().flatten().map(ReplicaRun::victim));
@@ -135,7 +135,7 @@
     /// suspects a run that ended now without an answer.
     pub fn suspect(&mut self, now_ms: u64, unanswered: UnansweredRun) {
         if let Some(dropped) = self.suspects.add(now_ms, unanswered) {
-            self.told.forget(&dropped);
+            self.reported.forget(&dropped);
         }
         self.update_local(now_ms);
     }
@@ -144,25 +144,25 @@
     /// doors that had them may have ended.
     pub fn adopt_runs(&mut self, now_ms: u64, content: &str) {
         for (_, run) in self.remote.weighing(content) {
-            if !self.told.adopt(run) {
+            if !self.reported.adopt(run) {
                 continue;
             }
             if let Some(dropped) = self.suspects.adopt(now_ms, ReplicaRun::from(run)) {
-                self.told.forget(&dropped);
+                self.reported.forget(&dropped);
             }
         }
         self.update_local(now_ms);
     }
 
     /// runs that would be forgotten if this process ended now; those that are overdue are told as unresolved.
-    pub fn runs_in_hand(&self, now_ms: u64) -> Vec<SuspectedRun> {
-        let in_hand = self.active.in_hand(self.cut_since_ms.unwrap_or(now_ms));
-        in_hand.take(MAX_IN_HAND).map(|run| run.to_suspected(1)).collect()
+    pub fn in_flight_runs(&self, now_ms: u64) -> Vec<SuspectedRun> {
+        let in_flight = self.active.in_flight(self.cut_since_ms.unwrap_or(now_ms));
+        in_flight.take(MAX_IN_FLIGHT).map(|run| run.to_suspected(1)).collect()
     }
 
     /// runs of this door that weigh, and those of them that no ledger node has stored.
     pub fn unresolved_counts(&self) -> (usize, usize) {
-        (self.local.values().map(Vec::len).sum(), self.pending.untold_count())
+        (self.local.values().map(Vec::len).sum(), self.pending.unreported_count())
     }
 
     /// runs of this door whose replicas decide whether a content stays held, some of them at each call.
--- a/src/poison/told_runs.rs
+++ b/src/poison/reported_runs.rs
@@ -8,22 +8,22 @@
 /// how long a run that no longer weighs is remembered: its replica may still end under it.
 const SETTLED_KEEP_MS: u64 = 60_000;
 
-/// what a door has told ledger nodes of its unanswered runs.
+/// what a door has reported ledger nodes of its unanswered runs.
 #[derive(Debug, Default)]
-pub struct ToldRuns {
+pub struct ReportedRuns {
     /// by victim.
-    runs: HashMap<String, Told>,
+    runs: HashMap<String, Reported>,
 }
 
 #[derive(Debug)]
-struct Told {
+struct Reported {
     run: ReplicaRun,
     changes: u64,
     changed_ms: u64,
 }
 
-impl ToldRuns {
-    /// compares what was told with the runs that weigh now; returns the changes.
+impl ReportedRuns {
+    /// compares what was reported with the runs that weigh now; returns the changes.
     pub fn update<'a>(
         &mut self,
         now_ms: u64,
@@ -33,44 +33,44 @@
         let mut victims = HashSet::new();
         for run in weighing {
             let victim = run.victim();
-            let told = self.runs.entry(victim.clone()).or_insert_with(|| Told::new(run, 0));
+            let reported = self.runs.entry(victim.clone()).or_insert_with(|| Reported::new(run, 0));
             victims.insert(victim);
-            if !is_weighing(told.changes) {
-                changed.push(told.change(now_ms));
+            if !is_weighing(reported.changes) {
+                changed.push(reported.change(now_ms));
             }
         }
-        self.runs.retain(|victim, told| {
-            if is_weighing(told.changes) && !victims.contains(victim) {
-                changed.push(told.change(now_ms));
+        self.runs.retain(|victim, reported| {
+            if is_weighing(reported.changes) && !victims.contains(victim) {
+                changed.push(reported.change(now_ms));
             }
-            is_weighing(told.changes) || now_ms < told.changed_ms + SETTLED_KEEP_MS
+            is_weighing(reported.changes) || now_ms < reported.changed_ms + SETTLED_KEEP_MS
         });
         changed
     }
 
-    /// takes over a run that another door has told and cannot settle any more; `false` if it is known.
+    /// takes over a run that another door has reported and cannot settle any more; `false` if it is known.
     pub fn adopt(&mut self, run: &SuspectedRun) -> bool {
         let adopted = ReplicaRun::from(run);
         let victim = adopted.victim();
         if self.runs.contains_key(&victim) {
             return false;
         }
-        self.runs.insert(victim, Told::new(&adopted, run.changes));
+        self.runs.insert(victim, Reported::new(&adopted, run.changes));
         true
     }
 
-    /// forgets a run that this door no longer watches; it keeps the weight that was told last.
+    /// forgets a run that this door no longer watches; it keeps the weight that was reported last.
     pub fn forget(&mut self, run: &ReplicaRun) {
         self.runs.remove(&run.victim());
     }
 
-    /// times that a run has changed, as far as this door has told or taken over; 0 for others.
+    /// times that a run has changed, as far as this door has reported or taken over; 0 for others.
     pub fn changes(&self, victim: &str) -> u64 {
-        self.runs.get(victim).map_or(0, |told| told.changes)
+        self.runs.get(victim).map_or(0, |reported| reported.changes)
     }
 }
 
-impl Told {
+impl Reported {
     fn new(run: &ReplicaRun, changes: u64) -> Self {
         Self { run: run.clone(), changes, changed_ms: 0 }
     }
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -486,7 +486,7 @@
     pub started: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub strikes_mark: ::std::option::Option<StrikesMark>,
-    ///runs in hand whose replicas are silent, which weigh if the door ends
+    ///runs in flight whose replicas are silent, which weigh if the door ends
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub unresolved: ::std::vec::Vec<SuspectedRun>,
     ///whether the answer should tell of the other doors; one ledger node is asked for that
--- a/tests/fleet_poison_kills.rs
+++ b/tests/fleet_poison_kills.rs
@@ -46,16 +46,16 @@
 }
 
 /// how long a run is under way when its door is killed.
-const IN_HAND_TIME: Duration = Duration::from_millis(800);
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(800);
 
-/// Guards against a run that is forgotten because the door that has it in hand is killed.
+/// Guards against a run that is forgotten because the door that runs it is killed.
 #[test]
-fn poison_run_in_hand_outlives_its_door() {
-    let mut fleet = start_deadly("poison-in-hand", EndStage::Silent, MANY);
+fn poison_run_in_flight_outlives_its_door() {
+    let mut fleet = start_deadly("poison-in-flight", EndStage::Silent, MANY);
     let request = post_request();
     for number in 1..=MANY {
         let waiting = fleet.open(number % 2, &request.attempt(number as u32));
-        std::thread::sleep(IN_HAND_TIME);
+        std::thread::sleep(IN_FLIGHT_TIME);
         let door = &mut fleet.doors[number % 2];
         door.kill();
         drop(waiting);
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -362,7 +362,7 @@
                 self.schedule(in_ms, Event::Input(name.to_owned(), start, input));
             }
             CoreAction::CaughtUp => self.trace(&format!("{name} is complete")),
-            CoreAction::StrikeAdded { .. } | CoreAction::RunsLeftBehind(_) => {}
+            CoreAction::StrikeAdded { .. } | CoreAction::RunsOrphaned(_) => {}
             CoreAction::CompactLog(_) | CoreAction::ViewChanged(_) => {}
         }
     }
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -192,9 +192,9 @@
     assert_eq!(weighing, [&run("d", "first"), &run("a", "silent"), &run("c", "gone")]);
 }
 
-/// Guards against runs in hand that no report has room for, as those that are told already take it up.
+/// Guards against runs in flight that no report has room for, as those that are told already take it up.
 #[test]
-fn overdue_runs_are_not_reported_as_in_hand() {
+fn overdue_runs_are_not_reported_as_in_flight() {
     let mut door = PoisonState::default();
     let begin = |door: &mut PoisonState, begun_ms: u64, number: usize| {
         let body = Bytes::from(format!("text {number}"));
@@ -207,8 +207,8 @@
     begin(&mut door, 900, 100);
     door.update_local(1_100);
     assert_eq!(door.unresolved_counts(), (100, 100));
-    let in_hand: Vec<String> = door.runs_in_hand(1_100).into_iter().map(|run| run.request).collect();
-    assert_eq!(in_hand, ["100"]);
+    let in_flight: Vec<String> = door.in_flight_runs(1_100).into_iter().map(|run| run.request).collect();
+    assert_eq!(in_flight, ["100"]);
 }
 
 /// Guards against a content that stays held because the replicas of another one, which never answer, take up all
--- a/tests/poison_world/door.rs
+++ b/tests/poison_world/door.rs
@@ -100,7 +100,7 @@
             started: self.started.to_string(),
             strikes_mark: None,
             limits: Vec::new(),
-            unresolved: self.poison.runs_in_hand(now_ms),
+            unresolved: self.poison.in_flight_runs(now_ms),
             wants_fleet: true,
             zone: String::new(),
         }
--- a/tests/poison_world/node.rs
+++ b/tests/poison_world/node.rs
@@ -1,4 +1,4 @@
-use flamingostand::fleet::RunsInHand;
+use flamingostand::fleet::InFlightRuns;
 use flamingostand::ledger::RecordStore;
 use flamingostand::schema::DoorReport;
 use flamingostand::schema::LedgerRecord;
@@ -10,7 +10,7 @@
     pub store: RecordStore,
     /// what the disk holds, oldest first.
     pub disk: Vec<LedgerRecord>,
-    pub in_hand: RunsInHand,
+    pub in_flight: InFlightRuns,
     pub up_since_ms: u64,
 }
 
@@ -21,7 +21,7 @@
         for record in &self.disk {
             self.store.merge(up_since_ms, record);
         }
-        self.in_hand = RunsInHand::default();
+        self.in_flight = InFlightRuns::default();
         self.up_since_ms = up_since_ms;
     }
 
@@ -35,9 +35,9 @@
     }
 
     pub fn take_report(&mut self, now_ms: u64, report: &DoorReport) {
-        let mut left_behind = self.in_hand.report(now_ms, report);
-        left_behind.extend(self.in_hand.expire(now_ms));
-        self.store(now_ms, left_behind.into_iter().map(LedgerRecord::Suspected));
+        let mut orphaned = self.in_flight.report(now_ms, report);
+        orphaned.extend(self.in_flight.expire(now_ms));
+        self.store(now_ms, orphaned.into_iter().map(LedgerRecord::Suspected));
     }
 
     pub fn store(&mut self, now_ms: u64, records: impl Iterator<Item = LedgerRecord>) {
--- a/tests/unresolved_runs.rs
+++ b/tests/unresolved_runs.rs
@@ -1,6 +1,6 @@
 //! runs with an unknown outcome, as ledger nodes store them and pass them on between doors.
 
-use flamingostand::fleet::RunsInHand;
+use flamingostand::fleet::InFlightRuns;
 use flamingostand::ledger::RecordStore;
 use flamingostand::poison::Hold;
 use flamingostand::poison::LifeSign;
@@ -63,15 +63,15 @@
 
 /// Guards against forgetting the runs of a door that was killed and started again, or removed.
 #[test]
-fn runs_in_hand_of_an_ended_door_are_left_behind() {
-    let mut in_hand = RunsInHand::default();
-    assert!(in_hand.report(0, &report("a", "1", &["1", "2"])).is_empty());
-    assert!(in_hand.report(250, &report("b", "1", &["3"])).is_empty());
-    assert!(in_hand.report(500, &report("a", "1", &["2"])).is_empty(), "a run that was answered");
-    assert_eq!(in_hand.report(1_000, &report("a", "2", &[])), [run("2", 1)]);
-    assert!(in_hand.expire(10_249).is_empty());
-    assert_eq!(in_hand.expire(10_250), [run("3", 1)]);
-    assert!(in_hand.report(20_000, &report("b", "2", &[])).is_empty(), "each is left behind once");
+fn in_flight_runs_of_an_ended_door_are_orphaned() {
+    let mut in_flight = InFlightRuns::default();
+    assert!(in_flight.report(0, &report("a", "1", &["1", "2"])).is_empty());
+    assert!(in_flight.report(250, &report("b", "1", &["3"])).is_empty());
+    assert!(in_flight.report(500, &report("a", "1", &["2"])).is_empty(), "a run that was answered");
+    assert_eq!(in_flight.report(1_000, &report("a", "2", &[])), [run("2", 1)]);
+    assert!(in_flight.expire(10_249).is_empty());
+    assert_eq!(in_flight.expire(10_250), [run("3", 1)]);
+    assert!(in_flight.report(20_000, &report("b", "2", &[])).is_empty(), "each is orphaned once");
 }
 
 /// Guards against runs that are forgotten when a node starts again or copies the records of another one.
@@ -113,7 +113,7 @@
 
 /// Guards against a content that stays held because the doors that could clear its runs have ended.
 #[test]
-fn door_clears_runs_that_others_left_behind() {
+fn door_clears_runs_that_others_orphaned() {
     let mut door = told_door();
     door.adopt_runs(1_000, "x");
     assert_eq!(door.runs_to_check().len(), 3);
