--- a/tests/poison_histories.rs
+++ b/tests/poison_histories.rs
@@ -76,3 +76,16 @@
         are_ends_hidden: true,
     });
 }
+
+/// seed with more late runs while ends of replicas show only once their next processes are listed.
+const BURST_SEED: u64 = 1_292;
+
+/// Guards against a burst of runs in the second before silent replicas weigh, while no entry shows yet that others
+/// have ended under runs that their callers gave up.
+#[test]
+fn late_runs_are_bounded_in_a_burst() {
+    let troubles = Troubles { cut_interval_ms: 1_000, are_ends_hidden: true, ..Troubles::default() };
+    let mut world = World::new(BURST_SEED, troubles);
+    world.play();
+    assert!(world.late_runs() <= MAX_LATE_RUNS, "{}", world.summary());
+}
