Look for replicas that a new entry replaces only while a run is watched

A door that starts with a list of 10,000 replicas would compare each entry with all before it, by reading some 50 million comparisons on a small processor. Without unanswered runs nothing depends on it. No decision changes.

--- a/src/door/follow.rs
+++ b/src/door/follow.rs
@@ -87,7 +87,9 @@
                 info!(door.log, "replica entry marks it as leaving"; "replica" => id);
             }
             let started_unix_ms = entry.started_unix_ms;
-            let replaced = door.replicas().replaced_by(&entry);
+            // The search takes a pass over all replicas, which a long list would repeat for each of them.
+            let is_watching = !door.poison().suspects.is_empty();
+            let replaced = if is_watching { door.replicas().replaced_by(&entry) } else { Vec::new() };
             door.replicas().upsert(entry);
             door.replica_started(id, started_unix_ms);
             for ended in replaced {
--- a/src/poison/suspect_runs.rs
+++ b/src/poison/suspect_runs.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// whether no replica is watched.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
     /// runs that weigh: they are not cleared, nor explained by a cut.
     pub fn unresolved(&self, now_ms: u64) -> impl Iterator<Item = &ReplicaRun> {
         let weighing = self.runs.iter().filter(move |suspicion| suspicion.is_weighing(now_ms));
