--- a/tests/fleet_endless.rs
+++ b/tests/fleet_endless.rs
@@ -164,7 +164,8 @@
     let request = |caller: usize| turn_request(caller).with("X-Deadline-Ms", &SLOW_WAIT_MS.to_string());
     let (fleet, answers) = send_many(&format!("endless-many-{name}"), part, MANY_CALLERS, request);
     for answer in &answers {
-        assert!(!answer.is_whole, "{} bytes", answer.body.len());
+        // A refusal is whole, and nothing of the turn.
+        assert!(!answer.is_whole || answer.status >= 500, "{} bytes", answer.body.len());
     }
     assert!(fleet.doors[0].peak_memory_mb() < MACHINE_MB, "{} MB", fleet.doors[0].peak_memory_mb());
 }
