--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -41,13 +42,19 @@
 
 
 def free_port(taken=set()):
+    """A free port below those that the system gives to outgoing connections, so that a process gets it again."""
     while True:
+        port = random.randrange(16000, 32000)
+        if port in taken:
+            continue
+        taken.add(port)
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in taken and port + 1 not in taken:
-            taken.add(port)
-            return port
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def response(status, body=b"", headers=()):
