--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -42,9 +42,13 @@
 
 
 def free_port(taken=set()):
-    """A free port below those that the system gives to outgoing connections, so that a process gets it again."""
+    """A free port below those that the system gives to outgoing connections, so that a process gets it again.
+
+    Cases beside each other take theirs from different parts of the range.
+    """
+    start = 16000 + os.getpid() % 80 * 200
     while True:
-        port = random.randrange(16000, 32000)
+        port = random.randrange(start, start + 200)
         if port in taken:
             continue
         taken.add(port)
@@ -201,6 +205,32 @@
     return found >= 0 and table[found:table.find(b"\n", found)].split()[8] in inodes
 
 
+class TableReader:
+    """Reads the tables once for all connections that wait for them, as reading takes milliseconds."""
+
+    def __init__(self):
+        self.waiting = []
+        self.task = None
+
+    async def read(self, processes):
+        waiting = asyncio.get_running_loop().create_future()
+        self.waiting.append(waiting)
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self.run(processes))
+        return await waiting
+
+    async def run(self, processes):
+        while self.waiting:
+            waiting, self.waiting = self.waiting, []
+            tables = await asyncio.get_running_loop().run_in_executor(None, read_tables, processes)
+            for future in waiting:
+                if not future.done():
+                    future.set_result(tables)
+
+
+TABLES = TableReader()
+
+
 class Replica:
     """A model replica. Doors in `cut` are partitioned from it: what they send hangs, on old and on new connections."""
 
@@ -230,7 +260,7 @@
     async def check_new(self, port):
         """Holds a new connection until it is known whether its process is cut off."""
         if self.cut:
-            tables = await asyncio.get_running_loop().run_in_executor(None, read_tables, self.cut)
+            tables = await TABLES.read(self.cut)
             if self.cut and owns(tables, port, self.port):
                 self.ports_cut.add(port)
 
