--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -115,6 +115,15 @@
     ViewChanged(LedgerView),
     /// the node holds every record that it should.
     CaughtUp,
+    /// turns that this node needs but lacks are told to another member, from the first one on.
+    TellMissingTurns {
+        /// recipient.
+        member: String,
+        /// turns in the first message.
+        count: usize,
+    },
+    /// so many turns are kept longer, as another member needs but lacks them.
+    TurnsExtended(usize),
     /// a door reported a strike that was not known.
     StrikeAdded {
         /// the new strike.
@@ -315,8 +324,10 @@
         match answer.reply {
             LedgerReply::Records(page) => {
                 self.peers.set_complete(&name, page.complete);
-                if pending.purpose != Purpose::Copy {
-                    return;
+                match pending.purpose {
+                    Purpose::Copy => {}
+                    Purpose::Extend(number) => return self.peers.set_told(&name, number),
+                    Purpose::Probe | Purpose::HandOver(_) => return,
                 }
                 let actions = self.node.merge(now_ms, &page.records);
                 self.perform(now_ms, actions, out);
@@ -380,17 +391,31 @@
         };
         let is_catching_up = self.node.is_member() && !self.node.is_complete();
         let cursor = self.catch_up.cursor(name).filter(|_| is_catching_up);
+        let mut new_told = None;
         let (purpose, request) = if let Some(after) = cursor {
-            (Purpose::Copy, LedgerRequest::Pull(LedgerPull { view: view.clone(), after }))
+            let pull = LedgerPull { view: view.clone(), after, extends: Vec::new() };
+            (Purpose::Copy, LedgerRequest::Pull(pull))
         } else if let Some((number, records)) = self.next_hand_over(&member) {
             (Purpose::HandOver(number), LedgerRequest::Push(LedgerPush { view: view.clone(), records }))
         } else {
-            let pull = LedgerPull { view: view.clone(), after: AFTER_ALL_RECORDS };
-            (Purpose::Probe, LedgerRequest::Pull(pull))
+            let after = self.peers.told(now_ms, name);
+            let page = self.node.store().extensions_after(now_ms, after);
+            let is_first = after == 0 && !page.extensions.is_empty();
+            new_told = is_first.then_some(page.extensions.len());
+            let purpose = match page.last_number > after {
+                true => Purpose::Extend(page.last_number),
+                false => Purpose::Probe,
+            };
+            let pull = LedgerPull { view: view.clone(), after: AFTER_ALL_RECORDS, extends: page.extensions };
+            (purpose, LedgerRequest::Pull(pull))
+        };
+        let Some(id) = self.peers.register(now_ms, name, view.epoch, purpose) else {
+            return;
         };
-        if let Some(id) = self.peers.register(now_ms, name, view.epoch, purpose) {
-            out.push(CoreAction::Ask { member, ask: LedgerAsk { id, epoch: view.epoch, request } });
+        if let Some(count) = new_told {
+            out.push(CoreAction::TellMissingTurns { member: name.to_owned(), count });
         }
+        out.push(CoreAction::Ask { member, ask: LedgerAsk { id, epoch: view.epoch, request } });
     }
 
     /// the next records that a retiring node hands over to a member: all while it is still a member itself,
@@ -467,6 +492,7 @@
                 NodeAction::StrikeAdded { strike, victims } => {
                     out.push(CoreAction::StrikeAdded { strike, victims })
                 }
+                NodeAction::TurnsExtended(count) => out.push(CoreAction::TurnsExtended(count)),
                 NodeAction::ViewChanged => {
                     self.peers.set_view(now_ms, &self.own.name, self.node.view());
                     self.catch_up.set_view(self.node.view());
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 mod catch_up;
 mod core;
 mod homes;
+mod missing_turns;
 mod node;
 mod node_io;
 mod peers;
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -142,6 +142,10 @@
             }
             // From here on, writers of an older view are rejected, so the copy misses no records.
             actions.extend(self.adopt(&pull.view));
+            let extended = self.store.extend(now_ms, &pull.extends);
+            if extended > 0 {
+                actions.push(NodeAction::TurnsExtended(extended));
+            }
             actions.push(self.answer(from, ask.id, LedgerReply::Records(self.records(pull.after))));
             return actions;
         }
--- a/src/ledger/node_io.rs
+++ b/src/ledger/node_io.rs
@@ -31,6 +31,8 @@
     },
     /// the node has adopted another view.
     ViewChanged,
+    /// so many turns are kept longer, as another member needs but lacks them.
+    TurnsExtended(usize),
     /// a door reported a strike that was not known.
     StrikeAdded {
         /// the new strike.
--- a/src/ledger/peers.rs
+++ b/src/ledger/peers.rs
@@ -8,11 +8,18 @@
 /// Far above the sync time of a slow disk and below the silence after which a member is evicted.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
+/// time after which a member is told again which turns this node needs but lacks.
+///
+/// It may have restarted meanwhile and forgotten. Well below the margin that doors add to each retention.
+const TELL_AGAIN_MS: u64 = 10_000;
+
 /// purpose of a request to another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Purpose {
     /// checks whether it answers and is complete.
     Probe,
+    /// tells it of turns that this node needs but lacks, up to this change number, besides a probe.
+    Extend(u64),
     /// copies its records to this node.
     Copy,
     /// copies the records of this node to it, up to this change number.
@@ -40,6 +47,10 @@
     answered_ms: u64,
     complete: bool,
     pending: Option<Pending>,
+    /// change number up to which it was told of turns that this node needs but lacks.
+    told_number: u64,
+    /// when telling it began from the first of them.
+    told_since_ms: u64,
 }
 
 impl Peers {
@@ -47,7 +58,13 @@
     pub fn set_view(&mut self, now_ms: u64, own: &str, view: &LedgerView) {
         self.peers.retain(|name, _| view.member(name).is_some());
         for member in view.members.iter().filter(|member| member.name != own) {
-            let new_peer = || Peer { answered_ms: now_ms, complete: false, pending: None };
+            let new_peer = || Peer {
+                answered_ms: now_ms,
+                complete: false,
+                pending: None,
+                told_number: 0,
+                told_since_ms: now_ms,
+            };
             self.peers.entry(member.name.clone()).or_insert_with(new_peer);
         }
     }
@@ -72,6 +89,24 @@
         Some((name.clone(), pending))
     }
 
+    /// change number up to which a member was told of turns that this node needs but lacks.
+    pub fn told(&mut self, now_ms: u64, name: &str) -> u64 {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return 0;
+        };
+        if now_ms >= peer.told_since_ms + TELL_AGAIN_MS {
+            (peer.told_number, peer.told_since_ms) = (0, now_ms);
+        }
+        peer.told_number
+    }
+
+    /// records that a member was told of missing turns up to a change number.
+    pub fn set_told(&mut self, name: &str, number: u64) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.told_number = number;
+        }
+    }
+
     /// sets whether a member holds every record that it should.
     pub fn set_complete(&mut self, name: &str, complete: bool) {
         if let Some(peer) = self.peers.get_mut(name) {
--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 
 use crate::ledger::homes::Homes;
+use crate::ledger::missing_turns::ExtensionPage;
+use crate::ledger::missing_turns::MissingTurns;
 use crate::ledger::stream_versions::Merged;
 use crate::ledger::stream_versions::StreamVersions;
 use crate::poison::HOLD_THRESHOLD;
@@ -20,6 +22,7 @@
 use crate::schema::ReservedTokens;
 use crate::schema::StreamVersion;
 use crate::schema::SuspectedRun;
+use crate::schema::TurnExtension;
 
 /// retention of a program's spending after its last reservation or finished turn.
 ///
@@ -40,6 +43,7 @@
 pub struct RecordStore {
     programs: HashMap<String, ProgramRow>,
     turns: HashMap<String, TurnRow>,
+    missing_turns: MissingTurns,
     streams: StreamVersions,
     strikes: Strikes,
     runs: UnresolvedRuns,
@@ -236,7 +240,10 @@
 
     /// keeps a turn and extends the retention of the turns before it.
     fn keep_turn(&mut self, now_ms: u64, request: &str, turn: &LedgerTurn) {
-        let expires_ms = now_ms + turn.keep_ms;
+        let known_ms = self.turns.get(request).map_or(0, |row| row.expires_ms);
+        // Records arrive in any order: newer turns that are already here may need this one for longer.
+        let needed_ms = self.missing_turns.take(request).unwrap_or(0);
+        let expires_ms = (now_ms + turn.keep_ms).max(known_ms).max(needed_ms);
         let row = TurnRow {
             previous: turn.previous.clone(),
             said: turn.said.clone(),
@@ -244,16 +251,49 @@
             expires_ms,
         };
         self.turns.insert(request.to_owned(), row);
-        let mut next = turn.previous.clone();
+        self.extend_chain(turn.previous.clone(), expires_ms);
+    }
+
+    /// extends the retention of a turn and the turns before it, up to the first one that is missing here.
+    ///
+    /// Each turn expires before those that it goes on from, so a turn that is kept long enough ends the walk.
+    fn extend_chain(&mut self, turn: Option<String>, expires_ms: u64) {
+        let mut next = turn;
         for _ in 0..MAX_HISTORY_TURNS {
-            let Some(row) = next.as_ref().and_then(|name| self.turns.get_mut(name)) else {
+            let Some(name) = next else {
                 return;
             };
-            row.expires_ms = row.expires_ms.max(expires_ms);
+            let Some(row) = self.turns.get_mut(&name) else {
+                self.missing_turns.need(&name, expires_ms);
+                return;
+            };
+            if row.expires_ms >= expires_ms {
+                return;
+            }
+            row.expires_ms = expires_ms;
             next = row.previous.clone();
         }
     }
 
+    /// keeps turns longer, with the turns before them, that another member needs but lacks; returns how many of
+    /// them are here.
+    pub fn extend(&mut self, now_ms: u64, extensions: &[TurnExtension]) -> usize {
+        let mut count = 0;
+        for extension in extensions {
+            if !self.turns.contains_key(&extension.turn) {
+                continue;
+            }
+            count += 1;
+            self.extend_chain(Some(extension.turn.clone()), now_ms.saturating_add(extension.keep_ms));
+        }
+        count
+    }
+
+    /// what other members are to be told of turns that this node needs but lacks, above a change number.
+    pub(super) fn extensions_after(&self, now_ms: u64, after: u64) -> ExtensionPage {
+        self.missing_turns.page(now_ms, after)
+    }
+
     /// tokens held by each turn of a program whose change number is above `after`.
     pub fn spends(&self, program: &str, after: u64) -> Vec<LedgerSpend> {
         let Some(program) = self.programs.get(program) else {
@@ -364,6 +404,7 @@
     /// drops turns, programs, strikes and unanswered runs whose retention has ended.
     pub fn expire(&mut self, now_ms: u64) {
         self.turns.retain(|_, turn| now_ms < turn.expires_ms);
+        self.missing_turns.expire(now_ms);
         let subjects = &mut self.subjects;
         for number in self.streams.expire(now_ms) {
             subjects.remove(&number);
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -144,6 +144,13 @@
                         "request" => run.request, "content" => run.content, "replica" => run.replica);
                 }
             }
+            CoreAction::TellMissingTurns { member, count } => {
+                info!(self.log, "asking a member to keep turns that newer ones here go on from, as they are missing here";
+                    "member" => member, "turns" => count);
+            }
+            CoreAction::TurnsExtended(count) => {
+                metrics::counter!("ledger_turns_extended_total").increment(count as u64);
+            }
             CoreAction::CaughtUp => {
                 let store = self.core.node().store();
                 info!(self.log, "caught up; all records are present";
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -1206,6 +1206,9 @@
 pub struct LedgerPull {
     ///number of the last record received; 0 for all
     pub after: u64,
+    ///turns to keep longer, with those before them; those that the node lacks are ignored
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub extends: ::std::vec::Vec<TurnExtension>,
     pub view: LedgerView,
 }
 ///hands records of a node that leaves to one that stays
@@ -3303,6 +3306,14 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub turn: ::std::option::Option<u32>,
 }
+///a newer turn that goes on from this one is kept
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct TurnExtension {
+    ///how much longer it is kept at least
+    pub keep_ms: u64,
+    ///id of the turn
+    pub turn: ::std::string::String,
+}
 ///one turn for a replica
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TurnJob {
--- a/tests/ledger_nodes/mod.rs
+++ b/tests/ledger_nodes/mod.rs
@@ -94,7 +94,7 @@
                         own.perform(actions);
                     });
                 }
-                NodeAction::ViewChanged | NodeAction::StrikeAdded { .. } => {}
+                NodeAction::ViewChanged | NodeAction::StrikeAdded { .. } | NodeAction::TurnsExtended(_) => {}
             }
         }
     }
--- a/tests/ledger_world/door.rs
+++ b/tests/ledger_world/door.rs
@@ -52,6 +52,8 @@
     pub is_away: bool,
     /// whether all members are asked instead of as many as the larger quorum.
     pub asks_all: bool,
+    /// retention of the turn after its end.
+    pub keep_ms: u64,
     /// rotation of the member order when others than the preferred members are asked.
     pub away_offset: usize,
     /// members that had the reservation on disk when the second read began.
@@ -80,6 +82,7 @@
             requested_turns: BTreeSet::new(),
             is_away: false,
             asks_all: false,
+            keep_ms: KEEP_MS,
             away_offset: 0,
             stored_at: BTreeSet::new(),
         }
@@ -150,7 +153,7 @@
                 turn: Some(LedgerTurn {
                     previous: self.previous.clone(),
                     said: self.said().into_bytes().into(),
-                    keep_ms: KEEP_MS,
+                    keep_ms: self.keep_ms,
                 }),
             }),
         }
--- a/tests/ledger_world/mod.rs
+++ b/tests/ledger_world/mod.rs
@@ -1,6 +1,7 @@
 //! simulation of ledger nodes, their disks, the platform's view object and doors in virtual time, with seeded
 //! faults.
 
+mod conversations;
 mod door;
 mod faults;
 mod machine;
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -16,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::conversations::Conversation;
 use super::door::PREFERRED_TIMEOUT_MS;
 use super::door::STAGE_TIMEOUT_MS;
 use super::door::Stage;
@@ -28,10 +29,10 @@
 use super::strikes::StrikeDoor;
 
 const TICK_MS: u64 = 250;
-const DOORS: usize = 3;
+pub const DOORS: usize = 3;
 const PROGRAMS: u64 = 4;
 /// tokens of one turn.
-const TURN_TOKENS: u64 = 10;
+pub const TURN_TOKENS: u64 = 10;
 /// duration of the final phase without faults.
 const RECOVERY_MS: u64 = 30_000;
 
@@ -57,6 +58,7 @@
     TakeUp(usize),
     /// the attempt and round of a stream.
     StreamTimeout(usize, (u64, u64)),
+    Continue(usize),
 }
 
 /// sender of a request, found by its connection.
@@ -98,13 +100,15 @@
     pub strike_doors: Vec<StrikeDoor>,
     pub streams: Vec<CallerStream>,
     pub replicas: Replicas,
+    pub conversations: Vec<Conversation>,
     /// requests with strikes in flight, by door and number.
     pub batches_in_flight: BTreeSet<(usize, u64)>,
     events: BTreeMap<(u64, u64), Event>,
     event_count: u64,
     requesters: BTreeMap<u64, Requester>,
     request_count: u64,
-    turns: Vec<(usize, Turn, u64)>,
+    /// turns with their doors and rounds.
+    pub turns: Vec<(usize, Turn, u64)>,
     lost_disks: u32,
     budget_tokens: u64,
     is_traced: bool,
@@ -130,6 +134,7 @@
             strike_doors: (0..DOORS).map(|_| StrikeDoor::default()).collect(),
             streams: Vec::new(),
             replicas: Replicas::new(DOORS),
+            conversations: Vec::new(),
             batches_in_flight: BTreeSet::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -265,6 +270,7 @@
             Event::NewStream => self.new_stream(),
             Event::TakeUp(index) => self.take_up(index),
             Event::StreamTimeout(index, key) => self.on_stream_timeout(index, key),
+            Event::Continue(index) => self.continue_conversation(index),
         }
     }
 
@@ -363,6 +369,7 @@
             }
             CoreAction::CaughtUp => self.trace(&format!("{name} is complete")),
             CoreAction::StrikeAdded { .. } | CoreAction::RunsOrphaned(_) => {}
+            CoreAction::TellMissingTurns { .. } | CoreAction::TurnsExtended(_) => {}
             CoreAction::CompactLog(_) | CoreAction::ViewChanged(_) => {}
         }
     }
@@ -432,7 +439,7 @@
         self.begin(door, Turn::new(program, request, previous, self.budget_tokens, TURN_TOKENS));
     }
 
-    fn begin(&mut self, door: usize, mut turn: Turn) {
+    pub fn begin(&mut self, door: usize, mut turn: Turn) {
         turn.away_offset = self.rng.random_range(0..5);
         self.turns.push((door, turn, 0));
         // A door without a view reads it from the platform.
