--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -180,14 +180,14 @@
     route: &Arc<Route>,
 ) -> Result<Response<DoorBody>, Refusal> {
     if door.reach.is_cut_off() && !request.is_passed_on {
-        return pass_on(door, request, route).await;
+        return pass_on(door, request, route, None).await;
     }
     let answer = match route.kind {
         RequestKind::Streaming => run_turn(door, request, route).await,
         RequestKind::Idempotent | RequestKind::NonIdempotent => run_call(door, request, route).await,
     };
     match answer {
-        Err(Refusal::CutOff) if !request.is_passed_on => pass_on(door, request, route).await,
+        Err(Refusal::CutOff) if !request.is_passed_on => pass_on(door, request, route, None).await,
         answer => answer,
     }
 }
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -33,6 +33,7 @@
 mod stream;
 mod stream_origin;
 mod turn;
+mod turn_tokens;
 
 pub use buffer_share::BufferBudget;
 pub use buffer_share::BufferShare;
@@ -42,3 +43,5 @@
 pub use ledger_discovery::LedgerDiscovery;
 pub use sse_splitter::SseSplitter;
 pub use stop_plan::StopPlan;
+pub use turn_tokens::TurnRole;
+pub use turn_tokens::TurnTokens;
--- a/src/door/pass_on.rs
+++ b/src/door/pass_on.rs
@@ -20,6 +20,7 @@
 use strum::IntoStaticStr;
 
 use crate::clock::Moment;
+use crate::door::SseSplitter;
 use crate::door::answer::DoorBody;
 use crate::door::answer::full_body;
 use crate::door::connections::Connection;
@@ -27,6 +28,7 @@
 use crate::door::door::Door;
 use crate::door::refusal::Refusal;
 use crate::door::request::DoorRequest;
+use crate::door::turn::TurnAccount;
 use crate::platform::is_event_stream;
 use crate::platform::keep_alive_timeout;
 use crate::platform::passed_headers;
@@ -34,6 +36,7 @@
 use crate::reach::PASS_HEADER;
 use crate::reach::PassTag;
 use crate::reach::PassedRequest;
+use crate::reach::RUN_AT_HEADER;
 use crate::routing::Route;
 use crate::schema::DoorHelper;
 use crate::schema::DoorRow;
@@ -74,11 +77,16 @@
 ///
 /// The other door does all that a door does: it reserves tokens, chooses the replica and records the run. A request
 /// that may not run twice is passed on again only if no door has taken it.
+///
+/// `reserved` is the account of a turn whose tokens this door has reserved. The doors that are asked hold the same
+/// reservation; this one ends it with what its caller got.
 pub(super) async fn pass_on(
     door: &Arc<Door>,
     request: &DoorRequest,
     route: &Route,
+    reserved: Option<TurnAccount>,
 ) -> Result<Response<DoorBody>, Refusal> {
+    let mut account = reserved.or_else(|| TurnAccount::of_passed(door, request, route));
     let mut tried = Vec::new();
     let mut may_have_run = false;
     while tried.len() < MAX_HELPERS && !request.remaining().is_zero() {
@@ -90,6 +98,9 @@
             break;
         };
         tried.push(helper.callers.clone());
+        if let Some(account) = &mut account {
+            account.expect_helper();
+        }
         let lease = HelperLease { door: Arc::clone(door), callers: helper.callers.clone() };
         let passed = match route.is_retryable() {
             true => future::or(pass_to(door, request, &helper, lease), lost_helper(door, &helper)).await,
@@ -102,7 +113,7 @@
                 "door" => &helper.callers, "why" => result, "tries" => tried.len());
         }
         match passed {
-            Passed::Answered(answer) => return Ok(answer),
+            Passed::Answered(answer) => return Ok(with_account(answer, account)),
             Passed::NotTaken => {}
             Passed::Lost if route.is_retryable() => may_have_run = true,
             Passed::Lost => return Err(Refusal::AnswerLost),
@@ -112,6 +123,26 @@
     Err(if may_have_run { Refusal::AnswerLost } else { Refusal::NoHelper })
 }
 
+/// counts the events of an answer for the caller; the turn is settled once the answer has ended or is dropped.
+fn with_account(answer: Response<DoorBody>, account: Option<TurnAccount>) -> Response<DoorBody> {
+    let (mut parts, body) = answer.into_parts();
+    let run_at = parts.headers.remove(RUN_AT_HEADER);
+    let Some(mut account) = account.filter(|_| parts.status.is_success()) else {
+        return Response::from_parts(parts, body);
+    };
+    if let Some(Ok(replica)) = run_at.as_ref().map(HeaderValue::to_str) {
+        account.set_replica(replica);
+    }
+    let mut splitter = SseSplitter::default();
+    let body = body.map_frame(move |frame| {
+        if let Some(bytes) = frame.data_ref() {
+            account.record_passed(&mut splitter, bytes);
+        }
+        frame
+    });
+    Response::from_parts(parts, body.boxed_unsync())
+}
+
 /// waits until a helper takes no more requests, as when it has frozen: what may run again does not wait for it.
 async fn lost_helper(door: &Door, helper: &DoorRow) -> Passed {
     let own = door.addresses.callers.to_string();
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -8,8 +8,10 @@
 
 use crate::clock::Deadline;
 use crate::clock::Moment;
+use crate::door::turn_tokens::TurnRole;
 use crate::platform::CallerRequest;
 use crate::poison::Content;
+use crate::reach::PassTag;
 use crate::routing::Affinity;
 use crate::routing::RequestKind;
 use crate::routing::Route;
@@ -42,6 +44,17 @@
         self.deadline.remaining(&Moment::now())
     }
 
+    /// what this door has to do with the reservation of the turn, if the request is one.
+    pub fn role(&self) -> TurnRole {
+        if !self.is_passed_on {
+            return TurnRole::Caller;
+        }
+        match PassTag::from_headers(&self.headers) {
+            Some(tag) if tag.sender_ends_turns => TurnRole::Helper,
+            Some(_) | None => TurnRole::SoleHelper,
+        }
+    }
+
     /// what the choice of a replica should follow: the program's last replica, a key, or nothing.
     pub fn affinity(&self, route: &Route) -> Affinity<'_> {
         if !route.sticky {
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -5,9 +5,11 @@
 use anyhow::anyhow;
 use bytes::Bytes;
 use hyper::Response;
+use hyper::header::HeaderValue;
 use slog::info;
 
 use crate::door::BufferShare;
+use crate::door::SseSplitter;
 use crate::door::answer::DoorBody;
 use crate::door::call::Attempts;
 use crate::door::call::read_full_answer;
@@ -22,9 +24,13 @@
 use crate::door::stream_origin::origin;
 use crate::door::stream_origin::record_origin;
 use crate::door::stream_origin::stream_record;
+use crate::door::turn_tokens::TurnRole;
+use crate::door::turn_tokens::TurnTokens;
 use crate::ledger_client::BeginResult;
 use crate::ledger_client::Reservation;
 use crate::ledger_client::TurnStart;
+use crate::reach::RUN_AT_HEADER;
+use crate::routing::RequestKind;
 use crate::routing::Route;
 use crate::routing::Software;
 use crate::schema::LedgerFinish;
@@ -49,12 +55,8 @@
     line: Option<String>,
     /// the replica that runs the turn.
     replica: Option<String>,
-    tokens_per_event: u64,
-    /// tokens reserved for the turn.
-    most_tokens: u64,
-    event_count: u64,
+    tokens: TurnTokens,
     retained: Option<RetainedTurn>,
-    is_settled: bool,
 }
 
 /// a turn that the ledger will retain as history for later turns.
@@ -68,18 +70,53 @@
 
 impl TurnAccount {
     /// an account without any event.
-    fn new(door: &Arc<Door>, route: &Route, start: &TurnStart) -> Self {
+    fn new(door: &Arc<Door>, request: &DoorRequest, route: &Route, start: &TurnStart) -> Self {
         Self {
-            most_tokens: start.most_tokens,
             door: Arc::clone(door),
             program: start.program.clone(),
             request: start.request.clone(),
             line: start.line.clone(),
             replica: None,
-            tokens_per_event: door.tokens_per_event(route),
-            event_count: 0,
+            tokens: TurnTokens::new(request.role(), door.tokens_per_event(route), start.most_tokens),
             retained: None,
-            is_settled: false,
+        }
+    }
+
+    /// the account of a turn for which this door has reserved nothing, as it passes it on to other doors; `None` if
+    /// the request is no turn of a program.
+    pub fn of_passed(door: &Arc<Door>, request: &DoorRequest, route: &Route) -> Option<Self> {
+        if route.kind != RequestKind::Streaming {
+            return None;
+        }
+        let mut account = Self::new(door, request, route, &turn_start(request)?);
+        account.tokens.close();
+        Some(account)
+    }
+
+    /// records that another door may reserve the turn's tokens, for this one to settle.
+    pub fn expect_helper(&mut self) {
+        self.tokens.reopen();
+    }
+
+    /// records the events in bytes that another door sends for the caller.
+    pub fn record_passed(&mut self, splitter: &mut SseSplitter, bytes: &[u8]) {
+        if !splitter.push(bytes) {
+            // No event that a door relays is as large, so what this one stands for is not known.
+            self.tokens.use_all();
+            return;
+        }
+        while let Some(event) = splitter.next_event() {
+            if event.data().is_some() {
+                // The other door ends a stream that exceeds the reservation.
+                let _ = self.tokens.record_event();
+            }
+        }
+    }
+
+    /// leaves the reservation to other doors if one of them may still serve the turn.
+    fn leave_to_others(&mut self, refusal: Refusal) {
+        if refusal.may_be_served_elsewhere() {
+            self.tokens.leave_to_others();
         }
     }
 
@@ -88,11 +125,9 @@
         let Some(data) = event.data() else {
             return true;
         };
-        // Rounded up, as the last event may stand for fewer tokens than the others.
-        if self.event_count >= self.most_tokens.div_ceil(self.tokens_per_event.max(1)) {
+        if !self.tokens.record_event() {
             return false;
         }
-        self.event_count += 1;
         let Some(retained) = &mut self.retained else {
             return true;
         };
@@ -115,8 +150,8 @@
         };
         let turn =
             LedgerTurn { previous: retained.previous, said: retained.said.into(), keep_ms: retained.keep_ms };
-        let finish = self.finish_message(Some(turn));
-        self.is_settled = true;
+        let finish = self.finish_message(self.tokens.used(), Some(turn));
+        self.tokens.close();
         let stored = self.door.ledger.finish(finish, Instant::now() + FINISH_TIMEOUT).await;
         stored.map_err(|_| {
             info!(self.door.log, "ledger did not store the turn; the stream ends incomplete";
@@ -125,13 +160,13 @@
         })
     }
 
-    fn finish_message(&self, turn: Option<LedgerTurn>) -> LedgerFinish {
+    fn finish_message(&self, used_tokens: u64, turn: Option<LedgerTurn>) -> LedgerFinish {
         LedgerFinish {
             program: self.program.clone(),
             request: self.request.clone(),
             line: self.line.clone(),
             replica: self.replica.clone(),
-            used_tokens: self.event_count * self.tokens_per_event,
+            used_tokens,
             turn,
         }
     }
@@ -139,10 +174,10 @@
 
 impl Drop for TurnAccount {
     fn drop(&mut self) {
-        if self.is_settled {
+        let Some(used_tokens) = self.tokens.at_end() else {
             return;
-        }
-        let finish = self.finish_message(None);
+        };
+        let finish = self.finish_message(used_tokens, None);
         let door = Arc::clone(&self.door);
         self.door.spawner.detach(async move {
             // Without an answer the tokens stay reserved, so that the budget is never exceeded.
@@ -157,28 +192,19 @@
     request: &DoorRequest,
     route: &Arc<Route>,
 ) -> Result<Response<DoorBody>, Refusal> {
-    let caller = &request.caller;
     let resumes = taken_up_attempt(request, route)?;
-    match (&caller.program, &caller.id, caller.budget_tokens) {
-        (Some(program), Some(id), Some(budget_tokens)) => {
+    match turn_start(request) {
+        Some(mut start) => {
             // With several versions it depends on the program's last replica, which the ledger tells, where the
             // stream begins.
             let begins_at =
                 (route.resumable && resumes.is_none()).then(|| door.sole_software(route)).flatten();
-            let start = TurnStart {
-                program: program.clone(),
-                request: id.clone(),
-                line: caller.session.clone(),
-                budget_tokens,
-                most_tokens: caller.max_output_tokens.unwrap_or(budget_tokens),
-                previous: caller.previous_turn.clone(),
-                stream: begins_at.as_ref().map(|software| stream_record(request, route, software)),
-                resumes: resumes.map(str::to_owned),
-            };
+            start.stream = begins_at.as_ref().map(|software| stream_record(request, route, software));
+            start.resumes = resumes.map(str::to_owned);
             run_turn_of_program(door, request, route, start, begins_at).await
         }
-        _ if caller.previous_turn.is_some() => Err(Refusal::BadRequest),
-        _ => {
+        None if request.caller.previous_turn.is_some() => Err(Refusal::BadRequest),
+        None => {
             let mut request = request.clone();
             if let Some(attempt) = resumes {
                 request.software = Some(find_origin(door, &request, route, attempt).await?);
@@ -189,6 +215,22 @@
     }
 }
 
+/// the reservation that a turn asks for; `None` if the request is no turn of a program.
+fn turn_start(request: &DoorRequest) -> Option<TurnStart> {
+    let caller = &request.caller;
+    let budget_tokens = caller.budget_tokens?;
+    Some(TurnStart {
+        program: caller.program.clone()?,
+        request: caller.id.clone()?,
+        line: caller.session.clone(),
+        budget_tokens,
+        most_tokens: caller.max_output_tokens.unwrap_or(budget_tokens),
+        previous: caller.previous_turn.clone(),
+        stream: None,
+        resumes: None,
+    })
+}
+
 /// runs a turn of a program; `begins_at` is the software that its stream must begin at, any if `None`.
 async fn run_turn_of_program(
     door: &Arc<Door>,
@@ -197,9 +239,11 @@
     start: TurnStart,
     begins_at: Option<Software>,
 ) -> Result<Response<DoorBody>, Refusal> {
-    let mut account = TurnAccount::new(door, route, &start);
+    let mut account = TurnAccount::new(door, request, route, &start);
     let takes_up = start.resumes.is_some();
-    let Granted { history, home, resumed, reservation } = begin_turn(door, start, &mut account).await?;
+    let granted = begin_turn(door, start, &mut account).await;
+    let Granted { history, home, resumed, reservation } =
+        granted.inspect_err(|refusal| account.leave_to_others(*refusal))?;
     let software = match takes_up {
         true => Some(origin(door, request, route, resumed.as_ref())?),
         false => begins_at,
@@ -217,12 +261,9 @@
     }
     let head = match Attempts::new(door, &full_request, route)?.run_until_head().await {
         Err(Refusal::CutOff) if !request.is_passed_on => {
-            let answer = pass_on(door, request, route).await;
-            // The door that takes the turn holds the same reservation, and settles it.
-            account.is_settled = !answer.as_ref().is_err_and(|refusal| *refusal == Refusal::NoHelper);
-            return answer;
+            return pass_on(door, request, route, Some(account)).await;
         }
-        head => head?,
+        head => head.inspect_err(|refusal| account.leave_to_others(*refusal))?,
     };
     account.set_replica(&head.lease.pick.id);
     if !head.response.status().is_success() {
@@ -246,7 +287,12 @@
             keep_ms: retention_ms + RETENTION_MARGIN_MS,
         });
     }
-    Ok(relay(door, &full_request, route, *head, Some(account)))
+    let run_at = HeaderValue::from_str(&head.lease.pick.id);
+    let mut answer = relay(door, &full_request, route, *head, Some(account));
+    if let (TurnRole::Helper, Ok(run_at)) = (request.role(), run_at) {
+        answer.headers_mut().insert(RUN_AT_HEADER, run_at);
+    }
+    Ok(answer)
 }
 
 /// what the ledger grants to a turn that may run.
@@ -258,10 +304,10 @@
     reservation: Box<Reservation>,
 }
 
-/// reserves the tokens of a turn; marks `account` as settled if none were reserved.
+/// reserves the tokens of a turn; closes `account` if none were reserved.
 async fn begin_turn(door: &Door, start: TurnStart, account: &mut TurnAccount) -> Result<Granted, Refusal> {
     if !door.ledger.is_reachable() {
-        account.is_settled = true;
+        account.tokens.close();
         let is_recent_loss =
             door.ledger.unreachable_ms().is_some_and(|unreachable_ms| unreachable_ms < RECENT_LOSS_MS);
         return Err(if is_recent_loss { Refusal::LedgerUnsure } else { Refusal::LedgerAway });
@@ -282,7 +328,7 @@
         }
         BeginResult::NoSuchTurn => Err(Refusal::NoSuchTurn),
         BeginResult::Busy { retry_after_ms } => {
-            account.is_settled = true;
+            account.tokens.close();
             Err(Refusal::LedgerBusy { retry_after_ms })
         }
         BeginResult::Unavailable(why) => {
--- a/src/ledger/quorum_replies.rs
+++ b/src/ledger/quorum_replies.rs
@@ -87,9 +87,11 @@
         for spend in spends {
             let known = self.spends.entry(spend.request.clone()).or_insert_with(|| spend.clone());
             known.away |= spend.away;
-            if spend.settled && !known.settled {
-                known.tokens = spend.tokens;
-                known.settled = true;
+            match (spend.settled, known.settled) {
+                (false, _) => {}
+                (true, false) => (known.tokens, known.settled) = (spend.tokens, true),
+                // Members may have heard of different ends of a turn that was passed on.
+                (true, true) => known.tokens = known.tokens.max(spend.tokens),
             }
         }
     }
--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -219,7 +219,8 @@
         program.last_used_ms = now_ms;
         let known = program.spends.get(&finish.request).copied();
         let new_turn = finish.turn.is_some() && !self.turns.contains_key(&finish.request);
-        if known.is_some_and(|row| row.settled) && !new_turn {
+        let settled_tokens = known.filter(|row| row.settled).map(|row| row.tokens);
+        if settled_tokens.is_some_and(|tokens| finish.used_tokens <= tokens) && !new_turn {
             return false;
         }
         if let Some(row) = known {
@@ -227,7 +228,9 @@
         }
         self.last_number += 1;
         let away = known.is_some_and(|row| row.away);
-        let row = SpendRow { tokens: finish.used_tokens, settled: true, away, number: self.last_number };
+        // Several doors may report the end of a turn that was passed on; the largest figure counts, whatever the order.
+        let tokens = finish.used_tokens.max(settled_tokens.unwrap_or(0));
+        let row = SpendRow { tokens, settled: true, away, number: self.last_number };
         program.spends.insert(finish.request.clone(), row);
         program.homes.add(finish);
         let subject = Subject::Turn { program: finish.program.clone(), request: finish.request.clone() };
--- a/src/reach/mod.rs
+++ b/src/reach/mod.rs
@@ -12,6 +12,7 @@
 pub use pass_tag::PASS_HEADER;
 pub use pass_tag::PassTag;
 pub use pass_tag::PassedRequest;
+pub use pass_tag::RUN_AT_HEADER;
 pub use pass_window::PassWindows;
 pub use replica_reach::Belief;
 pub use replica_reach::CHECK_TIMEOUT_MS;
--- a/src/reach/pass_tag.rs
+++ b/src/reach/pass_tag.rs
@@ -10,6 +10,14 @@
 /// header of the answer to such a request that another door may still serve; its value is the reason.
 pub const NOT_TAKEN_HEADER: &str = "x-flamingostand-not-taken";
 
+/// header of the answer to a turn that was passed on: the id of the replica that runs it, for the ledger.
+pub const RUN_AT_HEADER: &str = "x-flamingostand-run-at";
+
+/// last word of the pass header: the sender ends the reservations of the turns that it passes on.
+///
+/// Builds that leave this to the receiver do not send the word, and ignore it.
+const ENDS_TURNS: &str = "ends-turns";
+
 /// a request as it is passed on; the proof covers all of it.
 #[derive(Clone, Copy, Debug)]
 pub struct PassedRequest<'a> {
@@ -32,6 +40,9 @@
     pub sender: String,
     /// number of the request among those that the sender passes on, from 1.
     pub number: u64,
+    /// whether the sender ends the reservation of a turn that it passes on. Not covered by the proof: it names
+    /// what the sender's build does, not what the request asks for.
+    pub sender_ends_turns: bool,
     // Hashes compare in constant time.
     proof: blake3::Hash,
 }
@@ -40,7 +51,7 @@
     /// the header for a request.
     pub fn new(key: &MeshKey, cluster: &str, sender: &str, number: u64, request: &PassedRequest<'_>) -> Self {
         let proof = key.request_proof(cluster, &transcript(sender, number, request));
-        Self { sender: sender.to_owned(), number, proof }
+        Self { sender: sender.to_owned(), number, sender_ends_turns: true, proof }
     }
 
     /// parses the header of a request; `None` if there is none, or it is damaged.
@@ -48,12 +59,13 @@
         let mut parts = headers.get(PASS_HEADER)?.to_str().ok()?.split(' ');
         let (sender, number) = (parts.next()?.to_owned(), parts.next()?.parse().ok()?);
         let proof = blake3::Hash::from_hex(parts.next()?).ok()?;
-        Some(Self { sender, number, proof })
+        let sender_ends_turns = parts.next() == Some(ENDS_TURNS);
+        Some(Self { sender, number, sender_ends_turns, proof })
     }
 
     /// the value of the header.
     pub fn to_value(&self) -> String {
-        format!("{} {} {}", self.sender, self.number, self.proof.to_hex())
+        format!("{} {} {} {ENDS_TURNS}", self.sender, self.number, self.proof.to_hex())
     }
 
     /// whether a door with the key has passed on this very request.
--- a/tests/door_reach.rs
+++ b/tests/door_reach.rs
@@ -228,10 +228,9 @@
     assert!(windows.take("another", 1), "each door has numbers of its own");
 }
 
-fn headers(rows: &[(&'static str, &'static str)]) -> HeaderMap {
-    let rows =
-        rows.iter().map(|(name, value)| (HeaderName::from_static(name), HeaderValue::from_static(value)));
-    rows.collect()
+fn headers(rows: &[(&'static str, &str)]) -> HeaderMap {
+    let value = |text: &str| HeaderValue::from_str(text).expect("a header value");
+    rows.iter().map(|(name, text)| (HeaderName::from_static(name), value(text))).collect()
 }
 
 /// Guards against a request that is changed on its way between two doors.
@@ -259,3 +258,27 @@
     assert!(!read.is_valid(&key, "another fleet", &request));
     assert!(!read.is_valid(&"2b".repeat(32).parse().expect("a key"), "fleet", &request));
 }
+
+/// Guards against a reservation that neither door ends while doors of two builds run side by side.
+#[test_case(""; "build before")]
+#[test_case(" later"; "unknown word")]
+fn tag_without_the_word_leaves_turns_to_the_helper(further: &str) {
+    let value = format!("door-1 7 {}{further}", "01".repeat(32));
+    let read = PassTag::from_headers(&headers(&[(PASS_HEADER, &value)])).expect("a tag");
+    assert_eq!((read.sender.as_str(), read.number), ("door-1", 7));
+    assert!(!read.sender_ends_turns);
+}
+
+/// Guards against a tag that the build before, which reads the first three words, cannot read.
+#[test]
+fn tag_begins_with_the_words_of_the_build_before() {
+    let key: MeshKey = "1a".repeat(32).parse().expect("a key");
+    let (method, target, sent) = (Method::GET, "/".parse::<Uri>().expect("a target"), HeaderMap::new());
+    let request =
+        PassedRequest { receiver: "here", method: &method, target: &target, headers: &sent, body: b"" };
+    let value = PassTag::new(&key, "fleet", "there", 3, &request).to_value();
+    let words: Vec<&str> = value.split(' ').collect();
+    assert_eq!((words[0], words[1], words[2].len(), words.len()), ("there", "3", 64, 4));
+    let read = PassTag::from_headers(&headers(&[(PASS_HEADER, &value)])).expect("a tag");
+    assert!(read.sender_ends_turns);
+}
--- a/tests/fleet_cut_off.rs
+++ b/tests/fleet_cut_off.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,7 +13,9 @@
 use fleet::ClientRequest;
 use fleet::Cut;
 use fleet::CutProxy;
+use fleet::EVENTS;
 use fleet::Fleet;
+use fleet::TOKENS_PER_EVENT;
 use test_case::test_case;
 
 /// requests of each kind that are sent through the door.
@@ -25,6 +29,13 @@
 const IS_LOST: &str = "a dependency is lost";
 const IS_BACK: &str = "a dependency is back";
 
+/// budget of a program whose turns are passed on.
+const BUDGET_TOKENS: u64 = 1_000;
+/// what each of its turns may generate, and does.
+const TURN_TOKENS: u64 = EVENTS as u64 * TOKENS_PER_EVENT;
+/// turns of the program at the same time, which the budget covers.
+const SUB_AGENTS: usize = 20;
+
 /// three doors, with a proxy before each replica.
 struct CutFleet {
     fleet: Fleet,
@@ -33,7 +44,15 @@
 
 impl CutFleet {
     fn start(name: &str) -> Self {
-        let fleet = Fleet::start(&format!("cut-{name}"), 3);
+        Self::start_with_models(name, 0)
+    }
+
+    /// starts with further model replicas.
+    fn start_with_models(name: &str, further: usize) -> Self {
+        let mut fleet = Fleet::start(&format!("cut-{name}"), 3);
+        for number in 0..further {
+            fleet.add_replica(&format!("further-model-{number}"), "models", EVENTS);
+        }
         let proxies = fleet.add_proxies();
         sleep(SETTLE_TIME);
         let this = Self { fleet, proxies };
@@ -171,6 +190,40 @@
     assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
 }
 
+/// Guards against tokens that are charged to nobody, as a helper that is cut off too ends the reservation of a turn that
+/// another helper then runs.
+#[test]
+fn turn_that_a_helper_declines_is_charged() {
+    // A door that tries several replicas behind a cut notices the cut before it has tried all of them.
+    let this = CutFleet::start_with_models("declined", 4);
+    this.cut(0, Cut::Silent);
+    this.wait_until_cut_off(0);
+    // Without requests of its own, the second door does not notice that it is cut off too.
+    this.cut(1, Cut::Silent);
+    let turn = |id: &str| ClientRequest::turn("/chat/t", id, id, "program", BUDGET_TOKENS, TURN_TOKENS);
+    let handed_out = AtomicU64::new(0);
+    let send = |door: usize, id: &str| {
+        let answer = this.send(door, &turn(id));
+        handed_out.fetch_add(answer.events().len() as u64 * TOKENS_PER_EVENT, Ordering::Relaxed);
+        answer.status
+    };
+    std::thread::scope(|scope| {
+        for number in 0..SUB_AGENTS {
+            let send = &send;
+            scope.spawn(move || send(0, &format!("sub-agent-{number}")));
+        }
+    });
+    let declined = this.fleet.doors[0].metric("door_passes_total{result=\"not_taken\"}");
+    assert!(declined > 0, "the second door has declined no turn");
+    sleep(SETTLE_TIME);
+    let mut number = 0;
+    while send(2, &format!("turn-{number}")) == 200 {
+        number += 1;
+    }
+    let handed_out = handed_out.into_inner();
+    assert_eq!(handed_out, BUDGET_TOKENS, "tokens were handed out");
+}
+
 /// Guards against a call that runs twice because the door that had taken it died.
 #[test]
 fn call_of_a_dead_helper_runs_once() {
--- a/tests/ledger_histories.rs
+++ b/tests/ledger_histories.rs
@@ -70,3 +70,15 @@
         World::new(seed, lost_disks).run_with_pauses(faults, 6);
     }
 }
+
+/// Guards against a reservation that a door ends while another door still runs the turn.
+#[test_case(0, 14_000_000, 1; "calm")]
+#[test_case(8, 15_000_000, 1; "one disk may be lost")]
+#[test_case(25, 16_000_000, 1; "many faults")]
+#[test_case(12, 17_000_000, 2; "two disks may be lost")]
+fn passed_turns_stay_within_their_budget(faults: usize, first_seed: u64, lost_disks: u32) {
+    for seed in first_seed_or(first_seed)..first_seed_or(first_seed) + seed_count().div_ceil(3) {
+        eprintln!("seed {seed}");
+        World::new(seed, lost_disks).run_with_passed_turns(faults, 80);
+    }
+}
--- a/tests/ledger_world/door.rs
+++ b/tests/ledger_world/door.rs
@@ -36,8 +36,22 @@
     Done,
 }
 
+/// what a turn asks the ledger for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnKind {
+    /// tokens, and to keep it.
+    Kept,
+    /// tokens only.
+    Reservation,
+    /// to end its reservation with these tokens.
+    Settlement(u64),
+}
+
 /// a turn at a door.
 pub struct Turn {
+    pub kind: TurnKind,
+    /// whether the ledger has granted the tokens.
+    pub is_admitted: bool,
     pub program: u64,
     pub request: String,
     pub previous: Option<String>,
@@ -70,6 +84,8 @@
     ) -> Self {
         let view = LedgerView { epoch: 0, lost_disks: 0, members: Vec::new() };
         Self {
+            kind: TurnKind::Kept,
+            is_admitted: false,
             program,
             request,
             replies: QuorumReplies::new(&view, previous.as_deref()),
@@ -131,7 +147,9 @@
     /// the request of the stage.
     pub fn request_message(&self) -> LedgerRequest {
         let program = format!("p{}", self.program);
-        match self.stage {
+        // A member that asks for a view after the turn is granted still lacks the reservation.
+        let is_granted = self.stage == Stage::Done && self.kind == TurnKind::Reservation;
+        match if is_granted { Stage::Store } else { self.stage } {
             Stage::Begin | Stage::Store => LedgerRequest::Begin(LedgerBegin {
                 program,
                 request: self.request.clone(),
@@ -144,18 +162,30 @@
                 resumes: None,
             }),
             Stage::Recheck => LedgerRequest::Spent(LedgerSpent { program }),
-            Stage::Finish | Stage::Done => LedgerRequest::Finish(LedgerFinish {
-                program,
-                request: self.request.clone(),
-                line: None,
-                replica: None,
-                used_tokens: self.tokens,
-                turn: Some(LedgerTurn {
-                    previous: self.previous.clone(),
-                    said: self.said().into_bytes().into(),
-                    keep_ms: self.keep_ms,
-                }),
-            }),
+            Stage::Finish | Stage::Done => {
+                let (used_tokens, turn) = self.end();
+                LedgerRequest::Finish(LedgerFinish {
+                    program,
+                    request: self.request.clone(),
+                    line: None,
+                    replica: None,
+                    used_tokens,
+                    turn,
+                })
+            }
+        }
+    }
+
+    /// the tokens that are reported at the end, and what is kept.
+    fn end(&self) -> (u64, Option<LedgerTurn>) {
+        match self.kind {
+            TurnKind::Settlement(used_tokens) => (used_tokens, None),
+            TurnKind::Reservation => unreachable!("a reservation is ended by a settlement"),
+            TurnKind::Kept => {
+                let said = self.said().into_bytes().into();
+                let turn = LedgerTurn { previous: self.previous.clone(), said, keep_ms: self.keep_ms };
+                (self.tokens, Some(turn))
+            }
         }
     }
 
@@ -188,6 +218,10 @@
                 BudgetDecision::Exceeded => self.refuse(reference),
                 BudgetDecision::Within => self.admit(reference),
             },
+            Stage::Finish if self.replies.has_write_quorum() && self.kind != TurnKind::Kept => {
+                self.stage = Stage::Done;
+                None
+            }
             Stage::Finish if self.replies.has_write_quorum() => {
                 reference.confirmed.insert(self.request.clone(), (self.previous.clone(), self.said()));
                 self.stage = Stage::Done;
@@ -238,6 +272,11 @@
     }
 
     fn admit(&mut self, reference: &mut Reference) -> Option<LedgerRequest> {
+        self.is_admitted = true;
+        if self.kind == TurnKind::Reservation {
+            self.stage = Stage::Done;
+            return None;
+        }
         reference.admit(self.program, self.tokens, self.budget_tokens);
         reference.said.insert(self.request.clone(), (self.previous.clone(), self.said()));
         self.stage = Stage::Finish;
--- a/tests/ledger_world/mod.rs
+++ b/tests/ledger_world/mod.rs
@@ -5,6 +5,7 @@
 mod door;
 mod faults;
 mod machine;
+mod passed_turns;
 mod reference;
 mod streams;
 mod strikes;
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use flamingostand::door::TurnTokens;
 use flamingostand::ledger::CoreAction;
 use flamingostand::ledger::CoreInput;
 use flamingostand::ledger::empty_view;
@@ -22,6 +23,7 @@
 use super::door::Stage;
 use super::door::Turn;
 use super::machine::Machine;
+use super::passed_turns::PassedTurn;
 use super::reference::Reference;
 use super::streams::CallerStream;
 use super::streams::Replicas;
@@ -59,6 +61,10 @@
     /// the attempt and round of a stream.
     StreamTimeout(usize, (u64, u64)),
     Continue(usize),
+    NewPassedTurn,
+    Pass(usize),
+    /// a frozen helper of a turn that was passed on goes on.
+    Thaw(usize, TurnTokens),
 }
 
 /// sender of a request, found by its connection.
@@ -101,6 +107,7 @@
     pub streams: Vec<CallerStream>,
     pub replicas: Replicas,
     pub conversations: Vec<Conversation>,
+    pub passed_turns: Vec<PassedTurn>,
     /// requests with strikes in flight, by door and number.
     pub batches_in_flight: BTreeSet<(usize, u64)>,
     events: BTreeMap<(u64, u64), Event>,
@@ -110,7 +117,7 @@
     /// turns with their doors and rounds.
     pub turns: Vec<(usize, Turn, u64)>,
     lost_disks: u32,
-    budget_tokens: u64,
+    pub budget_tokens: u64,
     is_traced: bool,
     /// whether messages have short delays only.
     pub has_short_delays: bool,
@@ -135,6 +142,7 @@
             streams: Vec::new(),
             replicas: Replicas::new(DOORS),
             conversations: Vec::new(),
+            passed_turns: Vec::new(),
             batches_in_flight: BTreeSet::new(),
             events: BTreeMap::new(),
             event_count: 0,
@@ -271,6 +279,9 @@
             Event::TakeUp(index) => self.take_up(index),
             Event::StreamTimeout(index, key) => self.on_stream_timeout(index, key),
             Event::Continue(index) => self.continue_conversation(index),
+            Event::NewPassedTurn => self.new_passed_turn(),
+            Event::Pass(index) => self.advance_passed(index),
+            Event::Thaw(index, tokens) => self.thaw(index, &tokens),
         }
     }
 
