--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -33,6 +33,7 @@
 use crate::schema::PoisonStrike;
 use crate::schema::StrikesMark;
 use crate::schema::SuspectedRun;
+use crate::schema::TurnExtension;
 
 /// interval of the removal of expired records.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
@@ -115,9 +116,9 @@
     ViewChanged(LedgerView),
     /// the node holds every record that it should.
     CaughtUp,
-    /// turns that this node needs but lacks are told to another member, from the first one on.
-    TellMissingTurns {
-        /// recipient.
+    /// a member was told, from the first one on, of turns that this node needs but lacks.
+    ToldMissingTurns {
+        /// the member.
         member: String,
         /// turns in the first message.
         count: usize,
@@ -326,7 +327,12 @@
                 self.peers.set_complete(&name, page.complete);
                 match pending.purpose {
                     Purpose::Copy => {}
-                    Purpose::Extend(number) => return self.peers.set_told(&name, number),
+                    Purpose::Extend { number, count } => {
+                        if self.peers.set_told(&name, number) {
+                            out.push(CoreAction::ToldMissingTurns { member: name, count });
+                        }
+                        return;
+                    }
                     Purpose::Probe | Purpose::HandOver(_) => return,
                 }
                 let actions = self.node.merge(now_ms, &page.records);
@@ -391,31 +397,30 @@
         };
         let is_catching_up = self.node.is_member() && !self.node.is_complete();
         let cursor = self.catch_up.cursor(name).filter(|_| is_catching_up);
-        let mut new_told = None;
         let (purpose, request) = if let Some(after) = cursor {
             let pull = LedgerPull { view: view.clone(), after, extends: Vec::new() };
             (Purpose::Copy, LedgerRequest::Pull(pull))
         } else if let Some((number, records)) = self.next_hand_over(&member) {
             (Purpose::HandOver(number), LedgerRequest::Push(LedgerPush { view: view.clone(), records }))
         } else {
-            let after = self.peers.told(now_ms, name);
-            let page = self.node.store().extensions_after(now_ms, after);
-            let is_first = after == 0 && !page.extensions.is_empty();
-            new_told = is_first.then_some(page.extensions.len());
-            let purpose = match page.last_number > after {
-                true => Purpose::Extend(page.last_number),
-                false => Purpose::Probe,
-            };
-            let pull = LedgerPull { view: view.clone(), after: AFTER_ALL_RECORDS, extends: page.extensions };
+            let (purpose, extends) = self.next_extensions(now_ms, name);
+            let pull = LedgerPull { view: view.clone(), after: AFTER_ALL_RECORDS, extends };
             (purpose, LedgerRequest::Pull(pull))
         };
-        let Some(id) = self.peers.register(now_ms, name, view.epoch, purpose) else {
-            return;
-        };
-        if let Some(count) = new_told {
-            out.push(CoreAction::TellMissingTurns { member: name.to_owned(), count });
+        if let Some(id) = self.peers.register(now_ms, name, view.epoch, purpose) {
+            out.push(CoreAction::Ask { member, ask: LedgerAsk { id, epoch: view.epoch, request } });
+        }
+    }
+
+    /// the turns that a member is told of next, as they are needed here but missing; a mere probe if there are none.
+    fn next_extensions(&mut self, now_ms: u64, name: &str) -> (Purpose, Vec<TurnExtension>) {
+        let after = self.peers.told(now_ms, name);
+        let page = self.node.store().extensions_after(now_ms, after);
+        if page.last_number == after {
+            return (Purpose::Probe, Vec::new());
         }
-        out.push(CoreAction::Ask { member, ask: LedgerAsk { id, epoch: view.epoch, request } });
+        let purpose = Purpose::Extend { number: page.last_number, count: page.extensions.len() };
+        (purpose, page.extensions)
     }
 
     /// the next records that a retiring node hands over to a member: all while it is still a member itself,
--- a/src/ledger/peers.rs
+++ b/src/ledger/peers.rs
@@ -18,8 +18,13 @@
 pub(super) enum Purpose {
     /// checks whether it answers and is complete.
     Probe,
-    /// tells it of turns that this node needs but lacks, up to this change number, besides a probe.
-    Extend(u64),
+    /// tells it of turns that this node needs but lacks, besides a probe.
+    Extend {
+        /// change number of the last one.
+        number: u64,
+        /// number of turns.
+        count: usize,
+    },
     /// copies its records to this node.
     Copy,
     /// copies the records of this node to it, up to this change number.
@@ -100,11 +105,12 @@
         peer.told_number
     }
 
-    /// records that a member was told of missing turns up to a change number.
-    pub fn set_told(&mut self, name: &str, number: u64) {
-        if let Some(peer) = self.peers.get_mut(name) {
-            peer.told_number = number;
-        }
+    /// records that a member was told of missing turns up to a change number; whether these were the first ones.
+    pub fn set_told(&mut self, name: &str, number: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return false;
+        };
+        std::mem::replace(&mut peer.told_number, number) == 0
     }
 
     /// sets whether a member holds every record that it should.
--- a/src/ledger_node/runner.rs
+++ b/src/ledger_node/runner.rs
@@ -144,8 +144,8 @@
                         "request" => run.request, "content" => run.content, "replica" => run.replica);
                 }
             }
-            CoreAction::TellMissingTurns { member, count } => {
-                info!(self.log, "asking a member to keep turns that newer ones here go on from, as they are missing here";
+            CoreAction::ToldMissingTurns { member, count } => {
+                info!(self.log, "told a member to keep turns that newer ones here go on from, but that are missing here";
                     "member" => member, "turns" => count);
             }
             CoreAction::TurnsExtended(count) => {
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -380,7 +380,7 @@
             }
             CoreAction::CaughtUp => self.trace(&format!("{name} is complete")),
             CoreAction::StrikeAdded { .. } | CoreAction::RunsOrphaned(_) => {}
-            CoreAction::TellMissingTurns { .. } | CoreAction::TurnsExtended(_) => {}
+            CoreAction::ToldMissingTurns { .. } | CoreAction::TurnsExtended(_) => {}
             CoreAction::CompactLog(_) | CoreAction::ViewChanged(_) => {}
         }
     }
