Keep the spending of a program for as long as a turn of it

A turn that is kept for longer than ten minutes after the last use of its program was missing in a compacted log and in copies to other members, as the record of a turn is found through what it spent, and that was forgotten by then. After a compaction and a restart the turn was gone (LOST).

kept_turn_outlasts_the_spending_of_its_program fails before: the page of records is empty, though the turn is kept. A program is now kept while any of its turns is.

--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -24,10 +24,7 @@
 use crate::schema::SuspectedRun;
 use crate::schema::TurnExtension;
 
-/// retention of a program's spending after its last reservation or finished turn.
-///
-/// Exceeds any turn retention that an operator sets, so that a program that continues a kept turn still finds
-/// its budget.
+/// retention of a program's spending after its last reservation or finished turn; longer while a turn of it is kept.
 pub const SPEND_RETENTION_MS: u64 = 600_000;
 /// page size after which no further record is added.
 pub const PAGE_BYTES: usize = 256 * 1024;
@@ -408,12 +405,14 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.turns.retain(|_, turn| now_ms < turn.expires_ms);
         self.missing_turns.expire(now_ms);
-        let subjects = &mut self.subjects;
+        let (subjects, turns) = (&mut self.subjects, &self.turns);
         for number in self.streams.expire(now_ms) {
             subjects.remove(&number);
         }
         self.programs.retain(|_, program| {
-            let keep = now_ms < program.last_used_ms + SPEND_RETENTION_MS;
+            // A kept turn is compacted and copied together with what it spent.
+            let keep = now_ms < program.last_used_ms + SPEND_RETENTION_MS
+                || program.spends.keys().any(|request| turns.contains_key(request));
             if !keep {
                 for row in program.spends.values() {
                     subjects.remove(&row.number);
--- a/tests/ledger_retention.rs
+++ b/tests/ledger_retention.rs
@@ -1,6 +1,7 @@
 //! how long a ledger node keeps the turns of a conversation.
 
 use flamingostand::ledger::RecordStore;
+use flamingostand::ledger::SPEND_RETENTION_MS;
 use flamingostand::schema::LedgerFinish;
 use flamingostand::schema::LedgerRecord;
 use flamingostand::schema::LedgerTurn;
@@ -56,3 +57,15 @@
     store.expire(50_000 + SHORT_KEEP_MS);
     assert_eq!(store.turn_count(), 0);
 }
+
+/// Guards against a kept turn that is missing in a compacted log and in copies, as what its program has spent is
+/// forgotten before the turn is.
+#[test]
+fn kept_turn_outlasts_the_spending_of_its_program() {
+    let mut store = RecordStore::default();
+    store.merge(0, &turn(0, 2 * SPEND_RETENTION_MS));
+    store.expire(2 * SPEND_RETENTION_MS - 1);
+    assert_eq!(store.page(0).0, [turn(0, 2 * SPEND_RETENTION_MS)]);
+    store.expire(2 * SPEND_RETENTION_MS);
+    assert_eq!((store.page(0).0.len(), store.program_count()), (0, 0));
+}
