Tell ledger members of all missing turns before starting again

With more than 20,000 missing turns a node began to tell them from the first one again, every ten seconds, before it had come to the last ones, of which no member ever heard. Now it starts again only after it has told all.

--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -414,8 +414,12 @@
 
     /// the turns that a member is told of next, as they are needed here but missing; a mere probe if there are none.
     fn next_extensions(&mut self, now_ms: u64, name: &str) -> (Purpose, Vec<TurnExtension>) {
-        let after = self.peers.told(now_ms, name);
-        let page = self.node.store().extensions_after(now_ms, after);
+        let mut after = self.peers.told(name);
+        let mut page = self.node.store().extensions_after(now_ms, after);
+        if page.last_number == after && self.peers.tells_again(now_ms, name) {
+            after = 0;
+            page = self.node.store().extensions_after(now_ms, after);
+        }
         if page.last_number == after {
             return (Purpose::Probe, Vec::new());
         }
--- a/src/ledger/peers.rs
+++ b/src/ledger/peers.rs
@@ -95,14 +95,18 @@
     }
 
     /// change number up to which a member was told of turns that this node needs but lacks.
-    pub fn told(&mut self, now_ms: u64, name: &str) -> u64 {
-        let Some(peer) = self.peers.get_mut(name) else {
-            return 0;
+    pub fn told(&self, name: &str) -> u64 {
+        self.peers.get(name).map_or(0, |peer| peer.told_number)
+    }
+
+    /// whether a member that was told of all missing turns is to be told again, from the first one on.
+    pub fn tells_again(&mut self, now_ms: u64, name: &str) -> bool {
+        let Some(peer) = self.peers.get_mut(name).filter(|peer| now_ms >= peer.told_since_ms + TELL_AGAIN_MS)
+        else {
+            return false;
         };
-        if now_ms >= peer.told_since_ms + TELL_AGAIN_MS {
-            (peer.told_number, peer.told_since_ms) = (0, now_ms);
-        }
-        peer.told_number
+        (peer.told_number, peer.told_since_ms) = (0, now_ms);
+        true
     }
 
     /// records that a member was told of missing turns up to a change number; whether these were the first ones.
