Let the program of a declined turn go on until its budget is spent

It goes on now until it has been told 402 twice with a pause, and still wants the budget to the token.

--- a/tests/fleet_cut_off.rs
+++ b/tests/fleet_cut_off.rs
@@ -35,6 +35,8 @@
 const TURN_TOKENS: u64 = EVENTS as u64 * TOKENS_PER_EVENT;
 /// turns of the program at the same time, which the budget covers.
 const SUB_AGENTS: usize = 20;
+/// turns after which a program has to have spent its budget, refused ones included.
+const MAX_TURNS: usize = 200;
 
 /// three doors, with a proxy before each replica.
 struct CutFleet {
@@ -216,9 +218,19 @@
     let declined = this.fleet.doors[0].metric("door_passes_total{result=\"not_taken\"}");
     assert!(declined > 0, "the second door has declined no turn");
     sleep(SETTLE_TIME);
-    let mut number = 0;
-    while send(2, &format!("turn-{number}")) == 200 {
+    // The program goes on until nothing is left, also of what is settled late.
+    let (mut number, mut refusals) = (0, 0);
+    while refusals < 2 {
+        match send(2, &format!("turn-{number}")) {
+            200 => refusals = 0,
+            402 => {
+                refusals += 1;
+                sleep(SETTLE_TIME);
+            }
+            _ => {}
+        }
         number += 1;
+        assert!(number < MAX_TURNS, "the program is never told that its budget is spent");
     }
     let handed_out = handed_out.into_inner();
     assert_eq!(handed_out, BUDGET_TOKENS, "tokens were handed out");
