Give kept turns and the inputs of a ledger node files of their own

KeptTurns holds the turns of a node, how long each is kept and what is missing; core_io.rs holds what a node is told and asks for, as node_io.rs does for a copy. Nothing is decided differently: ledger_histories, ledger_retention and turn_ends pass as they were.

--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -51,7 +51,7 @@
         }
         match PassTag::from_headers(&self.headers) {
             Some(tag) if tag.sender_ends_turns => TurnRole::Helper,
-            Some(_) | None => TurnRole::SoleHelper,
+            Some(_) | None => TurnRole::EndingHelper,
         }
     }
 
--- a/src/door/turn_tokens.rs
+++ b/src/door/turn_tokens.rs
@@ -7,7 +7,7 @@
     /// the door helps another one, which ends the reservation.
     Helper,
     /// the door helps one of a build that leaves the end of the reservation to the helper that takes the turn.
-    SoleHelper,
+    EndingHelper,
 }
 
 /// the tokens of one turn that a door has handed on, and what it reports of them when the turn ends.
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -7,17 +7,17 @@
 use crate::fleet::Mirror;
 use crate::fleet::WatchUpdate;
 use crate::ledger::CatchUp;
+use crate::ledger::CoreAction;
+use crate::ledger::CoreInput;
 use crate::ledger::LedgerNode;
 use crate::ledger::NodeAction;
 use crate::ledger::NodeIdentity;
 use crate::ledger::PoisonNews;
-use crate::ledger::ViewChange;
 use crate::ledger::ViewPlanner;
 use crate::ledger::peers::Peers;
 use crate::ledger::peers::Purpose;
 use crate::ledger::retirement::Retirement;
 use crate::mesh::ConnectionId;
-use crate::platform::RetirementPhase;
 use crate::schema::JoinedView;
 use crate::schema::LedgerAnswer;
 use crate::schema::LedgerAsk;
@@ -30,7 +30,6 @@
 use crate::schema::LedgerStale;
 use crate::schema::LedgerView;
 use crate::schema::ObservedObjects;
-use crate::schema::PoisonStrike;
 use crate::schema::StrikesMark;
 use crate::schema::SuspectedRun;
 use crate::schema::TurnExtension;
@@ -40,102 +39,6 @@
 /// change number above all records, for requests that only check whether a node answers.
 const AFTER_ALL_RECORDS: u64 = u64::MAX - 1;
 
-/// event that a ledger node handles.
-#[derive(Clone, Debug)]
-pub enum CoreInput {
-    /// a request of a door or another node.
-    Ask(ConnectionId, Box<LedgerAsk>),
-    /// an answer of another node to a request of this one.
-    Answer(Box<LedgerAnswer>),
-    /// all records up to this log number are on disk.
-    Synced(u64),
-    /// the log segment is full and should be compacted.
-    SegmentFull,
-    /// the view at the platform after a read or write; `None` if the call failed.
-    View(Option<LedgerView>),
-    /// the platform's objects below a prefix were listed, or a watch returned.
-    WatchUpdate {
-        /// prefix of the objects.
-        prefix: String,
-        /// result of the call.
-        update: WatchUpdate,
-        /// revision up to which all changes are known.
-        revision: Option<u64>,
-        /// whether calls failed shortly before.
-        after_outage: bool,
-    },
-    /// names of the nodes to be retired.
-    Retiring(BTreeSet<String>),
-    /// a report about the retirement of this node reached the platform, or failed.
-    RetirementReported {
-        /// the reported phase; `None` if the call failed.
-        phase: Option<RetirementPhase>,
-    },
-    /// the periodic timer fired.
-    Tick,
-}
-
-/// side effect that a ledger node requests.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CoreAction {
-    /// append a record to the log; `Synced` follows once it is on disk.
-    Append {
-        /// log number of the record, counted from the start of the process.
-        number: u64,
-        /// record to append.
-        record: LedgerRecord,
-    },
-    /// replace the log with these live records.
-    CompactLog(Vec<LedgerRecord>),
-    /// send an answer.
-    Answer {
-        /// connection of the request.
-        to: ConnectionId,
-        /// answer to send.
-        answer: LedgerAnswer,
-    },
-    /// send a request to another member.
-    Ask {
-        /// recipient.
-        member: LedgerMember,
-        /// request to send.
-        ask: LedgerAsk,
-    },
-    /// read the view from the platform.
-    ReadView,
-    /// write a view to the platform, if the current one there is its predecessor.
-    ProposeView {
-        /// reason.
-        change: ViewChange,
-        /// proposed view.
-        view: LedgerView,
-    },
-    /// report the retirement phase of this node to the platform.
-    ReportRetirement(RetirementPhase),
-    /// the node has adopted another view.
-    ViewChanged(LedgerView),
-    /// the node holds every record that it should.
-    CaughtUp,
-    /// a member was told, from the first one on, of turns that this node needs but lacks.
-    ToldMissingTurns {
-        /// the member.
-        member: String,
-        /// turns in the first message.
-        count: usize,
-    },
-    /// so many turns are kept longer, as another member needs but lacks them.
-    TurnsExtended(usize),
-    /// a door reported a strike that was not known.
-    StrikeAdded {
-        /// the new strike.
-        strike: PoisonStrike,
-        /// victims of the content, this one included.
-        victims: usize,
-    },
-    /// a door ended with these runs in flight.
-    RunsOrphaned(Vec<SuspectedRun>),
-}
-
 /// all decisions of a ledger node: its copy of the records, its membership, and the reports that doors
 /// exchange through it.
 #[derive(Debug)]
@@ -416,7 +319,7 @@
     fn next_extensions(&mut self, now_ms: u64, name: &str) -> (Purpose, Vec<TurnExtension>) {
         let mut after = self.peers.told(name);
         let mut page = self.node.store().extensions_after(now_ms, after);
-        if page.last_number == after && self.peers.tells_again(now_ms, name) {
+        if page.last_number == after && self.peers.start_telling_again(now_ms, name) {
             after = 0;
             page = self.node.store().extensions_after(now_ms, after);
         }
--- a/src/ledger/missing_turns.rs
+++ b/src/ledger/missing_turns.rs
@@ -26,7 +26,7 @@
 struct MissingTurn {
     expires_ms: u64,
     /// expiry when the turn got its change number.
-    told_ms: u64,
+    told_expires_ms: u64,
     number: u64,
 }
 
@@ -42,7 +42,7 @@
     /// records that a missing turn is needed until `expires_ms` at least.
     pub fn need(&mut self, turn: &str, expires_ms: u64) {
         let known = self.turns.get(turn).copied();
-        if let Some(known) = known.filter(|known| expires_ms < known.told_ms + TOLD_STEP_MS) {
+        if let Some(known) = known.filter(|known| expires_ms < known.told_expires_ms + TOLD_STEP_MS) {
             let expires_ms = known.expires_ms.max(expires_ms);
             self.turns.insert(turn.to_owned(), MissingTurn { expires_ms, ..known });
             return;
@@ -51,7 +51,7 @@
             self.numbers.remove(&known.number);
         }
         self.last_number += 1;
-        let row = MissingTurn { expires_ms, told_ms: expires_ms, number: self.last_number };
+        let row = MissingTurn { expires_ms, told_expires_ms: expires_ms, number: self.last_number };
         self.turns.insert(turn.to_owned(), row);
         self.numbers.insert(self.last_number, turn.to_owned());
     }
--- a/src/ledger/peers.rs
+++ b/src/ledger/peers.rs
@@ -100,7 +100,7 @@
     }
 
     /// whether a member that was told of all missing turns is to be told again, from the first one on.
-    pub fn tells_again(&mut self, now_ms: u64, name: &str) -> bool {
+    pub fn start_telling_again(&mut self, now_ms: u64, name: &str) -> bool {
         let Some(peer) = self.peers.get_mut(name).filter(|peer| now_ms >= peer.told_since_ms + TELL_AGAIN_MS)
         else {
             return false;
--- a/src/ledger/record_store.rs
+++ b/src/ledger/record_store.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use crate::ledger::homes::Homes;
+use crate::ledger::kept_turns::KeptTurns;
 use crate::ledger::missing_turns::ExtensionPage;
-use crate::ledger::missing_turns::MissingTurns;
 use crate::ledger::stream_versions::Merged;
 use crate::ledger::stream_versions::StreamVersions;
 use crate::poison::HOLD_THRESHOLD;
@@ -16,8 +16,6 @@
 use crate::schema::LedgerFinish;
 use crate::schema::LedgerRecord;
 use crate::schema::LedgerSpend;
-use crate::schema::LedgerTurn;
-use crate::schema::Octets;
 use crate::schema::PoisonStrike;
 use crate::schema::ReservedTokens;
 use crate::schema::StreamVersion;
@@ -32,15 +30,11 @@
 const RECORD_OVERHEAD_BYTES: usize = 128;
 /// strikes and unanswered runs in one answer to a door; doors report several times a second, so the rest follows soon.
 const POISON_PER_ANSWER: usize = 100;
-/// limit of turns in one history; a longer one can only be a cycle caused by damaged records.
-const MAX_HISTORY_TURNS: usize = 10_000;
-
 /// the live records of one node. Merging is idempotent and commutative.
 #[derive(Debug, Default)]
 pub struct RecordStore {
     programs: HashMap<String, ProgramRow>,
-    turns: HashMap<String, TurnRow>,
-    missing_turns: MissingTurns,
+    turns: KeptTurns,
     streams: StreamVersions,
     strikes: Strikes,
     runs: UnresolvedRuns,
@@ -97,14 +91,6 @@
     number: u64,
 }
 
-#[derive(Clone, Debug)]
-struct TurnRow {
-    previous: Option<String>,
-    said: Octets,
-    keep_ms: u64,
-    expires_ms: u64,
-}
-
 impl RecordStore {
     /// merges a record; `true` if it changed anything.
     pub fn merge(&mut self, now_ms: u64, record: &LedgerRecord) -> bool {
@@ -215,7 +201,7 @@
         let program = self.programs.entry(finish.program.clone()).or_default();
         program.last_used_ms = now_ms;
         let known = program.spends.get(&finish.request).copied();
-        let new_turn = finish.turn.is_some() && !self.turns.contains_key(&finish.request);
+        let new_turn = finish.turn.is_some() && !self.turns.contains(&finish.request);
         let settled_tokens = known.filter(|row| row.settled).map(|row| row.tokens);
         if settled_tokens.is_some_and(|tokens| finish.used_tokens <= tokens) && !new_turn {
             return false;
@@ -233,65 +219,20 @@
         let subject = Subject::Turn { program: finish.program.clone(), request: finish.request.clone() };
         self.subjects.insert(self.last_number, subject);
         if let Some(turn) = &finish.turn {
-            self.keep_turn(now_ms, &finish.request, turn);
+            self.turns.keep(now_ms, &finish.request, turn);
         }
         true
     }
 
-    /// keeps a turn and extends the retention of the turns before it.
-    fn keep_turn(&mut self, now_ms: u64, request: &str, turn: &LedgerTurn) {
-        let known_ms = self.turns.get(request).map_or(0, |row| row.expires_ms);
-        // Records arrive in any order: newer turns that are already here may need this one for longer.
-        let needed_ms = self.missing_turns.take(request).unwrap_or(0);
-        let expires_ms = (now_ms + turn.keep_ms).max(known_ms).max(needed_ms);
-        let row = TurnRow {
-            previous: turn.previous.clone(),
-            said: turn.said.clone(),
-            keep_ms: turn.keep_ms,
-            expires_ms,
-        };
-        self.turns.insert(request.to_owned(), row);
-        self.extend_chain(turn.previous.clone(), expires_ms);
-    }
-
-    /// extends the retention of a turn and the turns before it, up to the first one that is missing here.
-    ///
-    /// Each turn expires before those that it goes on from, so a turn that is kept long enough ends the walk.
-    fn extend_chain(&mut self, turn: Option<String>, expires_ms: u64) {
-        let mut next = turn;
-        for _ in 0..MAX_HISTORY_TURNS {
-            let Some(name) = next else {
-                return;
-            };
-            let Some(row) = self.turns.get_mut(&name) else {
-                self.missing_turns.need(&name, expires_ms);
-                return;
-            };
-            if row.expires_ms >= expires_ms {
-                return;
-            }
-            row.expires_ms = expires_ms;
-            next = row.previous.clone();
-        }
-    }
-
     /// keeps turns longer, with the turns before them, that another member needs but lacks; returns how many of
     /// them are here.
     pub fn extend(&mut self, now_ms: u64, extensions: &[TurnExtension]) -> usize {
-        let mut count = 0;
-        for extension in extensions {
-            if !self.turns.contains_key(&extension.turn) {
-                continue;
-            }
-            count += 1;
-            self.extend_chain(Some(extension.turn.clone()), now_ms.saturating_add(extension.keep_ms));
-        }
-        count
+        self.turns.extend(now_ms, extensions)
     }
 
     /// what other members are to be told of turns that this node needs but lacks, above a change number.
     pub(super) fn extensions_after(&self, now_ms: u64, after: u64) -> ExtensionPage {
-        self.missing_turns.page(now_ms, after)
+        self.turns.missing_after(now_ms, after)
     }
 
     /// tokens held by each turn of a program whose change number is above `after`.
@@ -326,27 +267,14 @@
 
     /// whether a turn is kept.
     pub fn knows_turn(&self, request: &str) -> bool {
-        self.turns.contains_key(request)
+        self.turns.contains(request)
     }
 
     /// a turn and its predecessors, newest first, up to the first one that is missing here.
     ///
     /// A node that was down misses the turns of that time; other nodes have them.
     pub fn history(&self, request: &str) -> Vec<KeptTurn> {
-        let mut turns = Vec::new();
-        let mut next = Some(request);
-        while let Some(name) = next {
-            let Some(row) = self.turns.get(name).filter(|_| turns.len() < MAX_HISTORY_TURNS) else {
-                break;
-            };
-            turns.push(KeptTurn {
-                turn: name.to_owned(),
-                previous: row.previous.clone(),
-                said: row.said.clone(),
-            });
-            next = row.previous.as_deref();
-        }
-        turns
+        self.turns.history(request)
     }
 
     /// records with change numbers above `after`, the last number covered, and whether more follow.
@@ -386,11 +314,7 @@
                 away: row.away,
             }));
         }
-        let turn = self.turns.get(request).map(|turn| LedgerTurn {
-            previous: turn.previous.clone(),
-            said: turn.said.clone(),
-            keep_ms: turn.keep_ms,
-        });
+        let turn = self.turns.record(request);
         Some(LedgerRecord::Finished(LedgerFinish {
             program: program.to_owned(),
             request: request.to_owned(),
@@ -403,8 +327,7 @@
 
     /// drops turns, programs, strikes and unanswered runs whose retention has ended.
     pub fn expire(&mut self, now_ms: u64) {
-        self.turns.retain(|_, turn| now_ms < turn.expires_ms);
-        self.missing_turns.expire(now_ms);
+        self.turns.expire(now_ms);
         let (subjects, turns) = (&mut self.subjects, &self.turns);
         for number in self.streams.expire(now_ms) {
             subjects.remove(&number);
@@ -412,7 +335,7 @@
         self.programs.retain(|_, program| {
             // A kept turn is compacted and copied together with what it spent.
             let keep = now_ms < program.last_used_ms + SPEND_RETENTION_MS
-                || program.spends.keys().any(|request| turns.contains_key(request));
+                || program.spends.keys().any(|request| turns.contains(request));
             if !keep {
                 for row in program.spends.values() {
                     subjects.remove(&row.number);
--- a/tests/turn_ends.rs
+++ b/tests/turn_ends.rs
@@ -72,7 +72,7 @@
 /// nobody ends.
 #[test_case(TurnRole::Caller, Some(20), Some(20); "callers door")]
 #[test_case(TurnRole::Helper, None, None; "helper")]
-#[test_case(TurnRole::SoleHelper, Some(20), None; "helper of the build before")]
+#[test_case(TurnRole::EndingHelper, Some(20), None; "helper of the build before")]
 fn door_that_sees_the_caller_ends_the_turn(role: TurnRole, taken: Option<u64>, left: Option<u64>) {
     let mut tokens = TurnTokens::new(role, EVENT_TOKENS, MOST_TOKENS);
     assert!(tokens.record_event() && tokens.record_event());
