--- a/tests/poison_bystanders.rs
+++ b/tests/poison_bystanders.rs
@@ -105,7 +105,9 @@
             (true, Shared::Input) => digests("/chat", &format!("conversation {request} "), "deadly"),
             (true, Shared::Path) => digests("/deadly", "", &format!("text {request}")),
             // Some inputs are common.
-            (false, _) if request % 5 == 0 => digests("/chat", &format!("conversation {request} "), "go on"),
+            (false, _) if request.is_multiple_of(5) => {
+                digests("/chat", &format!("conversation {request} "), "go on")
+            }
             (false, _) => digests("/chat", &format!("conversation {request} "), &format!("text {request}")),
         };
         Run { request, digests, is_deadly }
