Index workspaces by the digests of their keys

Cause: a configuration may say which parties share a deployment, which keys they hold and how many requests each may send; no module had a word for that.

Change: `workspace` holds `Workspace`, `Allotment` and `Workspaces`, pure values. Keys are kept as digests only.

Nothing reads the folder yet; it compiles, and has no test of its own so far.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod telemetry;
 pub mod timeline;
 pub mod upstream;
+pub mod workspace;
--- /dev/null
+++ b/src/workspace/mod.rs
@@ -0,0 +1,13 @@
+//! workspaces: the parties that share a deployment, and the keys that their callers hold.
+//!
+//! Pure values without I/O. `platform` decodes them from the operators' configuration.
+
+mod allotment;
+mod key_digest;
+mod workspace;
+mod workspaces;
+
+pub use allotment::Allotment;
+pub use key_digest::KeyDigest;
+pub use workspace::Workspace;
+pub use workspaces::Workspaces;
