Run requests for the workspace that holds the caller's key

Cause: a door of the fleet knew no workspaces: it passed the caller's key, and whatever the caller said of its workspace, on to the replica, and ran requests with unknown keys.

Change: the configuration's tenants become workspaces, and routes may be public. A door finds the workspace by the digest of the key; replicas get its name, and neither the key nor the caller's own name. A route that is not public needs a known key: 401, or 503 while the door's copy of the configuration is not current. Requests that wait are checked again before each try. Ids of programs, turns and streams, and the callers of contents without a body, are scoped by workspace before they reach the ledger. Without workspaces nothing is read, removed or scoped. Metrics count requests and refusals by workspace, with a bounded label.

--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -200,8 +200,12 @@
     lease: &Lease,
     last_event: Option<&str>,
 ) -> Request<Full<bytes::Bytes>> {
-    let order =
-        ForwardOptions { replica: &lease.pick.id, timeout: request.remaining(), last_event_id: last_event };
+    let order = ForwardOptions {
+        replica: &lease.pick.id,
+        timeout: request.remaining(),
+        last_event_id: last_event,
+        principal: &request.principal,
+    };
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.clone();
--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -76,6 +76,9 @@
             if self.door.reach.is_cut_off() && (self.indeterminate_count == 0 || self.route.is_retryable()) {
                 return Err(Refusal::CutOff);
             }
+            if let Err(refusal) = self.door.check_principal(self.request, self.route) {
+                return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { refusal });
+            }
             if let Some(hold) = self.door.hold(self.request, self.route) {
                 return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -26,6 +26,7 @@
 use crate::door::connections::ConnectionPool;
 use crate::door::poison_sender::PoisonSender;
 use crate::door::reach_monitor::ReachMonitor;
+use crate::door::workspace_label::WorkspaceLabels;
 use crate::fleet::MergedMirror;
 use crate::ledger_client::LedgerClient;
 use crate::platform::CONFIG_PREFIX;
@@ -95,6 +96,7 @@
     stop: OnceLock<(Instant, StopPlan)>,
     /// closed shortly before the process exits.
     exit: (Sender<()>, Receiver<()>),
+    pub workspace_labels: WorkspaceLabels,
     draw_state: AtomicU64,
 }
 
@@ -145,6 +147,7 @@
             ledger_lateness: Mutex::default(),
             stop: OnceLock::new(),
             exit: async_channel::bounded(1),
+            workspace_labels: WorkspaceLabels::default(),
             draw_state: AtomicU64::new(rand::random()),
         }
     }
@@ -204,6 +207,11 @@
         Some(work(merge, now_ms))
     }
 
+    /// whether the state of a platform prefix was in force a moment ago, as far as this door can tell.
+    pub fn is_current(&self, prefix: &str) -> bool {
+        self.merge(prefix, |merge, now_ms| merge.is_current(now_ms)).unwrap_or(false)
+    }
+
     /// whether ledger nodes supply current state of a platform prefix.
     pub fn has_fresh_mirror(&self, prefix: &str) -> bool {
         self.merge(prefix, |merge, now_ms| merge.is_fresh(now_ms)).unwrap_or(false)
@@ -276,6 +284,7 @@
         }
         info!(self.log, "configuration activated"; "version" => table.version,
             "routes" => table.route_count(), "previous" => active_version);
+        self.log_workspaces(&table);
         self.table.store(Some(Arc::new(table)));
     }
 
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -5,7 +5,6 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -24,6 +23,7 @@
 use crate::door::answer::full_body;
 use crate::door::answer::plain_text;
 use crate::door::call::run_call;
+use crate::door::caller_identity::count_refusal;
 use crate::door::door::Door;
 use crate::door::pass_on::pass_on;
 use crate::door::passed_request::PassGuard;
@@ -40,6 +40,7 @@
 use crate::reach::NOT_TAKEN_HEADER;
 use crate::routing::RequestKind;
 use crate::routing::Route;
+use crate::workspace::Principal;
 
 /// who sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,7 +62,12 @@
     let caller = CallerRequest::from_headers(&head.headers);
     let id = caller.id.clone();
     let mut waiting_caller = WaitingCaller { door: &door, id: id.as_deref(), received, is_answered: false };
-    let outcome = receive(&door, head, body, caller, received, sender).await;
+    let admission = admit(&door, &head, &caller);
+    let label = admission.as_ref().ok().and_then(|admission| door.count_request(&admission.principal));
+    let outcome = match admission {
+        Ok(admission) => receive(&door, admission, head, body, caller, received, sender).await,
+        Err(refusal) => Err(refusal),
+    };
     waiting_caller.is_answered = true;
     drop(waiting_caller);
     let elapsed_ms = received.monotonic.elapsed().as_secs_f64() * 1_000.0;
@@ -71,6 +77,7 @@
     let mut response = outcome.unwrap_or_else(|refusal| {
         let reason: &'static str = refusal.into();
         metrics::counter!("door_refusals_total", "reason" => reason).increment(1);
+        count_refusal(label, refusal);
         info!(door.log, "request ended without an answer from a replica"; "request" => id, "reason" => reason,
             "status" => refusal.status().as_u16(),
             "waited_ms" => received.monotonic.elapsed().as_millis() as u64);
@@ -105,12 +112,21 @@
     }
 }
 
-fn find_route(door: &Door, headers: &HeaderMap, path: &str) -> Result<(Arc<Route>, usize), Refusal> {
+/// what the configuration in force says of a request.
+struct Admission {
+    route: Arc<Route>,
+    principal: Principal,
+    max_body_bytes: usize,
+}
+
+/// finds the route of a request, and on whose behalf it runs.
+fn admit(door: &Door, head: &Parts, caller: &CallerRequest) -> Result<Admission, Refusal> {
     let table = door.table.load();
     let table = table.as_ref().ok_or(Refusal::NoConfiguration)?;
-    let host = headers.get(HOST).and_then(|host| host.to_str().ok()).ok_or(Refusal::BadRequest)?;
-    let route = table.route(host, path).ok_or(Refusal::NoRoute)?;
-    Ok((Arc::clone(route), table.limits.max_body_bytes))
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).ok_or(Refusal::BadRequest)?;
+    let route = table.route(host, head.uri.path()).ok_or(Refusal::NoRoute)?;
+    let principal = door.identify(table, route, caller)?;
+    Ok(Admission { route: Arc::clone(route), principal, max_body_bytes: table.limits.max_body_bytes })
 }
 
 async fn read_body(body: Incoming, max_bytes: usize, deadline: Deadline) -> Result<bytes::Bytes, Refusal> {
@@ -126,13 +142,14 @@
 /// reads a request to its end and runs it.
 async fn receive(
     door: &Arc<Door>,
+    admission: Admission,
     head: Parts,
     body: Incoming,
     caller: CallerRequest,
     received: Moment,
     sender: Sender,
 ) -> Result<Response<DoorBody>, Refusal> {
-    let (route, max_body_bytes) = find_route(door, &head.headers, head.uri.path())?;
+    let Admission { route, principal, max_body_bytes } = admission;
     let deadline = deadline(received, &route, &caller);
     if !door.may_take(&route, deadline) {
         return Err(Refusal::Stopping);
@@ -143,6 +160,7 @@
         target: head.uri,
         headers: head.headers,
         caller,
+        principal,
         body,
         home: None,
         software: None,
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod buffer_share;
 mod call;
+mod caller_identity;
 mod connections;
 mod daemon;
 #[expect(clippy::module_inception, reason = "the main type of the folder has the folder's name")]
@@ -34,6 +35,7 @@
 mod stream_origin;
 mod turn;
 mod turn_tokens;
+mod workspace_label;
 
 pub use buffer_share::BufferBudget;
 pub use buffer_share::BufferShare;
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -17,6 +17,11 @@
     NoConfiguration,
     /// no route matches the host and path.
     NoRoute,
+    /// the route needs a key, and the caller's belongs to no workspace.
+    UnknownKey,
+    /// the caller's key belongs to no workspace that the door knows of, or to another one since the request came;
+    /// the configuration in force may say otherwise.
+    KeyUnsure,
     /// no usable replica of the service is known.
     NoReplica,
     /// all replicas that were tried rejected the request as overloaded.
@@ -87,6 +92,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration
+            | Self::KeyUnsure
             | Self::NoReplica
             | Self::AllFull
             | Self::Limited { .. }
@@ -103,6 +109,7 @@
             | Self::LedgerBusy { .. }
             | Self::LedgerAway => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverBudget => StatusCode::PAYMENT_REQUIRED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken | Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -120,6 +127,7 @@
                 | Self::HelperBusy
                 | Self::Stopping
                 | Self::NoConfiguration
+                | Self::KeyUnsure
                 | Self::LedgerAway
                 | Self::LedgerUnsure
         )
@@ -136,6 +144,8 @@
             // All doors may have just started: shorter retries would use up the caller's attempts before a
             // configuration and the ledger are available.
             Self::NoConfiguration | Self::LedgerAway => Some(0.6),
+            // The caller's next connection very likely goes to a door that has the configuration in force.
+            Self::KeyUnsure => Some(0.1),
             // A dead replica is replaced or detected within a second.
             Self::NoReplica | Self::Unreachable => Some(0.3),
             // The caller's next connection very likely goes to a door that reaches the replicas.
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -16,6 +16,7 @@
 use crate::routing::RequestKind;
 use crate::routing::Route;
 use crate::routing::Software;
+use crate::workspace::Principal;
 
 /// a caller's request with its complete body.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub target: Uri,
     pub headers: HeaderMap,
     pub caller: CallerRequest,
+    /// on whose behalf the request runs.
+    pub principal: Principal,
     pub body: Bytes,
     /// replica that ran the previous turn, if the ledger knows it.
     pub home: Option<String>,
@@ -71,7 +74,8 @@
     pub fn content(&self) -> Content {
         let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
         let caller = self.caller.program.as_deref().or(self.caller.affinity_key.as_deref());
-        Content::new(&self.method, host, &self.target, &self.body, caller)
+        let caller = caller.map(|caller| self.principal.scoped(caller));
+        Content::new(&self.method, host, &self.target, &self.body, caller.as_deref())
     }
 }
 
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -236,6 +236,7 @@
         self.route.resumable
             && self.attempt_count <= self.route.max_attempts
             && !self.request.remaining().is_zero()
+            && self.door.check_principal(&self.request, &self.route).is_ok()
             && self.door.hold(&self.request, &self.route).is_none()
     }
 
--- a/src/door/stream_origin.rs
+++ b/src/door/stream_origin.rs
@@ -21,7 +21,7 @@
     // A caller takes a stream up while it waits for the answer.
     let wait_ms = request.caller.timeout_ms.unwrap_or(route.timeout_ms);
     StreamVersion {
-        request: request.caller.id.clone().unwrap_or_default(),
+        request: request.principal.scoped(request.caller.id.as_deref().unwrap_or_default()),
         service: software.service.clone(),
         version: Some(software.version.clone()),
         keep_ms: wait_ms + RETENTION_MARGIN_MS,
@@ -33,7 +33,8 @@
 /// Without the record the stream is relayed, but no door goes on with it if it breaks off.
 pub(super) async fn record_origin(door: &Door, request: &DoorRequest, route: &Route, software: &Software) {
     let began = stream_record(request, route, software);
-    let key = request.caller.program.clone().unwrap_or_else(|| began.request.clone());
+    let program = request.caller.program.as_deref().map(|program| request.principal.scoped(program));
+    let key = program.unwrap_or_else(|| began.request.clone());
     let deadline = Instant::now() + RECORD_TIMEOUT.min(request.remaining());
     let is_stored =
         door.ledger.is_reachable() && door.ledger.record_stream(&key, began, deadline).await.is_ok();
@@ -55,7 +56,7 @@
     if !door.ledger.is_reachable() {
         return Err(Refusal::LedgerAway);
     }
-    match door.ledger.find_stream(attempt).await {
+    match door.ledger.find_stream(&request.principal.scoped(attempt)).await {
         Ok(began) => origin(door, request, route, began.as_ref()),
         Err(LookupError) => Err(Refusal::LedgerUnsure),
     }
--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -198,7 +198,7 @@
             let begins_at =
                 (route.resumable && resumes.is_none()).then(|| door.sole_software(route)).flatten();
             start.stream = begins_at.as_ref().map(|software| stream_record(request, route, software));
-            start.resumes = resumes.map(str::to_owned);
+            start.resumes = resumes.map(|attempt| request.principal.scoped(attempt));
             run_turn_of_program(door, request, route, start, begins_at).await
         }
         None if request.caller.previous_turn.is_some() => Err(Refusal::BadRequest),
@@ -215,15 +215,15 @@
 
 /// the reservation that a turn asks for; `None` if the request is no turn of a program.
 fn turn_start(request: &DoorRequest) -> Option<TurnStart> {
-    let caller = &request.caller;
+    let (caller, principal) = (&request.caller, &request.principal);
     let budget_tokens = caller.budget_tokens?;
     Some(TurnStart {
-        program: caller.program.clone()?,
-        request: caller.id.clone()?,
+        program: principal.scoped(caller.program.as_deref()?),
+        request: principal.scoped(caller.id.as_deref()?),
         line: caller.session.clone(),
         budget_tokens,
         most_tokens: caller.max_output_tokens.unwrap_or(budget_tokens),
-        previous: caller.previous_turn.clone(),
+        previous: caller.previous_turn.as_deref().map(|turn| principal.scoped(turn)),
         stream: None,
         resumes: None,
     })
@@ -239,6 +239,7 @@
 ) -> Result<Response<DoorBody>, Refusal> {
     let mut account = TurnAccount::new(door, request, route, &start);
     let takes_up = start.resumes.is_some();
+    let previous = start.previous.clone();
     let granted = begin_turn(door, start, &mut account).await;
     let Granted { history, home, resumed, reservation } =
         granted.inspect_err(|refusal| account.leave_to_others(*refusal))?;
@@ -279,7 +280,7 @@
     }
     if let Some(retention_ms) = route.retention_ms {
         account.retained = Some(RetainedTurn {
-            previous: request.caller.previous_turn.clone(),
+            previous,
             said: request.body.to_vec(),
             share: door.answers.share(),
             keep_ms: door.keep_ms(retention_ms),
--- a/src/fleet/merged_mirror.rs
+++ b/src/fleet/merged_mirror.rs
@@ -31,6 +31,8 @@
     revision: u64,
     /// when the platform last responded to some node, by this door's clock.
     contact_ms: Option<u64>,
+    /// when the platform last responded to this door itself.
+    direct_contact_ms: Option<u64>,
     /// when the platform was heard of again after the mirrors had gone stale.
     recovered_ms: Option<u64>,
 }
@@ -51,6 +53,7 @@
             partial_keys: BTreeMap::new(),
             revision: 0,
             contact_ms: None,
+            direct_contact_ms: None,
             recovered_ms: None,
         }
     }
@@ -82,6 +85,13 @@
         self.contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + FRESH_MS)
     }
 
+    /// whether the platform responded recently, to some ledger node or to this door: what is known was then in
+    /// force a moment ago.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        let contact_ms = self.contact_ms.max(self.direct_contact_ms);
+        contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + FRESH_MS)
+    }
+
     /// whether no object is known, not even a removed one.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
@@ -95,6 +105,9 @@
     /// merges what the door read from the platform itself; that does not make the ledger nodes' mirrors
     /// fresh.
     pub fn apply_direct(&mut self, now_ms: u64, news: MirrorNews) -> Vec<MirroredObject> {
+        if let Some(age_ms) = news.age_ms {
+            self.direct_contact_ms = self.direct_contact_ms.max(Some(now_ms.saturating_sub(age_ms)));
+        }
         self.merge(now_ms, DIRECT_SOURCE, news, false)
     }
 
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -20,6 +20,8 @@
 use hyper::header::UPGRADE;
 
 use crate::reach::PASS_HEADER;
+use crate::workspace::KeyDigest;
+use crate::workspace::Principal;
 
 const REQUEST_ID: &str = "x-request-id";
 const DEADLINE_MS: &str = "x-deadline-ms";
@@ -35,6 +37,11 @@
 /// id of the attempt that brought the first event of the stream that the caller takes up.
 const RESUMES: &str = "resumes";
 
+/// key of the caller, which no replica gets where the configuration has workspaces.
+const API_KEY: &str = "api-key";
+/// name of the workspace that a request belongs to, where the configuration has workspaces.
+const WORKSPACE: &str = "x-tenant";
+
 /// headers that only this system may send to a replica, or between its doors; those sent by a caller are dropped.
 const RESERVED: [&str; 9] = [
     EXPECT_INSTANCE,
@@ -59,6 +66,8 @@
 pub struct CallerRequest {
     /// id that the caller gave this attempt.
     pub id: Option<String>,
+    /// key of the caller; `None` if it sends none, or several different ones.
+    pub key: Option<KeyDigest>,
     /// how long the caller waits for the answer, from when it sent the request.
     pub timeout_ms: Option<u64>,
     /// object that the request concerns; a replica that has handled it before is faster.
@@ -97,6 +106,7 @@
         let mut counts = counts.split(',').map(|count| count.trim().parse().ok());
         Self {
             id: header_text(headers, REQUEST_ID),
+            key: caller_key(headers),
             timeout_ms: header_number(headers, DEADLINE_MS),
             affinity_key: header_text(headers, AFFINITY_KEY),
             program: header_text(headers, PROGRAM_ID),
@@ -112,6 +122,13 @@
     }
 }
 
+fn caller_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut keys = headers.get_all(API_KEY).iter();
+    let key = keys.next()?;
+    let is_only_key = keys.all(|other| other == key) && !key.is_empty();
+    is_only_key.then(|| KeyDigest::of(key.as_bytes()))
+}
+
 fn take_up(headers: &HeaderMap) -> Option<TakeUp> {
     let values = headers.get_all(RESUMES).iter().map(|value| value.to_str().unwrap_or_default().trim());
     let mut attempts: Vec<&str> = values.filter(|attempt| !attempt.is_empty()).collect();
@@ -133,6 +150,8 @@
     pub timeout: Duration,
     /// last event that was relayed to the caller, if a stream is resumed.
     pub last_event_id: Option<&'a str>,
+    /// on whose behalf the request runs.
+    pub principal: &'a Principal,
 }
 
 /// headers of a forwarded request. The content length is left to whatever sends the body.
@@ -141,6 +160,7 @@
     for name in RESERVED {
         headers.remove(name);
     }
+    set_principal(&mut headers, options.principal);
     headers.remove(CONTENT_LENGTH);
     headers.insert(DEADLINE_MS, HeaderValue::from(options.timeout.as_millis() as u64));
     if let Ok(replica) = HeaderValue::from_str(options.replica) {
@@ -152,6 +172,19 @@
     headers
 }
 
+/// replaces the caller's key, and whatever it says of its workspace, by the workspace that it belongs to.
+fn set_principal(headers: &mut HeaderMap, principal: &Principal) {
+    if *principal == Principal::Unscoped {
+        return;
+    }
+    headers.remove(API_KEY);
+    headers.remove(WORKSPACE);
+    let name = principal.workspace().map(|workspace| HeaderValue::from_bytes(workspace.name.as_bytes()));
+    if let Some(Ok(name)) = name {
+        headers.insert(WORKSPACE, name);
+    }
+}
+
 /// headers of a request that another door is to run: the caller's own ones, with the time that is left.
 pub fn passed_headers(caller: &HeaderMap, timeout: Duration) -> HeaderMap {
     let mut headers = without_hop_by_hop(caller);
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -9,6 +9,10 @@
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::routing::ServiceSpec;
+use crate::workspace::Allotment;
+use crate::workspace::KeyDigest;
+use crate::workspace::Workspace;
+use crate::workspace::Workspaces;
 
 /// key prefix of the configuration, which is a single object.
 pub const CONFIG_PREFIX: &str = "config/";
@@ -35,6 +39,8 @@
     #[serde(default)]
     services: Vec<ServiceWire>,
     #[serde(default)]
+    tenants: Vec<TenantWire>,
+    #[serde(default)]
     limits: LimitsWire,
 }
 
@@ -61,6 +67,9 @@
     sticky: bool,
     #[serde(default)]
     resumable: bool,
+    /// whether callers need no key.
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Deserialize)]
@@ -88,6 +97,16 @@
     kv_capacity_tokens: u64,
 }
 
+#[derive(Deserialize)]
+struct TenantWire {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u32>,
+    rate_per_s: Option<f64>,
+    burst: Option<f64>,
+}
+
 #[derive(Default, Deserialize)]
 struct LimitsWire {
     max_header_bytes: Option<usize>,
@@ -113,7 +132,16 @@
     let wire: ConfigWire = serde_json::from_slice(value).map_err(|error| error.to_string())?;
     let routes = wire.routes.into_iter().map(Route::try_from).collect::<Result<Vec<_>, _>>()?;
     let services = wire.services.into_iter().map(ServiceSpec::from).collect();
-    Ok(RouteTable::new(wire.version, wire.limits.into(), routes, services))
+    let workspaces = Workspaces::new(wire.tenants.into_iter().map(workspace_with_keys));
+    Ok(RouteTable::new(wire.version, wire.limits.into(), routes, services).with_workspaces(workspaces))
+}
+
+fn workspace_with_keys(wire: TenantWire) -> (Workspace, Vec<KeyDigest>) {
+    // An empty header is no key.
+    let keys = wire.api_keys.iter().filter(|key| !key.is_empty());
+    let keys = keys.map(|key| KeyDigest::of(key.as_bytes())).collect();
+    let allotment = Allotment::new(wire.rate_per_s, wire.burst);
+    (Workspace { name: wire.name, priority: wire.priority, allotment }, keys)
 }
 
 impl TryFrom<RouteWire> for Route {
@@ -141,6 +169,7 @@
             retention_ms,
             sticky: wire.sticky,
             resumable: wire.resumable,
+            is_public: wire.public,
         })
     }
 }
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -50,6 +50,8 @@
     pub sticky: bool,
     /// whether a broken stream may be resumed at another replica.
     pub resumable: bool,
+    /// whether callers need no key, where the configuration has workspaces.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -3,6 +3,9 @@
 
 use crate::routing::Route;
 use crate::routing::ServiceSpec;
+use crate::workspace::KeyDigest;
+use crate::workspace::Principal;
+use crate::workspace::Workspaces;
 
 /// retention beyond the promised time, for callers with slow clocks or networks.
 pub const RETENTION_MARGIN_MS: u64 = 30_000;
@@ -27,6 +30,8 @@
     pub version: u64,
     /// limits for all callers.
     pub limits: CallerLimits,
+    /// parties that share the deployment; without any, callers need no key.
+    pub workspaces: Workspaces,
     /// routes by lower-case host, longest path prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Arc<ServiceSpec>>,
@@ -48,7 +53,23 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), Arc::new(service))).collect();
-        Self { version, limits, hosts, services, longest_turn_ms }
+        Self { version, limits, workspaces: Workspaces::default(), hosts, services, longest_turn_ms }
+    }
+
+    /// the same configuration with these workspaces.
+    pub fn with_workspaces(self, workspaces: Workspaces) -> Self {
+        Self { workspaces, ..self }
+    }
+
+    /// on whose behalf a request with this key runs on a route; `None` if the route needs a known key.
+    pub fn principal(&self, route: &Route, key: Option<&KeyDigest>) -> Option<Principal> {
+        if self.workspaces.is_empty() {
+            return Some(Principal::Unscoped);
+        }
+        match key.and_then(|key| self.workspaces.by_digest(key)) {
+            Some(workspace) => Some(Principal::Workspace(Arc::clone(workspace))),
+            None => route.is_public.then_some(Principal::Anonymous),
+        }
     }
 
     /// the route of a request: of its host's routes, the one with the longest matching path prefix.
--- a/src/workspace/mod.rs
+++ b/src/workspace/mod.rs
@@ -4,10 +4,14 @@
 
 mod allotment;
 mod key_digest;
+mod principal;
+#[expect(clippy::module_inception, reason = "the main type of the folder has the folder's name")]
 mod workspace;
 mod workspaces;
 
 pub use allotment::Allotment;
 pub use key_digest::KeyDigest;
+pub use principal::Principal;
 pub use workspace::Workspace;
+pub use workspaces::WorkspaceChanges;
 pub use workspaces::Workspaces;
--- a/src/workspace/workspaces.rs
+++ b/src/workspace/workspaces.rs
@@ -5,6 +5,19 @@
 use crate::workspace::KeyDigest;
 use crate::workspace::Workspace;
 
+/// how the workspaces of a configuration differ from those of the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkspaceChanges {
+    /// workspaces that are new.
+    pub added: usize,
+    /// workspaces that are gone.
+    pub removed: usize,
+    /// keys that are new, or belong to another workspace.
+    pub keys_added: usize,
+    /// keys that are gone, or belong to another workspace.
+    pub keys_removed: usize,
+}
+
 /// the workspaces of one configuration, by name and by key.
 #[derive(Clone, Debug, Default)]
 pub struct Workspaces {
@@ -53,7 +66,12 @@
 
     /// the workspace that a caller's key belongs to.
     pub fn by_key(&self, key: &str) -> Option<&Arc<Workspace>> {
-        self.by_key.get(&KeyDigest::of(key.as_bytes()))
+        self.by_digest(&KeyDigest::of(key.as_bytes()))
+    }
+
+    /// the workspace that the key with a digest belongs to.
+    pub fn by_digest(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
+        self.by_key.get(key)
     }
 
     /// a workspace by name.
@@ -65,4 +83,25 @@
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Workspace>> {
         self.by_name.values()
     }
+
+    /// what has changed since `earlier`.
+    pub fn changes_since(&self, earlier: &Self) -> WorkspaceChanges {
+        WorkspaceChanges {
+            added: self.names_missing_in(earlier),
+            removed: earlier.names_missing_in(self),
+            keys_added: self.keys_missing_in(earlier),
+            keys_removed: earlier.keys_missing_in(self),
+        }
+    }
+
+    fn names_missing_in(&self, other: &Self) -> usize {
+        self.by_name.keys().filter(|name| !other.by_name.contains_key(*name)).count()
+    }
+
+    fn keys_missing_in(&self, other: &Self) -> usize {
+        let is_missing = |key: &KeyDigest, holder: &Workspace| {
+            other.by_digest(key).is_none_or(|other_holder| other_holder.name != holder.name)
+        };
+        self.by_key.iter().filter(|(key, holder)| is_missing(key, holder)).count()
+    }
 }
--- a/tests/caller_headers.rs
+++ b/tests/caller_headers.rs
@@ -10,6 +10,7 @@
 use flamingostand::platform::classify_answer;
 use flamingostand::platform::keep_alive_timeout;
 use flamingostand::platform::replica_headers;
+use flamingostand::workspace::Principal;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header::HeaderName;
@@ -71,8 +72,12 @@
         ("X-Deadline-Ms", "3000"),
         ("X-Affinity-Key", "17"),
     ]);
-    let order =
-        ForwardOptions { replica: "i-1", timeout: Duration::from_millis(1_234), last_event_id: Some("5") };
+    let order = ForwardOptions {
+        replica: "i-1",
+        timeout: Duration::from_millis(1_234),
+        last_event_id: Some("5"),
+        principal: &Principal::Unscoped,
+    };
     let sent = replica_headers(&caller, &order);
     let mut names: Vec<&str> = sent.keys().map(HeaderName::as_str).collect();
     names.sort_unstable();
--- a/tests/ledger_world/conversations.rs
+++ b/tests/ledger_world/conversations.rs
@@ -70,6 +70,7 @@
         retention_ms: Some(RETENTION_MS),
         sticky: true,
         resumable: false,
+        is_public: false,
     };
     RouteTable::new(1, limits, vec![route], Vec::new()).keep_ms(RETENTION_MS)
 }
