--- a/crates/standins/src/replica/answer.rs
+++ b/crates/standins/src/replica/answer.rs
@@ -140,6 +140,8 @@
         response.insert_header("x-response-signature", format!("sig-{}", options.id));
         return response;
     }
+    let rows = request.iter().flat_map(|(name, values)| values.iter().map(move |value| (name, value)));
+    let headers = rows.map(|(name, value)| (name.to_string(), value.to_string())).collect();
     let Ok(body) = incoming.body().await else {
         return Response::new(StatusCode::BadRequest);
     };
@@ -153,6 +155,7 @@
         let run = Run {
             request: id.clone(),
             target,
+            headers,
             body,
             version: state.version.clone(),
             events: 0,
--- a/crates/standins/src/replica/standin.rs
+++ b/crates/standins/src/replica/standin.rs
@@ -46,6 +46,8 @@
     pub request: String,
     /// path and query.
     pub target: String,
+    /// headers, by name.
+    pub headers: Vec<(String, String)>,
     /// body.
     pub body: String,
     /// version of the software that ran it.
--- a/tests/fleet/client.rs
+++ b/tests/fleet/client.rs
@@ -41,6 +41,12 @@
         self
     }
 
+    /// adds a header beside others of the same name.
+    pub fn and(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
     /// a turn of a program with a budget of `budget` tokens, at most `max_tokens` of them in this turn.
     pub fn turn(path: &str, id: &str, body: &str, program: &str, budget: u64, max_tokens: u64) -> Self {
         let counts = format!("100,{max_tokens}");
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -22,6 +22,7 @@
 use flamingo_standins::replica::ReplicaFault;
 use flamingo_standins::replica::ReplicaOptions;
 use flamingo_standins::replica::ReplicaStandin;
+use flamingo_standins::replica::Run;
 use flamingo_standins::replica::ScriptedReplica;
 use serde_json::Value;
 use serde_json::json;
@@ -236,9 +237,14 @@
 
     /// publishes a configuration with these routes, as the operators do; returns its version.
     pub fn put_config(&mut self, routes: &Value) -> u64 {
+        self.put_config_with(routes, None)
+    }
+
+    /// publishes a configuration with these routes and tenants, if there are any.
+    pub fn put_config_with(&mut self, routes: &Value, tenants: Option<&Value>) -> u64 {
         self.config_version += 2;
         let engine = json!({ "slots": 6, "kv_capacity_tokens": 100_000, "chunk_tokens": TOKENS_PER_EVENT });
-        let config = json!({
+        let mut config = json!({
             "version": self.config_version, "routes": routes,
             "services": [
                 { "name": "models", "max_conns": 100, "health_path": "/healthz", "engine": engine },
@@ -249,6 +255,9 @@
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
             },
         });
+        if let Some(tenants) = tenants {
+            config["tenants"] = tenants.clone();
+        }
         self.put_object("config/main", &config);
         self.config_version
     }
@@ -347,6 +356,11 @@
         self.models.iter().flat_map(|replica| replica.runs()).map(|run| run.body).collect()
     }
 
+    /// all runs of a request at replicas.
+    pub fn runs_of(&self, request: &str) -> Vec<Run> {
+        self.replicas().flat_map(ReplicaStandin::runs).filter(|run| run.request == request).collect()
+    }
+
     /// number of runs of a request at all replicas.
     pub fn run_count(&self, request: &str) -> usize {
         self.replicas().flat_map(|replica| replica.runs()).filter(|run| run.request == request).count()
