Merge the workspaces of the fleet

Doors know the workspace of each request by its key; keys stop at the door. Conflicts: what a request is recognised by takes the caller scoped by its workspace, and a key is checked after the news of other doors are in.

--- a/src/door/call.rs
+++ b/src/door/call.rs
@@ -80,6 +80,9 @@
             if self.door.is_suspect(self.request) {
                 refresh_poison(self.door).await;
             }
+            if let Err(refusal) = self.door.check_principal(self.request, self.route) {
+                return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { refusal });
+            }
             if let Some(hold) = self.door.hold(self.request, self.route) {
                 return Err(if self.indeterminate_count > 0 { Refusal::AnswerLost } else { hold.into() });
             }
--- a/src/door/stream.rs
+++ b/src/door/stream.rs
@@ -243,7 +243,8 @@
         if self.door.is_suspect(&self.request) {
             refresh_poison(&self.door).await;
         }
-        self.door.hold(&self.request, &self.route).is_none()
+        self.door.check_principal(&self.request, &self.route).is_ok()
+            && self.door.hold(&self.request, &self.route).is_none()
     }
 
     fn pick_next(&self) -> Option<ReplicaPick> {
