--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -47,6 +47,7 @@
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::routing::Software;
+use crate::routing::SpillChange;
 use crate::schema::DoorHelper;
 use crate::schema::DoorRow;
 use crate::schema::LeavingReplica;
@@ -119,6 +120,10 @@
         log: Logger,
     ) -> Self {
         let ledger = LedgerClient::new(settings.tolerance.lost_disks, log.clone());
+        let mut replicas = ReplicaTable::new(rand::random());
+        if let Some(zones) = &settings.zones {
+            replicas.set_leave_cost(zones.leave_cost_ms);
+        }
         Self {
             settings,
             addresses,
@@ -136,7 +141,7 @@
             taken_count: AtomicUsize::new(0),
             answers: AnswerBuffers::default(),
             table: ArcSwapOption::empty(),
-            replicas: Mutex::new(ReplicaTable::new(rand::random())),
+            replicas: Mutex::new(replicas),
             attempt_timeouts: Mutex::default(),
             fleet: Mutex::default(),
             merges: Mutex::new(vec![MergedMirror::new(CONFIG_PREFIX), MergedMirror::new(REPLICA_PREFIX)]),
@@ -234,7 +239,33 @@
             max_wait: MAX_LIMIT_WAIT.saturating_sub(waited),
             has_waited: !waited.is_zero(),
         };
-        self.replicas().pick(self.now_ms(), &wanted, avoid)
+        let (pick, changes) = {
+            let mut replicas = self.replicas();
+            let pick = replicas.pick(self.now_ms(), &wanted, avoid);
+            (pick, replicas.take_spill_changes())
+        };
+        for change in changes {
+            self.log_spill(&change);
+        }
+        if let Ok(ReplicaPick { crossing: Some(crossing), .. }) = &pick {
+            let reason: &'static str = crossing.into();
+            metrics::counter!("door_zone_crossings_total", "reason" => reason).increment(1);
+        }
+        pick
+    }
+
+    fn log_spill(&self, change: &SpillChange) {
+        let note = if change.is_started { "started" } else { "ended" };
+        info!(self.log, "requests leaving the availability zone changed"; "note" => note,
+            "service" => &change.service, "zone" => &self.settings.instance.zone,
+            "occupancy" => change.occupancy, "pays_above" => change.pays_above);
+    }
+
+    /// tells the metrics how much of each service's new work leaves the availability zone.
+    pub fn record_spill_shares(&self) {
+        for (service, share) in self.replicas().spill_shares() {
+            metrics::gauge!("door_zone_spill_share", "service" => service.to_owned()).set(share);
+        }
     }
 
     /// an evenly distributed number that splits traffic between backends.
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -128,6 +128,7 @@
         door.replicas().expire(door.now_ms());
         door.expire_poison();
         door.record_unresolved();
+        door.record_spill_shares();
         check_suspects(&door, &mut checked);
         door.connections.expire();
         door.helper_connections.expire();
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -59,10 +59,7 @@
     random: u64,
     candidates: &[&'a Replica],
 ) -> Option<&'a Replica> {
-    if let Affinity::Program { home: Some(home) } = criteria.affinity
-        && let Some(home) = candidates.iter().find(|replica| replica.entry.id == home)
-        && home.load() < keep_limit(random, candidates)
-    {
+    if let Some(home) = kept_home(criteria, random, candidates) {
         return Some(home);
     }
     let available = candidates.iter().copied().filter(|replica| replica.remote_load() < OVERLOADED_SHARE);
@@ -78,6 +75,19 @@
     }
 }
 
+/// the home of a program if it keeps the program.
+pub(super) fn kept_home<'a>(
+    criteria: &PickCriteria<'_>,
+    random: u64,
+    candidates: &[&'a Replica],
+) -> Option<&'a Replica> {
+    let Affinity::Program { home: Some(home) } = criteria.affinity else {
+        return None;
+    };
+    let home = candidates.iter().copied().find(|replica| replica.entry.id == home)?;
+    (home.load() < keep_limit(random, candidates)).then_some(home)
+}
+
 /// whether requests wait for a slot of a replica.
 pub(super) fn is_busy(replica: &Replica) -> bool {
     replica.load() >= KEEP_ALL_SHARE
--- a/src/routing/replica_table.rs
+++ b/src/routing/replica_table.rs
@@ -5,16 +5,21 @@
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
+use strum::IntoStaticStr;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::routing::PickCriteria;
 use crate::routing::Software;
+use crate::routing::SpillChange;
+use crate::routing::ZoneLoad;
+use crate::routing::ZoneSpill;
 use crate::routing::leaving::LeavingReplicas;
 use crate::routing::pick;
 use crate::routing::rate_limits::LimitChange;
 use crate::routing::rate_limits::RateLimits;
 use crate::routing::rate_limits::RateNotice;
+use crate::routing::zone_plan::ZonePlan;
 use crate::schema::LeavingReplica;
 use crate::schema::LimitShare;
 use crate::schema::LimitUse;
@@ -86,6 +91,24 @@
     /// requests in flight at it through all doors, this one included; those of other doors are the last
     /// reported.
     pub running: u32,
+    /// why the request leaves the availability zone of the door; `None` if it does not, or zones have no price.
+    pub crossing: Option<Crossing>,
+}
+
+/// why a request leaves the availability zone of its door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Crossing {
+    /// the replicas of the zone are too busy.
+    Spill,
+    /// the program's prompt is cached elsewhere.
+    Home,
+    /// the affinity key belongs elsewhere.
+    Key,
+    /// no replica of the zone can be chosen.
+    NoReplica,
+    /// the replicas of the zone take no more requests of this door now.
+    Limited,
 }
 
 /// why no replica can be chosen.
@@ -102,7 +125,7 @@
 
 impl NoPick {
     /// the same, if a replica of the service may also take a request after a backoff.
-    fn or_after(self, backoff: Option<Duration>) -> Self {
+    pub(super) fn or_after(self, backoff: Option<Duration>) -> Self {
         match self {
             Self::NoReplica => Self::NoReplica,
             Self::Limited { retry_after } => {
@@ -156,6 +179,8 @@
     limits: RateLimits,
     /// state of the pseudorandom numbers that break ties between replicas.
     random: u64,
+    /// how much leaves the availability zone; `None` if zones have no price.
+    zone_spill: Option<ZoneSpill>,
 }
 
 impl ReplicaTable {
@@ -164,6 +189,21 @@
         Self { random: seed, ..Self::default() }
     }
 
+    /// lets requests leave the availability zone only where that saves more wait than it costs.
+    pub fn set_leave_cost(&mut self, leave_cost_ms: f64) {
+        self.zone_spill = Some(ZoneSpill::new(leave_cost_ms));
+    }
+
+    /// share of each service's new work that leaves the zone; none if zones have no price.
+    pub fn spill_shares(&self) -> Vec<(&str, f64)> {
+        self.zone_spill.as_ref().map(ZoneSpill::shares).unwrap_or_default()
+    }
+
+    /// spill shares that started or ended since the last call.
+    pub fn take_spill_changes(&mut self) -> Vec<SpillChange> {
+        self.zone_spill.as_mut().map(ZoneSpill::take_changes).unwrap_or_default()
+    }
+
     /// replaces all entries; after an outage, missing ones are kept for a grace period.
     pub fn replace(&mut self, now_ms: u64, entries: Vec<ReplicaEntry>, after_outage: bool) {
         let mut removed: Vec<String> = self.by_id.keys().cloned().collect();
@@ -247,6 +287,7 @@
         criteria: &PickCriteria<'_>,
         avoid: &[ReplicaId],
     ) -> Result<ReplicaPick, NoPick> {
+        self.step_zone_spill(now_ms, criteria);
         let usable = self.replicas.iter().filter(|(key, replica)| {
             replica.entry.service == criteria.service
                 && criteria.version.is_none_or(|version| replica.entry.version == version)
@@ -261,15 +302,47 @@
         // A replica in backoff is better than none: it may be the only one, and have recovered already.
         let candidates = if ready.is_empty() { usable } else { ready };
         self.random = next_random(self.random);
-        let id = best_within_limits(now_ms, criteria, self.random, candidates, &mut self.limits)
+        let plan = ZonePlan::new(self.zone_spill.as_ref(), criteria, self.random, candidates);
+        let reason = plan.reason;
+        let (id, is_first_choice) = plan
+            .choose(|candidates| {
+                best_within_limits(now_ms, criteria, self.random, candidates, &mut self.limits)
+            })
             .map_err(|no_pick| no_pick.or_after(backoff))?;
         let key = *self.by_id.get(&id).ok_or(NoPick::NoReplica)?;
         let replica = self.replicas.get_mut(key).ok_or(NoPick::NoReplica)?;
         replica.local_running += 1;
         let running = replica.local_running + replica.remote_running;
+        let reason = if is_first_choice { reason } else { Some(Crossing::Limited) };
+        let crossing = reason.filter(|_| replica.entry.zone != criteria.zone);
+        if let Some(spill) = &mut self.zone_spill {
+            spill.record_begin(criteria.service);
+        }
         let ReplicaEntry { address, started_unix_ms, ref service, ref version, .. } = replica.entry;
         let software = Software { service: service.clone(), version: version.clone() };
-        Ok(ReplicaPick { key, id, address, started_unix_ms, software, running })
+        Ok(ReplicaPick { key, id, address, started_unix_ms, software, running, crossing })
+    }
+
+    /// lets the spill share of a service follow the loads if its next step is due.
+    fn step_zone_spill(&mut self, now_ms: u64, criteria: &PickCriteria<'_>) {
+        let Some(spill) = self.zone_spill.as_mut().filter(|spill| spill.is_due(now_ms, criteria.service))
+        else {
+            return;
+        };
+        let mut local_running = 0;
+        let mut loads: BTreeMap<&str, ZoneLoad<'_>> = BTreeMap::new();
+        for replica in self.replicas.values() {
+            if replica.entry.service != criteria.service || !replica.is_usable(now_ms, &self.leaving) {
+                continue;
+            }
+            let zone = replica.entry.zone.as_str();
+            let load = loads.entry(zone).or_insert(ZoneLoad { zone, slots: 0, running: 0 });
+            load.slots += replica.entry.slots;
+            load.running += replica.local_running + replica.remote_running;
+            local_running += replica.local_running;
+        }
+        let loads: Vec<ZoneLoad<'_>> = loads.into_values().collect();
+        spill.step(now_ms, criteria.service, criteria.zone, &loads, local_running);
     }
 
     /// address of a replica if this start of it is listed.
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -2087,6 +2087,9 @@
     pub platform: PlatformSettings,
     ///losses that nothing acknowledged may suffer from
     pub tolerance: ToleranceSettings,
+    ///when requests leave the availability zone of their front door; absent to choose over all zones
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub zones: ::std::option::Option<ZoneSettings>,
 }
 ///form of the object API: values under keys, or named objects of kinds
 #[derive(
@@ -3390,6 +3393,12 @@
     #[serde(default = "defaults::default_u64::<u32, 100>")]
     pub weight: u32,
 }
+///when requests leave the availability zone of their front door
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ZoneSettings {
+    ///wait that leaving the zone has to save a request: the longer way and the price of its bytes
+    pub leave_cost_ms: f64,
+}
 /// Generation of default values for serde.
 pub mod defaults {
     pub(super) fn default_bool<const V: bool>() -> bool {
--- a/src/settings/node_settings.rs
+++ b/src/settings/node_settings.rs
@@ -29,6 +29,8 @@
     pub tolerance: schema::ToleranceSettings,
     /// bounds that the deployment promises its callers.
     pub bounds: schema::BoundSettings,
+    /// when requests leave the availability zone; `None` to choose replicas over all zones.
+    pub zones: Option<schema::ZoneSettings>,
     /// address at which counters and histograms are served.
     pub metrics: Option<SocketAddr>,
     /// log lines.
@@ -137,6 +139,7 @@
             platform: settings.platform,
             tolerance: settings.tolerance,
             bounds: settings.bounds,
+            zones: settings.zones,
             log: settings.log,
             role,
         })
