Hold an input or a path only if a replica is known to have ended under it

What callers saw: requests with another body were refused as suspected while three replicas were silent under one content sent to the same path.

Cause: unanswered runs weighed against the path as they do against the content, so silence alone reached the limit.

Change: what requests share is suspected only from the first strike on.

--- a/src/poison/poison_state.rs
+++ b/src/poison/poison_state.rs
@@ -186,10 +186,14 @@
     }
 
     /// whether what many requests share is held: each process of a replica counts once, however many of them it ran.
+    /// Silence alone is not enough, as it would hold a whole path for replicas that are slow.
     fn hold_shared(&self, digest: &str) -> Option<Hold> {
         if self.strikes.is_held(digest) {
             return Some(Hold::Struck);
         }
+        if self.strikes.victim_count(digest) == 0 {
+            return None;
+        }
         let victims = self.possible_victims(digest);
         let processes: BTreeSet<&str> = victims.iter().map(|victim| process_of(victim)).collect();
         (processes.len() >= HOLD_THRESHOLD).then_some(Hold::Suspected)
--- a/tests/poison_evidence.rs
+++ b/tests/poison_evidence.rs
@@ -228,3 +228,19 @@
     }
     assert_eq!(checked.len(), 15);
 }
+
+/// Guards against a path that is refused to all because replicas were silent under one content sent to it.
+#[test]
+fn silence_under_a_content_does_not_hold_its_path() {
+    let content = |text: &'static str| {
+        Content::new(&Method::POST, None, &Uri::from_static("/p"), &Bytes::from_static(text.as_bytes()), None)
+    };
+    let mut door = PoisonState::default();
+    for replica in ["a", "b", "c"] {
+        let run = door.active.begin(0, content("lost"), format!("at-{replica}"), replica.to_owned(), 1);
+        let ended = door.active.remove(run).expect("it runs");
+        door.suspect_all(0, &ended, true);
+    }
+    assert!(door.hold_any(1, content("lost").digests()).is_some());
+    assert_eq!(door.hold_any(1, content("other").digests()), None);
+}
