Keep keys out of the errors of malformed configurations

The text of a JSON error quotes the value that it stumbles over, and doors log it: a malformed list of keys would have written a key into the log. The error now tells only its class and position. A configuration whose tenants are null counts as one without any.

--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -38,8 +38,7 @@
     routes: Vec<RouteWire>,
     #[serde(default)]
     services: Vec<ServiceWire>,
-    #[serde(default)]
-    tenants: Vec<TenantWire>,
+    tenants: Option<Vec<TenantWire>>,
     #[serde(default)]
     limits: LimitsWire,
 }
@@ -129,13 +128,18 @@
 
 /// parses a configuration; the platform accepts only valid ones, so an error means another format.
 pub fn parse_config(value: &[u8]) -> Result<RouteTable, String> {
-    let wire: ConfigWire = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    let wire: ConfigWire = serde_json::from_slice(value).map_err(|error| fault(&error))?;
     let routes = wire.routes.into_iter().map(Route::try_from).collect::<Result<Vec<_>, _>>()?;
     let services = wire.services.into_iter().map(ServiceSpec::from).collect();
-    let workspaces = Workspaces::new(wire.tenants.into_iter().map(workspace_with_keys));
+    let workspaces = Workspaces::new(wire.tenants.into_iter().flatten().map(workspace_with_keys));
     Ok(RouteTable::new(wire.version, wire.limits.into(), routes, services).with_workspaces(workspaces))
 }
 
+/// where a configuration has another format. The text of the error itself may quote a value, such as a key.
+fn fault(error: &serde_json::Error) -> String {
+    format!("{:?} error at line {} column {}", error.classify(), error.line(), error.column())
+}
+
 fn workspace_with_keys(wire: TenantWire) -> (Workspace, Vec<KeyDigest>) {
     // An empty header is no key.
     let keys = wire.api_keys.iter().filter(|key| !key.is_empty());
--- a/tests/operator_config.rs
+++ b/tests/operator_config.rs
@@ -53,3 +53,24 @@
 fn invalid_config(text: &str) {
     assert!(parse_config(text.as_bytes()).is_err());
 }
+
+/// Guards against a key in the log of a door that gets a malformed configuration.
+#[test_case(r#""secret-471100""#; "string for a list")]
+#[test_case("471100"; "number for a list")]
+#[test_case("[471100]"; "number for a key")]
+#[test_case(r#"[{"secret-471100":1}]"#; "object for a key")]
+#[test_case(r#"{"secret-471100":1}"#; "object for a list")]
+#[test_case(r#"["secret-471100"#; "end of the document")]
+fn no_key_in_errors(api_keys: &str) {
+    let text = format!(r#"{{"version":1,"tenants":[{{"name":"north","api_keys":{api_keys}}}]}}"#);
+    let error = parse_config(text.as_bytes()).expect_err("a malformed configuration");
+    assert!(!error.contains("secret") && !error.contains("471100"), "{error}");
+    assert!(error.contains("line 1"), "{error}");
+}
+
+/// Guards against a configuration that is refused because it lists its tenants as null.
+#[test]
+fn null_tenants_are_none() {
+    let table = parse_config(br#"{"version":1,"tenants":null}"#).expect("a valid configuration");
+    assert!(table.workspaces.is_empty());
+}
