Refuse a key only by a configuration that is known to be the newest

A door counted as current as soon as news of the configuration had been merged, while it still parsed and activated them: a caller with a key that the new configuration adds could get a 401 that is false. News now count once their changes are applied, and neither pages before the last one nor answers without news do. The door looks whether it is current before it looks which configuration is active.

--- a/src/door/caller_identity.rs
+++ b/src/door/caller_identity.rs
@@ -21,13 +21,21 @@
         caller: &CallerRequest,
     ) -> Result<Principal, Refusal> {
         let principal = table.principal(route, caller.key.as_ref());
-        principal.ok_or_else(|| match self.is_current(CONFIG_PREFIX) {
+        principal.ok_or_else(|| match self.is_in_force(table) {
             true => Refusal::UnknownKey,
             // A configuration that this door has not seen may hold the key, or need none on the route.
             false => Refusal::KeyUnsure,
         })
     }
 
+    /// whether a configuration was the newest a moment ago, as far as this door can tell.
+    fn is_in_force(&self, table: &RouteTable) -> bool {
+        // In this order: a newer one may be activated in between, and is then seen.
+        let is_current = self.is_current(CONFIG_PREFIX);
+        let active = self.table.load();
+        is_current && active.as_ref().is_some_and(|active| std::ptr::eq(&**active, table))
+    }
+
     /// checks a request that has waited in the door: its key may have been taken away since it came.
     pub fn check_principal(&self, request: &DoorRequest, route: &Route) -> Result<(), Refusal> {
         let table = self.table.load();
--- a/src/door/follow.rs
+++ b/src/door/follow.rs
@@ -53,6 +53,7 @@
         }
         _ => {}
     }
+    door.merge(prefix, |merge, _| merge.record_applied());
 }
 
 fn apply_configs(door: &Door, changed: &[MirroredObject]) {
--- a/src/fleet/merged_mirror.rs
+++ b/src/fleet/merged_mirror.rs
@@ -31,8 +31,12 @@
     revision: u64,
     /// when the platform last responded to some node, by this door's clock.
     contact_ms: Option<u64>,
-    /// when the platform last responded to this door itself.
-    direct_contact_ms: Option<u64>,
+    /// when the platform last responded to a node whose news have been merged to their end, or to this door itself.
+    heard_ms: Option<u64>,
+    /// the same, of news whose changes have been applied.
+    applied_ms: Option<u64>,
+    /// merged news whose changes have not been applied yet.
+    unapplied_count: usize,
     /// when the platform was heard of again after the mirrors had gone stale.
     recovered_ms: Option<u64>,
 }
@@ -53,7 +57,9 @@
             partial_keys: BTreeMap::new(),
             revision: 0,
             contact_ms: None,
-            direct_contact_ms: None,
+            heard_ms: None,
+            applied_ms: None,
+            unapplied_count: 0,
             recovered_ms: None,
         }
     }
@@ -85,11 +91,18 @@
         self.contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + FRESH_MS)
     }
 
-    /// whether the platform responded recently, to some ledger node or to this door: what is known was then in
-    /// force a moment ago.
+    /// whether the platform responded recently, to some ledger node or to this door, and all changes up to then have
+    /// been applied: what the door goes by was in force a moment ago.
     pub fn is_current(&self, now_ms: u64) -> bool {
-        let contact_ms = self.contact_ms.max(self.direct_contact_ms);
-        contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + FRESH_MS)
+        self.applied_ms.is_some_and(|applied_ms| now_ms < applied_ms + FRESH_MS)
+    }
+
+    /// records that the changes that one merge returned have been applied.
+    pub fn record_applied(&mut self) {
+        self.unapplied_count = self.unapplied_count.saturating_sub(1);
+        if self.unapplied_count == 0 {
+            self.applied_ms = self.heard_ms;
+        }
     }
 
     /// whether no object is known, not even a removed one.
@@ -97,7 +110,8 @@
         self.known.is_empty()
     }
 
-    /// merges the news of a ledger node and returns the objects that changed.
+    /// merges the news of a ledger node and returns the objects that changed. If there are any, the caller has to
+    /// apply them and to call `record_applied` then.
     pub fn apply(&mut self, now_ms: u64, node: &str, news: MirrorNews) -> Vec<MirroredObject> {
         self.merge(now_ms, node, news, true)
     }
@@ -105,9 +119,6 @@
     /// merges what the door read from the platform itself; that does not make the ledger nodes' mirrors
     /// fresh.
     pub fn apply_direct(&mut self, now_ms: u64, news: MirrorNews) -> Vec<MirroredObject> {
-        if let Some(age_ms) = news.age_ms {
-            self.direct_contact_ms = self.direct_contact_ms.max(Some(now_ms.saturating_sub(age_ms)));
-        }
         self.merge(now_ms, DIRECT_SOURCE, news, false)
     }
 
@@ -128,6 +139,9 @@
             return Vec::new();
         }
         let has_contact = news.age_ms.is_some();
+        if let Some(age_ms) = news.age_ms.filter(|_| !news.more) {
+            self.heard_ms = self.heard_ms.max(Some(now_ms.saturating_sub(age_ms)));
+        }
         let keys = self.complete_keys(node, &news);
         if has_contact && !news.more {
             self.revision = self.revision.max(news.revision);
@@ -152,6 +166,11 @@
         changed.extend(missing);
         changed.retain(|object| self.store(now_ms, object));
         self.known.retain(|_, known| known.removed_ms.is_none_or(|at_ms| now_ms < at_ms + TOMBSTONE_KEEP_MS));
+        if !changed.is_empty() {
+            self.unapplied_count += 1;
+        } else if self.unapplied_count == 0 {
+            self.applied_ms = self.heard_ms;
+        }
         changed
     }
 
--- a/tests/platform_mirror.rs
+++ b/tests/platform_mirror.rs
@@ -266,3 +266,77 @@
     let changed = merged.apply(100_000, "a", news);
     assert!(changed.iter().any(|object| object.key == "config/b" && object.value.is_none()), "{changed:?}");
 }
+
+/// Guards against a door that takes its configuration for the newest while it still takes in a newer one.
+#[test]
+fn current_once_changes_are_applied() {
+    let (mut first, mut second) = (Mirror::new(PREFIX, "s1"), Mirror::new(PREFIX, "s2"));
+    let mut merged = MergedMirror::new(PREFIX);
+    for mirror in [&mut first, &mut second] {
+        mirror.apply_snapshot(1_000, &[object("main", 3)], false);
+        mirror.record_contact(1_000, Some(3));
+    }
+    assert_eq!(merged.apply(1_000, "a", first.news(1_000, None)).len(), 1);
+    assert!(
+        merged.is_fresh(1_000) && !merged.is_current(1_000),
+        "the first configuration is not applied yet"
+    );
+    assert!(merged.apply(1_000, "b", second.news(1_000, None)).is_empty());
+    assert!(!merged.is_current(1_000), "another node has nothing new, but the change is still not applied");
+    merged.record_applied();
+    assert!(merged.is_current(3_000));
+    assert!(!merged.is_current(3_600), "the last contact is 2.6 s old");
+    second.record_contact(4_000, Some(3));
+    merged.apply(4_000, "b", second.news(4_000, merged.mark("b")));
+    assert!(merged.is_current(4_000), "news without changes count at once");
+}
+
+/// Guards against a change that is applied while a later one waits, and makes the door count as current.
+#[test]
+fn not_current_while_another_change_is_applied() {
+    let mut mirror = Mirror::new(PREFIX, "s1");
+    let mut merged = MergedMirror::new(PREFIX);
+    for version in [3, 4] {
+        mirror.apply_snapshot(1_000, &[object("main", version)], false);
+        mirror.record_contact(1_000, Some(version));
+        let news = mirror.news(1_000, merged.mark("a"));
+        assert_eq!(merged.apply(1_000, "a", news).len(), 1);
+    }
+    merged.record_applied();
+    assert!(!merged.is_current(1_000));
+    merged.record_applied();
+    assert!(merged.is_current(1_000));
+}
+
+/// Guards against pages before the last one, and answers that tell nothing, that make the door count as current.
+#[test]
+fn partial_news_are_not_current() {
+    let (first, second) = (large_mirror("s1", 400), large_mirror("s2", 400));
+    let mut merged = MergedMirror::new(PREFIX);
+    follow(&mut merged, "b", &second, false);
+    assert!(!merged.is_current(0), "a node that sends nothing yet");
+    loop {
+        let news = first.news_for(0, Some(&merged.mark_for("a")), true);
+        let more = news.more;
+        if !merged.apply(0, "a", news).is_empty() {
+            merged.record_applied();
+        }
+        assert_eq!(merged.is_current(0), !more);
+        if !more {
+            break;
+        }
+    }
+}
+
+/// Guards against a door that reads the platform itself and never counts as current, or too early.
+#[test]
+fn own_reads_are_current_once_applied() {
+    let mut mirror = Mirror::new(PREFIX, "own");
+    mirror.apply_snapshot(0, &[object("main", 3)], false);
+    mirror.record_contact(0, Some(3));
+    let mut merged = MergedMirror::new(PREFIX);
+    assert_eq!(merged.apply_direct(0, mirror.news(0, None)).len(), 1);
+    assert!(!merged.is_current(0));
+    merged.record_applied();
+    assert!(merged.is_current(0) && !merged.is_fresh(0));
+}
