--- a/src/door/pass_on.rs
+++ b/src/door/pass_on.rs
@@ -198,7 +198,7 @@
 }
 
 fn build_request(door: &Door, request: &DoorRequest, target: &DoorHelper) -> Request<Full<bytes::Bytes>> {
-    let mut headers = passed_headers(&request.headers, request.remaining());
+    let mut headers = passed_headers(&request.headers, request.remaining(), &request.principal);
     let passed = PassedRequest {
         receiver: &target.started,
         method: &request.method,
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -185,9 +185,16 @@
     }
 }
 
-/// headers of a request that another door is to run: the caller's own ones, with the time that is left.
-pub fn passed_headers(caller: &HeaderMap, timeout: Duration) -> HeaderMap {
+/// headers of a request that another door is to run: the caller's own ones, with the time that is left. Where the
+/// configuration has workspaces, the other door checks the key, which stays even if the caller lists it in `Connection`.
+pub fn passed_headers(caller: &HeaderMap, timeout: Duration, principal: &Principal) -> HeaderMap {
     let mut headers = without_hop_by_hop(caller);
+    if *principal != Principal::Unscoped {
+        headers.remove(API_KEY);
+        for key in caller.get_all(API_KEY) {
+            headers.append(API_KEY, key.clone());
+        }
+    }
     headers.remove(CONTENT_LENGTH);
     headers.insert(DEADLINE_MS, HeaderValue::from(timeout.as_millis() as u64));
     headers
--- a/tests/caller_headers.rs
+++ b/tests/caller_headers.rs
@@ -9,6 +9,7 @@
 use flamingostand::platform::caller_headers;
 use flamingostand::platform::classify_answer;
 use flamingostand::platform::keep_alive_timeout;
+use flamingostand::platform::passed_headers;
 use flamingostand::platform::replica_headers;
 use flamingostand::workspace::Principal;
 use hyper::HeaderMap;
@@ -129,3 +130,28 @@
     let status = StatusCode::from_u16(status).expect("a status");
     assert_eq!(classify_answer(status, &headers(rows), Some("a"), false), expected);
 }
+
+/// Guards against a key that the caller calls hop-by-hop and another door then misses, or a replica gets.
+#[test_case(Principal::Anonymous, &["a", "b"]; "with workspaces")]
+#[test_case(Principal::Unscoped, &[]; "without workspaces")]
+fn key_named_in_connection(principal: Principal, expected: &[&str]) {
+    let caller = headers(&[
+        ("Connection", "Api-Key, X-Other, close"),
+        ("Api-Key", "a"),
+        ("Api-Key", "b"),
+        ("X-Other", "c"),
+    ]);
+    let timeout = Duration::from_secs(1);
+    let passed = passed_headers(&caller, timeout, &principal);
+    let keys: Vec<&str> = passed.get_all("api-key").iter().map(|key| key.to_str().expect("text")).collect();
+    assert_eq!(keys, expected);
+    assert!(!passed.contains_key("x-other") && !passed.contains_key("connection"), "{passed:?}");
+    let options = ForwardOptions { replica: "i-1", timeout, last_event_id: None, principal: &principal };
+    assert!(!replica_headers(&caller, &options).contains_key("api-key"));
+    if principal == Principal::Anonymous {
+        assert!(
+            !replica_headers(&passed, &options).contains_key("api-key"),
+            "a helper passes on none either"
+        );
+    }
+}
