Run nothing for nobody on a public route while the key may be known elsewhere

A door without news served an unknown key on a public route as a caller without any, so that the replica of a workspace that the newest configuration names was not told its name. Such a request now gets 503 key_unsure as on other routes; without a key, public routes are served as before.

--- a/src/door/caller_identity.rs
+++ b/src/door/caller_identity.rs
@@ -21,11 +21,17 @@
         caller: &CallerRequest,
     ) -> Result<Principal, Refusal> {
         let principal = table.principal(route, caller.key.as_ref());
-        principal.ok_or_else(|| match self.is_in_force(table) {
-            true => Refusal::UnknownKey,
+        let is_key_unknown = match principal {
+            None => true,
+            // The key may belong to a workspace, which the replica would have to be told.
+            Some(Principal::Anonymous) => caller.key.is_some(),
+            Some(Principal::Unscoped | Principal::Workspace(_)) => false,
+        };
+        if is_key_unknown && !self.is_in_force(table) {
             // A configuration that this door has not seen may hold the key, or need none on the route.
-            false => Refusal::KeyUnsure,
-        })
+            return Err(Refusal::KeyUnsure);
+        }
+        principal.ok_or(Refusal::UnknownKey)
     }
 
     /// whether a configuration was the newest a moment ago, as far as this door can tell.
--- a/tests/fleet_workspaces.rs
+++ b/tests/fleet_workspaces.rs
@@ -280,6 +280,13 @@
     assert!(unsure.header("retry-after").is_some(), "{unsure:?}");
     assert_whole(&ask("known", NORTH_KEY));
     assert_eq!(fleet.run_count("unsure"), 0);
+    let public = |id: &str| ClientRequest::get("/open/x", id);
+    let unsure = fleet.doors[0].send(&public("public-unsure").with("Api-Key", "unknown"));
+    assert_eq!((unsure.status, unsure.body.trim()), (503, "key_unsure"), "a public route");
+    assert_eq!(fleet.run_count("public-unsure"), 0);
+    assert_whole(&fleet.doors[0].send(&public("public-without")));
+    assert_whole(&fleet.doors[0].send(&public("public-known").with("Api-Key", NORTH_KEY)));
+    assert_eq!(told(&fleet, "public-known", "x-tenant"), ["north"]);
     fleet.set_platform_down(false);
     // The door reads the platform itself.
     fleet.wait("the door is sure again", || {
