--- a/src/door/pass_on.rs
+++ b/src/door/pass_on.rs
@@ -11,6 +11,7 @@
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
@@ -113,6 +114,10 @@
                 "door" => &helper.callers, "why" => result, "tries" => tried.len());
         }
         match passed {
+            // To the caller, a refused key means that the request ran nowhere.
+            Passed::Answered(answer) if may_have_run && answer.status() == StatusCode::UNAUTHORIZED => {
+                return Err(Refusal::AnswerLost);
+            }
             Passed::Answered(answer) => return Ok(with_account(answer, account)),
             Passed::NotTaken => {}
             Passed::Lost if route.is_retryable() => may_have_run = true,
--- a/tests/fleet_workspaces.rs
+++ b/tests/fleet_workspaces.rs
@@ -8,9 +8,11 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+use flamingo_standins::replica::ReplicaFault;
 use fleet::Answer;
 use fleet::ClientRequest;
 use fleet::Cut;
+use fleet::CutProxy;
 use fleet::Fleet;
 use fleet::HOST;
 use fleet::route;
@@ -295,10 +297,9 @@
     });
 }
 
-/// Guards against keys that go unchecked, or names that get lost, on the way through another door.
-#[test]
-fn request_that_is_passed_on() {
-    let fleet = start("passed", 3);
+/// three doors, the first of which is cut off from the replicas by the proxies.
+fn start_cut_off(name: &str) -> (Fleet, Vec<CutProxy>) {
+    let fleet = start(name, 3);
     let proxies = fleet.add_proxies();
     sleep(SETTLE_TIME);
     for proxy in &proxies {
@@ -313,6 +314,13 @@
         let lost = fleet.doors[0].lines_with("a dependency is lost");
         lost.iter().any(|line| line.contains("\"dependency\":\"replicas\""))
     });
+    (fleet, proxies)
+}
+
+/// Guards against keys that go unchecked, or names that get lost, on the way through another door.
+#[test]
+fn request_that_is_passed_on() {
+    let (fleet, _proxies) = start_cut_off("passed");
     for request in requests("passed") {
         let known = request.clone().with("Api-Key", NORTH_KEY).and("X-Tenant", "south");
         assert_whole(&fleet.doors[0].send(&known));
@@ -324,6 +332,26 @@
     }
 }
 
+/// Guards against a 401 for a request that ran through a helper which died, because the next one refuses its key.
+#[test]
+fn key_removed_after_a_lost_helper() {
+    let (mut fleet, _proxies) = start_cut_off("lost-helper");
+    fleet.set_faults(ReplicaFault::Mute);
+    let request = ClientRequest::get("/look/x", "lost").with("Api-Key", SOUTH_KEY);
+    let mut stream = fleet.open(0, &request);
+    fleet.wait("the request runs", || fleet.run_count("lost") == 1);
+    let requests = "door_workspace_requests_total{workspace=\"south\"}";
+    let helper = (1..3).find(|door| fleet.doors[*door].metric(requests) > 0).expect("a helper");
+    configure(&mut fleet, &json!([{ "name": "north", "api_keys": [NORTH_KEY] }]));
+    fleet.doors[helper].kill();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).expect("a timeout can be set");
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 502");
+    let other = &fleet.doors[3 - helper];
+    assert_eq!(other.metric("door_refusals_total{reason=\"unknown_key\"}"), 1, "the other helper was asked");
+}
+
 /// Guards against a workspace whose requests are counted under no name.
 #[test]
 fn requests_are_counted() {
