Say where keys stand, and what of a workspace is not applied yet

Priority, rate and burst of a workspace are read and have no effect yet, which neither the operators' page nor the comments said.

--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -36,6 +36,7 @@
 use crate::platform::READINESS_PATH;
 use crate::platform::RESOLVE_PATH;
 use crate::platform::caller_zone;
+use crate::platform::hide_key;
 use crate::platform::resolve_body;
 use crate::reach::NOT_TAKEN_HEADER;
 use crate::routing::RequestKind;
@@ -58,7 +59,8 @@
     sender: Sender,
 ) -> Response<DoorBody> {
     let received = Moment::now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    hide_key(&mut head.headers);
     let caller = CallerRequest::from_headers(&head.headers);
     let id = caller.id.clone();
     let mut waiting_caller = WaitingCaller { door: &door, id: id.as_deref(), received, is_answered: false };
--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::Entry;
 use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
@@ -129,6 +130,13 @@
     is_only_key.then(|| KeyDigest::of(key.as_bytes()))
 }
 
+/// keeps the caller's key out of dumps of a request's headers.
+pub fn hide_key(headers: &mut HeaderMap) {
+    if let Entry::Occupied(mut keys) = headers.entry(API_KEY) {
+        keys.iter_mut().for_each(|key| key.set_sensitive(true));
+    }
+}
+
 fn take_up(headers: &HeaderMap) -> Option<TakeUp> {
     let values = headers.get_all(RESUMES).iter().map(|value| value.to_str().unwrap_or_default().trim());
     let mut attempts: Vec<&str> = values.filter(|attempt| !attempt.is_empty()).collect();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -30,6 +30,7 @@
 pub use caller_request::ForwardOptions;
 pub use caller_request::TakeUp;
 pub use caller_request::health_request;
+pub use caller_request::hide_key;
 pub use caller_request::passed_headers;
 pub use caller_request::replica_headers;
 pub use endpoints::MAX_ADDRESSES;
--- a/src/workspace/allotment.rs
+++ b/src/workspace/allotment.rs
@@ -1,4 +1,4 @@
-/// how many requests of a workspace the fleet lets through, over all doors together.
+/// how many requests of a workspace the fleet is to let through, over all doors together; not applied yet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allotment {
     /// lasting rate; above 0.
--- a/src/workspace/workspace.rs
+++ b/src/workspace/workspace.rs
@@ -5,8 +5,8 @@
 pub struct Workspace {
     /// name in the operators' configuration; replicas get it with each request.
     pub name: String,
-    /// rank of its requests, 0 the most urgent; that of the route if `None`.
+    /// rank of its requests, 0 the most urgent; that of the route if `None`. Doors read it and do not apply it yet.
     pub priority: Option<u32>,
-    /// limit of its requests; none if `None`.
+    /// limit of its requests; none if `None`. Doors read it and do not apply it yet.
     pub allotment: Option<Allotment>,
 }
--- a/tests/caller_headers.rs
+++ b/tests/caller_headers.rs
@@ -8,6 +8,7 @@
 use flamingostand::platform::TakeUp;
 use flamingostand::platform::caller_headers;
 use flamingostand::platform::classify_answer;
+use flamingostand::platform::hide_key;
 use flamingostand::platform::keep_alive_timeout;
 use flamingostand::platform::passed_headers;
 use flamingostand::platform::replica_headers;
@@ -155,3 +156,13 @@
         );
     }
 }
+
+/// Guards against a dump of a request that shows the caller's key.
+#[test]
+fn no_key_in_dumped_headers() {
+    let mut caller = headers(&[("Api-Key", "secret-1"), ("Api-Key", "secret-2"), ("X-Other", "shown")]);
+    hide_key(&mut caller);
+    let text = format!("{caller:?}");
+    assert!(!text.contains("secret") && text.contains("shown"), "{text}");
+    assert_eq!(caller.get_all("api-key").iter().collect::<Vec<_>>(), ["secret-1", "secret-2"]);
+}
