Log turns by the ids that their callers gave

Log lines of a turn named the request and program by their stored ids, with the scope of the workspace, while all other lines of a door name the caller's own: a search for a request missed them.

--- a/src/door/turn.rs
+++ b/src/door/turn.rs
@@ -48,8 +48,12 @@
 /// tokens and output of a turn so far; if dropped before `finish`, it settles the tokens that were spent.
 pub(super) struct TurnAccount {
     door: Arc<Door>,
+    /// id of the program as it is stored.
     program: String,
+    /// id of the request as it is stored.
     request: String,
+    /// the ids that the caller gave, for log lines.
+    caller: CallerIds,
     line: Option<String>,
     /// the replica that runs the turn.
     replica: Option<String>,
@@ -57,6 +61,12 @@
     retained: Option<RetainedTurn>,
 }
 
+/// ids of a turn that its caller gave.
+struct CallerIds {
+    program: Option<String>,
+    request: Option<String>,
+}
+
 /// a turn that the ledger will retain as history for later turns.
 struct RetainedTurn {
     previous: Option<String>,
@@ -73,6 +83,7 @@
             door: Arc::clone(door),
             program: start.program.clone(),
             request: start.request.clone(),
+            caller: CallerIds { program: request.caller.program.clone(), request: request.caller.id.clone() },
             line: start.line.clone(),
             replica: None,
             tokens: TurnTokens::new(request.role(), door.tokens_per_event(route), start.most_tokens),
@@ -153,7 +164,7 @@
         let stored = self.door.ledger.finish(finish, Instant::now() + FINISH_TIMEOUT).await;
         stored.map_err(|_| {
             info!(self.door.log, "ledger did not store the turn; the stream ends incomplete";
-                "request" => &self.request, "program" => &self.program);
+                "request" => &self.caller.request, "program" => &self.caller.program);
             anyhow!("ledger did not store the turn")
         })
     }
@@ -271,7 +282,7 @@
     if let Err(why) = confirming.await {
         let why: &'static str = why.into();
         info!(door.log, "token reservation was not confirmed; answer discarded";
-            "request" => &account.request, "program" => &account.program, "why" => why);
+            "request" => &account.caller.request, "program" => &account.caller.program, "why" => why);
         // The replica has already started, so the caller must not be told that nothing ran.
         return Err(Refusal::AnswerLost);
     }
@@ -321,7 +332,7 @@
         }
         BeginResult::OverBudget { held_tokens } => {
             info!(door.log, "token budget of the program is exhausted; turn refused";
-                "request" => &account.request, "program" => &account.program,
+                "request" => &account.caller.request, "program" => &account.caller.program,
                 "budget_tokens" => budget_tokens, "held_tokens" => held_tokens);
             Err(Refusal::OverBudget)
         }
@@ -332,7 +343,7 @@
         }
         BeginResult::Unavailable(why) => {
             info!(door.log, "ledger could not decide on the turn; turn refused";
-                "request" => &account.request, "program" => &account.program, "why" => why);
+                "request" => &account.caller.request, "program" => &account.caller.program, "why" => why);
             Err(Refusal::LedgerUnsure)
         }
     }
--- a/tests/fleet_workspaces.rs
+++ b/tests/fleet_workspaces.rs
@@ -246,6 +246,20 @@
     }
 }
 
+/// Guards against log lines of a turn that name it by another id than its caller knows.
+#[test]
+fn turns_are_logged_by_the_ids_of_callers() {
+    let fleet = start("logged", 1);
+    for (id, status) in [("first", 200), ("second", 402)] {
+        let request = ClientRequest::turn("/chat/t", id, "x", "small", 50, 50).with("Api-Key", NORTH_KEY);
+        assert_eq!(fleet.doors[0].send(&request).status, status, "{id}");
+    }
+    let lines = || fleet.doors[0].lines_with("token budget of the program is exhausted");
+    fleet.wait("the refusal is logged", || !lines().is_empty());
+    let line = &lines()[0];
+    assert!(line.contains("\"request\":\"second\"") && line.contains("\"program\":\"small\""), "{line}");
+}
+
 /// Guards against a stream that another workspace takes up.
 #[test]
 fn stream_of_another_workspace_is_unknown() {
