--- a/src/platform/caller_request.rs
+++ b/src/platform/caller_request.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::Entry;
 use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
@@ -129,6 +130,13 @@
     is_only_key.then(|| KeyDigest::of(key.as_bytes()))
 }
 
+/// keeps the caller's key out of dumps of a request's headers.
+pub fn hide_key(headers: &mut HeaderMap) {
+    if let Entry::Occupied(mut keys) = headers.entry(API_KEY) {
+        keys.iter_mut().for_each(|key| key.set_sensitive(true));
+    }
+}
+
 fn take_up(headers: &HeaderMap) -> Option<TakeUp> {
     let values = headers.get_all(RESUMES).iter().map(|value| value.to_str().unwrap_or_default().trim());
     let mut attempts: Vec<&str> = values.filter(|attempt| !attempt.is_empty()).collect();
@@ -185,9 +193,16 @@
     }
 }
 
-/// headers of a request that another door is to run: the caller's own ones, with the time that is left.
-pub fn passed_headers(caller: &HeaderMap, timeout: Duration) -> HeaderMap {
+/// headers of a request that another door is to run: the caller's own ones, with the time that is left. Where the
+/// configuration has workspaces, the other door checks the key, which stays even if the caller lists it in `Connection`.
+pub fn passed_headers(caller: &HeaderMap, timeout: Duration, principal: &Principal) -> HeaderMap {
     let mut headers = without_hop_by_hop(caller);
+    if *principal != Principal::Unscoped {
+        headers.remove(API_KEY);
+        for key in caller.get_all(API_KEY) {
+            headers.append(API_KEY, key.clone());
+        }
+    }
     headers.remove(CONTENT_LENGTH);
     headers.insert(DEADLINE_MS, HeaderValue::from(timeout.as_millis() as u64));
     headers
