Divide allotments of workspaces over the seated ledger nodes

Cause: a workspace's requests over all doors have to stay within its allotment in any window, whoever is in touch, and nothing counted them. Parts for each door would leave most workspaces, of a few requests a second, with nothing.

Each seated ledger node grants an equal part of each allotment as tokens that lapse; doors ask for them, and give back what they do not use. Weighed in docs/design/allotments.md: parts for doors, by demand or not, one node for each workspace, and counting at reservations. The call in the request path is not made yet, as requests do not carry their workspace. Without bounds.allotments in the settings nothing changes; an older node drops the question and counts as silent.

--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -16,6 +16,9 @@
 use slog::debug;
 use slog::info;
 
+use crate::allotment::AllotmentBounds;
+use crate::allotment::DoorAllotments;
+use crate::allotment::RecentPrograms;
 use crate::clock::Deadline;
 use crate::clock::Moment;
 use crate::door::FleetView;
@@ -85,6 +88,9 @@
     replicas: Mutex<ReplicaTable>,
     attempt_timeouts: Mutex<AttemptTimeouts>,
     fleet: Mutex<FleetView>,
+    /// tokens of workspaces' allotments; `None` where allotments are not in force.
+    allotments: Option<Mutex<DoorAllotments>>,
+    recent_programs: Mutex<RecentPrograms>,
     /// platform state merged from all sources, one entry for each followed prefix.
     merges: Mutex<Vec<MergedMirror>>,
     poison: Mutex<PoisonState>,
@@ -118,6 +124,8 @@
         spawner: Spawner,
         log: Logger,
     ) -> Self {
+        let bounds = settings.bounds.allotments.as_ref().map(AllotmentBounds::from);
+        let allotments = bounds.map(|bounds| DoorAllotments::new(&settings.instance.name, bounds));
         let ledger = LedgerClient::new(settings.tolerance.lost_disks, log.clone());
         Self {
             settings,
@@ -139,6 +147,8 @@
             replicas: Mutex::new(ReplicaTable::new(rand::random())),
             attempt_timeouts: Mutex::default(),
             fleet: Mutex::default(),
+            allotments: allotments.map(Mutex::new),
+            recent_programs: Mutex::default(),
             merges: Mutex::new(vec![MergedMirror::new(CONFIG_PREFIX), MergedMirror::new(REPLICA_PREFIX)]),
             poison: Mutex::default(),
             poison_sender: PoisonSender::default(),
@@ -166,6 +176,16 @@
         self.fleet.lock().expect("fleet lock poisoned")
     }
 
+    /// the tokens of workspaces' allotments; `None` where allotments are not in force.
+    pub fn allotments(&self) -> Option<MutexGuard<'_, DoorAllotments>> {
+        let allotments = self.allotments.as_ref()?;
+        Some(allotments.lock().expect("allotment lock poisoned"))
+    }
+
+    pub fn recent_programs(&self) -> MutexGuard<'_, RecentPrograms> {
+        self.recent_programs.lock().expect("program lock poisoned")
+    }
+
     pub fn helper_choice(&self) -> MutexGuard<'_, HelperChoice> {
         self.helper_choice.lock().expect("helper lock poisoned")
     }
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Owns the connections to callers and to replicas. Durable state is stored in the ledger.
 
+mod allotment;
 mod answer;
 mod answer_buffer;
 mod attempt;
--- a/src/door/refusal.rs
+++ b/src/door/refusal.rs
@@ -52,6 +52,13 @@
     },
     /// the ledger has been unreachable for a while, or since the door started.
     LedgerAway,
+    /// the workspace has used up its allotment.
+    OverAllotment {
+        /// when there may be room again.
+        retry_after_ms: u64,
+    },
+    /// no ledger node tells whether the allotment of the workspace has room.
+    AllotmentUnsure,
     /// the token budget of the program is exhausted.
     OverBudget,
     /// the previous turn that the request names does not exist.
@@ -101,8 +108,10 @@
             | Self::UnknownStream
             | Self::LedgerUnsure
             | Self::LedgerBusy { .. }
+            | Self::AllotmentUnsure
             | Self::LedgerAway => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::OverAllotment { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::OverBudget => StatusCode::PAYMENT_REQUIRED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken | Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -112,6 +121,11 @@
         }
     }
 
+    /// whether a replica may have run the request.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::AnswerLost | Self::TimedOut)
+    }
+
     /// whether another door may serve the request now: the reason concerns this one alone.
     pub fn may_be_served_elsewhere(self) -> bool {
         matches!(
@@ -122,6 +136,7 @@
                 | Self::NoConfiguration
                 | Self::LedgerAway
                 | Self::LedgerUnsure
+                | Self::AllotmentUnsure
         )
     }
 
@@ -129,10 +144,10 @@
     fn retry_after_s(self) -> Option<f64> {
         match self {
             // Another door very likely still reaches the ledger that this one has just lost.
-            Self::LedgerUnsure => Some(0.1),
-            Self::LedgerBusy { retry_after_ms } | Self::Limited { retry_after_ms } => {
-                Some(retry_after_ms as f64 / 1_000.0)
-            }
+            Self::LedgerUnsure | Self::AllotmentUnsure => Some(0.1),
+            Self::LedgerBusy { retry_after_ms }
+            | Self::Limited { retry_after_ms }
+            | Self::OverAllotment { retry_after_ms } => Some(retry_after_ms as f64 / 1_000.0),
             // All doors may have just started: shorter retries would use up the caller's attempts before a
             // configuration and the ledger are available.
             Self::NoConfiguration | Self::LedgerAway => Some(0.6),
--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -7,6 +7,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::door::allotment::give_back_tokens;
 use crate::door::door::Door;
 use crate::door::door::LeavingSource;
 use crate::door::follow;
@@ -124,6 +125,7 @@
             // An unreachable node is detected by its missing answers.
             door.ledger.ask(member, view.epoch, LedgerRequest::Report(report.clone()), None, &sender);
         }
+        give_back_tokens(&door);
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
         door.expire_poison();
--- a/src/ledger/ask_kind.rs
+++ b/src/ledger/ask_kind.rs
@@ -29,6 +29,8 @@
     Report,
     /// stores strikes against contents.
     Strikes,
+    /// asks for tokens of a workspace's allotment, or gives some back.
+    Allotment,
     /// probes another node, or copies records between nodes.
     Peer,
 }
@@ -45,6 +47,7 @@
             LedgerRequest::History(_) => Self::History,
             LedgerRequest::Report(_) => Self::Report,
             LedgerRequest::Strikes(_) => Self::Strikes,
+            LedgerRequest::Allotment(_) => Self::Allotment,
             LedgerRequest::Pull(_) | LedgerRequest::Push(_) => Self::Peer,
         }
     }
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::allotment::AllotmentBounds;
+use crate::allotment::AllotmentLedger;
 use crate::fleet::DoorRegistry;
 use crate::fleet::InFlightRuns;
 use crate::fleet::LimitShares;
@@ -18,6 +20,8 @@
 use crate::ledger::peers::Purpose;
 use crate::ledger::retirement::Retirement;
 use crate::mesh::ConnectionId;
+use crate::schema::AllotmentAsk;
+use crate::schema::AllotmentGrant;
 use crate::schema::JoinedView;
 use crate::schema::LedgerAnswer;
 use crate::schema::LedgerAsk;
@@ -36,6 +40,9 @@
 
 /// interval of the removal of expired records.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
+/// time without an answer of most other members after which no tokens of allotments are granted: members that are
+/// replaced have to stop before their successors have their full part.
+const ALLOTMENT_CONTACT_MS: u64 = 2_000;
 /// change number above all records, for requests that only check whether a node answers.
 const AFTER_ALL_RECORDS: u64 = u64::MAX - 1;
 
@@ -50,6 +57,8 @@
     in_flight_runs: InFlightRuns,
     /// rate limits of replicas, and what doors would use of them.
     limits: LimitShares,
+    /// tokens that this node grants of workspaces' allotments.
+    allotments: Option<AllotmentLedger>,
     /// platform objects that doors read from this node, by prefix.
     mirrors: BTreeMap<String, Mirror>,
     /// id of this process start.
@@ -76,6 +85,7 @@
             board: DoorRegistry::new(start),
             in_flight_runs: InFlightRuns::default(),
             limits: LimitShares::default(),
+            allotments: None,
             mirrors: BTreeMap::new(),
             start: start.to_owned(),
             peers: Peers::default(),
@@ -89,6 +99,11 @@
         }
     }
 
+    /// has the node grant tokens of workspaces' allotments.
+    pub fn set_allotment_bounds(&mut self, bounds: AllotmentBounds) {
+        self.allotments = Some(AllotmentLedger::new(bounds, &self.start));
+    }
+
     /// replays a record of the log at process start.
     pub fn replay(&mut self, now_ms: u64, record: &LedgerRecord) {
         if let LedgerRecord::Observed(observed) = record {
@@ -147,6 +162,16 @@
     }
 
     fn on_ask(&mut self, now_ms: u64, from: ConnectionId, ask: &LedgerAsk, out: &mut Vec<CoreAction>) {
+        if let LedgerRequest::Allotment(wanted) = &ask.request
+            && ask.epoch == self.node.view().epoch
+            && self.node.is_member()
+        {
+            out.extend(self.grant(now_ms, wanted).map(|grant| CoreAction::Answer {
+                to: from,
+                answer: LedgerAnswer { id: ask.id, reply: LedgerReply::Granted(grant) },
+            }));
+            return;
+        }
         let LedgerRequest::Report(report) = &ask.request else {
             let actions = self.node.handle_ask(now_ms, from, ask);
             self.perform(now_ms, actions, out);
@@ -177,6 +202,23 @@
         out.push(CoreAction::Answer { to: from, answer: LedgerAnswer { id: ask.id, reply } });
     }
 
+    /// grants tokens of an allotment; none if this node may have been replaced without its knowledge.
+    fn grant(&mut self, now_ms: u64, wanted: &AllotmentAsk) -> Option<AllotmentGrant> {
+        let member_count = self.node.view().members.len();
+        let peers = self.peers.states(now_ms);
+        let heard = peers.values().filter(|peer| peer.silent_ms < ALLOTMENT_CONTACT_MS).count();
+        let is_in_touch = 2 * (heard + 1) > member_count;
+        self.set_allotment_members(now_ms);
+        self.allotments.as_mut().filter(|_| is_in_touch).map(|allotments| allotments.grant(now_ms, wanted))
+    }
+
+    fn set_allotment_members(&mut self, now_ms: u64) {
+        let member_count = self.node.is_member().then(|| self.node.view().members.len());
+        if let Some(allotments) = &mut self.allotments {
+            allotments.set_members(now_ms, member_count);
+        }
+    }
+
     /// what a door does not know yet of contents that end replicas.
     fn poison_after(&self, mark: Option<&StrikesMark>) -> PoisonNews {
         // Change numbers of another process start are not comparable.
@@ -258,11 +300,12 @@
                 let actions = self.node.adopt(&stale.view);
                 self.perform(now_ms, actions, out);
             }
-            LedgerReply::Account(_) | LedgerReply::News(_) => {}
+            LedgerReply::Account(_) | LedgerReply::News(_) | LedgerReply::Granted(_) => {}
         }
     }
 
     fn tick(&mut self, now_ms: u64, out: &mut Vec<CoreAction>) {
+        self.set_allotment_members(now_ms);
         if now_ms >= self.last_expiry_ms + EXPIRY_INTERVAL_MS {
             self.last_expiry_ms = now_ms;
             self.node.expire(now_ms);
@@ -270,6 +313,9 @@
             let orphaned = self.in_flight_runs.expire(now_ms);
             self.suspect(now_ms, &orphaned, out);
             self.limits.expire(now_ms);
+            if let Some(allotments) = &mut self.allotments {
+                allotments.expire(now_ms);
+            }
             for mirror in self.mirrors.values_mut() {
                 mirror.expire(now_ms);
             }
--- a/src/ledger/node.rs
+++ b/src/ledger/node.rs
@@ -176,7 +176,10 @@
                 vec![self.answer(from, ask.id, LedgerReply::Account(account))]
             }
             LedgerRequest::Strikes(strikes) => self.add_strikes(now_ms, from, ask.id, strikes),
-            LedgerRequest::Pull(_) | LedgerRequest::Push(_) | LedgerRequest::Report(_) => Vec::new(),
+            LedgerRequest::Pull(_)
+            | LedgerRequest::Push(_)
+            | LedgerRequest::Report(_)
+            | LedgerRequest::Allotment(_) => Vec::new(),
         }
     }
 
--- a/src/ledger_client/round.rs
+++ b/src/ledger_client/round.rs
@@ -182,7 +182,7 @@
             AskOutcome::Reply(LedgerReply::Stale(_)) | AskOutcome::ConnectionLost => {
                 self.lost.insert(update.member);
             }
-            AskOutcome::Reply(LedgerReply::Records(_) | LedgerReply::News(_)) => {}
+            AskOutcome::Reply(LedgerReply::Records(_) | LedgerReply::News(_) | LedgerReply::Granted(_)) => {}
         }
         if self.has_lost_quorum() { Progress::QuorumLost } else { Progress::Continue }
     }
--- a/src/ledger_node/daemon.rs
+++ b/src/ledger_node/daemon.rs
@@ -19,6 +19,7 @@
 use slog::error;
 use slog::info;
 
+use crate::allotment::AllotmentBounds;
 use crate::fleet::EssentialTasks;
 use crate::fleet::PrefixWatcher;
 use crate::fleet::WatchStep;
@@ -90,6 +91,9 @@
     let incarnation = Incarnation::generate();
     let name = own.name.clone();
     let mut core = NodeCore::new(own, empty_view(lost_disks), incarnation.as_str());
+    if let Some(bounds) = &settings.bounds.allotments {
+        core.set_allotment_bounds(AllotmentBounds::from(bounds));
+    }
     for record in records {
         core.replay(0, &record);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds everything; the programs `flamingostand` and `flamingoctl` are thin.
 //! Decisions are plain state machines; sockets, clocks and random sources stay at the edges.
 
+pub mod allotment;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -57,6 +57,60 @@
     ///workspace that runs it
     pub workspace: ::std::string::String,
 }
+///asks for tokens of a workspace's allotment, each good for one request, or gives some back
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AllotmentAsk {
+    ///requests that are allowed besides in a window
+    pub burst: f64,
+    ///requests a second over all doors
+    pub rate_per_s: f64,
+    ///tokens of earlier grants of this node that were not used
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub returns: ::std::vec::Vec<AllotmentReturn>,
+    ///tokens wanted for programs that begin
+    pub starts: u32,
+    ///tokens wanted for requests of programs under way
+    pub turns: u32,
+    ///version of the configuration that the allotment is from
+    pub version: u64,
+    ///name of the workspace
+    pub workspace: ::std::string::String,
+}
+///tokens that a ledger node grants a door
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AllotmentGrant {
+    ///time until the node may have tokens of a kind that was wanted and not granted; absent if all were granted
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_after_ms: ::std::option::Option<u64>,
+    ///slot that they are counted in
+    pub slot: u64,
+    ///start of the node
+    pub start: ::std::string::String,
+    ///tokens for programs that begin
+    pub starts: u32,
+    ///tokens for requests of programs under way
+    pub turns: u32,
+}
+///tokens of a grant that were not used
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AllotmentReturn {
+    ///slot of the grant
+    pub slot: u64,
+    ///start of the node that granted them
+    pub start: ::std::string::String,
+    ///how many
+    pub tokens: u32,
+}
+///how far the requests of a workspace may exceed its allotment; allotments are not in force without
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AllotmentSettings {
+    ///part by which they may exceed the allotment
+    pub overshoot: f64,
+    ///requests by which they may exceed it besides
+    pub slack: u64,
+    ///span in which requests are counted
+    pub window_s: f64,
+}
 ///records of one commit
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Batch {
@@ -66,6 +120,8 @@
 ///bounds that the deployment promises its callers
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct BoundSettings {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub allotments: ::std::option::Option<AllotmentSettings>,
     ///longest time that callers may keep an answer of the directory
     pub directory_ttl_ms: u64,
     ///time from SIGTERM to SIGKILL
@@ -1296,6 +1352,8 @@
     Records(LedgerRecords),
     #[serde(rename = "news")]
     News(FleetNews),
+    #[serde(rename = "granted")]
+    Granted(AllotmentGrant),
 }
 impl ::std::convert::From<LedgerAccount> for LedgerReply {
     fn from(value: LedgerAccount) -> Self {
@@ -1322,6 +1380,11 @@
         Self::News(value)
     }
 }
+impl ::std::convert::From<AllotmentGrant> for LedgerReply {
+    fn from(value: AllotmentGrant) -> Self {
+        Self::Granted(value)
+    }
+}
 ///what a ledger node is asked
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum LedgerRequest {
@@ -1345,6 +1408,8 @@
     Stream(LedgerStream),
     #[serde(rename = "stream_began")]
     StreamBegan(StreamVersion),
+    #[serde(rename = "allotment")]
+    Allotment(AllotmentAsk),
 }
 impl ::std::convert::From<LedgerBegin> for LedgerRequest {
     fn from(value: LedgerBegin) -> Self {
@@ -1396,6 +1461,11 @@
         Self::StreamBegan(value)
     }
 }
+impl ::std::convert::From<AllotmentAsk> for LedgerRequest {
+    fn from(value: AllotmentAsk) -> Self {
+        Self::Allotment(value)
+    }
+}
 ///disk of a ledger node
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LedgerSettings {
