--- a/tests/ledger_world/streams.rs
+++ b/tests/ledger_world/streams.rs
@@ -275,7 +275,10 @@
                 self.ask_about_stream(index, member);
                 return;
             }
-            LedgerReply::Stale(_) | LedgerReply::Records(_) | LedgerReply::News(_) => {}
+            LedgerReply::Stale(_)
+            | LedgerReply::Records(_)
+            | LedgerReply::News(_)
+            | LedgerReply::Granted(_) => {}
         }
         let stream = &self.streams[index];
         match stream.step {
--- a/tests/ledger_world/strikes.rs
+++ b/tests/ledger_world/strikes.rs
@@ -126,7 +126,10 @@
                     self.door_views[*door] = stale.view;
                 }
             }
-            LedgerReply::Account(_) | LedgerReply::Records(_) | LedgerReply::News(_) => {}
+            LedgerReply::Account(_)
+            | LedgerReply::Records(_)
+            | LedgerReply::News(_)
+            | LedgerReply::Granted(_) => {}
         }
         let row = &mut self.strike_doors[*door];
         if row.pending.is_empty() {
--- a/tests/ledger_world/world.rs
+++ b/tests/ledger_world/world.rs
@@ -537,7 +537,10 @@
                 self.ask_one(index, member, request);
                 return;
             }
-            LedgerReply::Stale(_) | LedgerReply::Records(_) | LedgerReply::News(_) => {}
+            LedgerReply::Stale(_)
+            | LedgerReply::Records(_)
+            | LedgerReply::News(_)
+            | LedgerReply::Granted(_) => {}
         }
         let (_, turn, _) = &mut self.turns[index];
         let before = turn.stage;
