--- a/src/door/door.rs
+++ b/src/door/door.rs
@@ -29,6 +29,7 @@
 use crate::door::connections::ConnectionPool;
 use crate::door::poison_sender::PoisonSender;
 use crate::door::reach_monitor::ReachMonitor;
+use crate::door::workspace_label::WorkspaceLabels;
 use crate::fleet::MergedMirror;
 use crate::ledger_client::LedgerClient;
 use crate::platform::CONFIG_PREFIX;
@@ -50,6 +51,7 @@
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::routing::Software;
+use crate::routing::SpillChange;
 use crate::schema::DoorHelper;
 use crate::schema::DoorRow;
 use crate::schema::LeavingReplica;
@@ -101,6 +103,7 @@
     stop: OnceLock<(Instant, StopPlan)>,
     /// closed shortly before the process exits.
     exit: (Sender<()>, Receiver<()>),
+    pub workspace_labels: WorkspaceLabels,
     draw_state: AtomicU64,
 }
 
@@ -127,6 +130,10 @@
         let bounds = settings.bounds.allotments.as_ref().map(AllotmentBounds::from);
         let allotments = bounds.map(|bounds| DoorAllotments::new(&settings.instance.name, bounds));
         let ledger = LedgerClient::new(settings.tolerance.lost_disks, log.clone());
+        let mut replicas = ReplicaTable::new(rand::random());
+        if let Some(zones) = &settings.zones {
+            replicas.set_leave_cost(zones.leave_cost_ms);
+        }
         Self {
             settings,
             addresses,
@@ -144,7 +151,7 @@
             taken_count: AtomicUsize::new(0),
             answers: AnswerBuffers::default(),
             table: ArcSwapOption::empty(),
-            replicas: Mutex::new(ReplicaTable::new(rand::random())),
+            replicas: Mutex::new(replicas),
             attempt_timeouts: Mutex::default(),
             fleet: Mutex::default(),
             allotments: allotments.map(Mutex::new),
@@ -155,6 +162,7 @@
             ledger_lateness: Mutex::default(),
             stop: OnceLock::new(),
             exit: async_channel::bounded(1),
+            workspace_labels: WorkspaceLabels::default(),
             draw_state: AtomicU64::new(rand::random()),
         }
     }
@@ -224,6 +232,11 @@
         Some(work(merge, now_ms))
     }
 
+    /// whether the state of a platform prefix was in force a moment ago, as far as this door can tell.
+    pub fn is_current(&self, prefix: &str) -> bool {
+        self.merge(prefix, |merge, now_ms| merge.is_current(now_ms)).unwrap_or(false)
+    }
+
     /// whether ledger nodes supply current state of a platform prefix.
     pub fn has_fresh_mirror(&self, prefix: &str) -> bool {
         self.merge(prefix, |merge, now_ms| merge.is_fresh(now_ms)).unwrap_or(false)
@@ -254,7 +267,33 @@
             max_wait: MAX_LIMIT_WAIT.saturating_sub(waited),
             has_waited: !waited.is_zero(),
         };
-        self.replicas().pick(self.now_ms(), &wanted, avoid)
+        let (pick, changes) = {
+            let mut replicas = self.replicas();
+            let pick = replicas.pick(self.now_ms(), &wanted, avoid);
+            (pick, replicas.take_spill_changes())
+        };
+        for change in changes {
+            self.log_spill(&change);
+        }
+        if let Ok(ReplicaPick { crossing: Some(crossing), .. }) = &pick {
+            let reason: &'static str = crossing.into();
+            metrics::counter!("door_zone_crossings_total", "reason" => reason).increment(1);
+        }
+        pick
+    }
+
+    fn log_spill(&self, change: &SpillChange) {
+        let note = if change.is_started { "started" } else { "ended" };
+        info!(self.log, "requests leaving the availability zone changed"; "note" => note,
+            "service" => &change.service, "zone" => &self.settings.instance.zone,
+            "occupancy" => change.occupancy, "pays_above" => change.pays_above);
+    }
+
+    /// tells the metrics how much of each service's new work leaves the availability zone.
+    pub fn record_spill_shares(&self) {
+        for (service, share) in self.replicas().spill_shares() {
+            metrics::gauge!("door_zone_spill_share", "service" => service.to_owned()).set(share);
+        }
     }
 
     /// an evenly distributed number that splits traffic between backends.
@@ -296,6 +335,7 @@
         }
         info!(self.log, "configuration activated"; "version" => table.version,
             "routes" => table.route_count(), "previous" => active_version);
+        self.log_workspaces(&table);
         self.table.store(Some(Arc::new(table)));
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod telemetry;
 pub mod timeline;
 pub mod upstream;
+pub mod workspace;
