Count callers' requests against the allotment of their workspace

Cause: allotments were divided but not asked for in the request path. Besides, a report between question and answer forgot a workspace with its tokens; a beginning that came back still counted as a program; a token went back although its request had been sent to a replica; questions that a node without allotments never answers made it look slow; and a stale view marked its node silent.

Change: requests of callers ask where the active configuration gives their workspace an allotment. A forgotten workspace is taken up again by an answer or a return. Returns tell how many of the tokens were for beginnings (optional field). A request that was sent to a replica keeps its token. Questions for tokens count neither in ages nor in answer times, and are forgotten when the door stops waiting; ledger nodes always answer them. A stale view is reloaded and the question asked once more, within 300 ms over all nodes.

Measured: allotment_grants passes with cases for each of these in the pure parts; the request path has no measured result yet.

--- a/src/allotment/account.rs
+++ b/src/allotment/account.rs
@@ -2,6 +2,7 @@
 
 use crate::allotment::AllotmentTerms;
 use crate::schema::AllotmentAsk;
+use crate::schema::AllotmentReturn;
 
 /// time constant of the mean number of requests that follow the first one of a program: several programs long.
 const PROGRAM_TIME_MS: f64 = 20_000.0;
@@ -71,14 +72,20 @@
     }
 
     /// puts back tokens that were not used.
-    pub fn take_back(&mut self, slot: u64, tokens: u32) {
+    pub fn take_back(&mut self, unused: &AllotmentReturn) {
+        let slot = unused.slot;
         let Some((_, granted)) = self.slots.iter_mut().find(|(known, _)| *known == slot) else {
             return;
         };
-        let tokens = u64::from(tokens).min(*granted);
+        let tokens = u64::from(unused.tokens).min(*granted);
         *granted -= tokens;
         self.granted -= tokens;
-        self.turns = (self.turns - tokens as f64).max(0.0);
+        let starts = u64::from(unused.starts.unwrap_or(0)).min(tokens);
+        self.starts = (self.starts - starts as f64).max(0.0);
+        // A program that has not begun sends nothing further; the mean is again the one that it was granted by.
+        let expected = starts as f64 * self.requests_per_program();
+        self.expected = (self.expected - expected).max(0.0);
+        self.turns = (self.turns - (tokens - starts) as f64).max(0.0);
     }
 
     /// requests of a program, by the mean.
--- a/src/allotment/door_allotments.rs
+++ b/src/allotment/door_allotments.rs
@@ -76,11 +76,7 @@
         if !terms.is_limited() {
             return Admission::Granted(None);
         }
-        let (known, holding) =
-            self.workspaces.entry(workspace.to_owned()).or_insert_with(|| (terms, Holding::default()));
-        if terms.version > known.version {
-            *known = terms;
-        }
+        let (known, holding) = entry(&mut self.workspaces, workspace, terms);
         holding.expire(now_ms, self.bounds.span_ms());
         if standing == ProgramStanding::UnderWay {
             if tried.is_empty() {
@@ -117,7 +113,7 @@
     /// handles an answer; returns the token of the request that asked, if it got one that is still good.
     pub fn answered(&mut self, now_ms: u64, question: &Question, grant: &AllotmentGrant) -> Option<Token> {
         self.silent.remove(&question.member);
-        let (_, holding) = self.workspaces.get_mut(&question.ask.workspace)?;
+        let (_, holding) = entry(&mut self.workspaces, &question.ask.workspace, asked_terms(&question.ask));
         let standing = match question.ask.starts {
             0 => ProgramStanding::UnderWay,
             _ => ProgramStanding::New,
@@ -125,7 +121,10 @@
         holding.note(now_ms, &question.member, standing, grant);
         let count = grant.starts + grant.turns;
         let expires_ms = question.asked_ms + self.bounds.lease_ms();
-        let token = Token { member: question.member.clone(), start: grant.start.clone(), slot: grant.slot };
+        // A question is about one kind of tokens.
+        let is_start = grant.starts > 0;
+        let token =
+            Token { member: question.member.clone(), start: grant.start.clone(), slot: grant.slot, is_start };
         if count == 0 {
             return None;
         }
@@ -142,11 +141,17 @@
         self.silent.insert(question.member.clone(), now_ms + SILENT_MS);
     }
 
+    /// handles a question that a node has not looked at, as it follows another view.
+    pub fn not_taken(&mut self, now_ms: u64, question: &Question) {
+        let ask = &question.ask;
+        let (_, holding) = entry(&mut self.workspaces, &ask.workspace, asked_terms(ask));
+        holding.restore_returns(&question.member, &ask.returns, now_ms + self.bounds.span_ms());
+    }
+
     /// has the token of a request given back that no replica will run.
-    pub fn give_back(&mut self, now_ms: u64, workspace: &str, token: Token) {
-        if let Some((_, holding)) = self.workspaces.get_mut(workspace) {
-            holding.give_back(token, 1, now_ms + self.bounds.span_ms());
-        }
+    pub fn give_back(&mut self, now_ms: u64, workspace: &str, terms: AllotmentTerms, token: Token) {
+        let (_, holding) = entry(&mut self.workspaces, workspace, terms);
+        holding.give_back(token, 1, now_ms + self.bounds.span_ms());
     }
 
     /// messages with the tokens that go back now, with their nodes.
@@ -165,6 +170,25 @@
     }
 }
 
+/// what is held of a workspace's allotment. It may have been forgotten between a question and its answer, or while
+/// a request has its token.
+fn entry<'a>(
+    workspaces: &'a mut BTreeMap<String, (AllotmentTerms, Holding)>,
+    workspace: &str,
+    terms: AllotmentTerms,
+) -> &'a mut (AllotmentTerms, Holding) {
+    let entry = workspaces.entry(workspace.to_owned()).or_insert_with(|| (terms, Holding::default()));
+    if terms.version > entry.0.version {
+        entry.0 = terms;
+    }
+    entry
+}
+
+/// the terms that a question was asked with.
+fn asked_terms(ask: &AllotmentAsk) -> AllotmentTerms {
+    AllotmentTerms { version: ask.version, rate_per_s: ask.rate_per_s, burst: ask.burst }
+}
+
 fn question(
     workspace: &str,
     terms: AllotmentTerms,
--- a/src/allotment/holding.rs
+++ b/src/allotment/holding.rs
@@ -8,6 +8,8 @@
 const DEMAND_TIME_MS: f64 = 1_000.0;
 /// time for whose demand a door asks at once.
 const AHEAD_S: f64 = 0.2;
+/// requests a second below which the mean demand is forgotten: that of one request a few time constants ago.
+const FORGOTTEN_DEMAND_PER_S: f64 = 0.01;
 
 /// a token that one request uses.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +20,8 @@
     pub start: String,
     /// slot of the grant.
     pub slot: u64,
+    /// whether it is for the beginning of a program.
+    pub is_start: bool,
 }
 
 /// tokens of one grant that are not used yet.
@@ -81,10 +85,20 @@
 
     /// has a token given back until `counts_until_ms`.
     pub fn give_back(&mut self, token: Token, count: u32, counts_until_ms: u64) {
-        let unused = AllotmentReturn { start: token.start, slot: token.slot, tokens: count };
+        let starts = token.is_start.then_some(count);
+        let unused = AllotmentReturn { start: token.start, slot: token.slot, tokens: count, starts };
         self.returns.entry(token.member).or_default().push((counts_until_ms, unused));
     }
 
+    /// has tokens given back again that a node has not taken.
+    pub fn restore_returns(&mut self, member: &str, unused: &[AllotmentReturn], counts_until_ms: u64) {
+        if unused.is_empty() {
+            return;
+        }
+        let returns = self.returns.entry(member.to_owned()).or_default();
+        returns.extend(unused.iter().map(|unused| (counts_until_ms, unused.clone())));
+    }
+
     /// has lapsed tokens given back, and forgets what no longer counts.
     pub fn expire(&mut self, now_ms: u64, span_ms: u64) {
         let lapsed: Vec<Lot> =
@@ -101,7 +115,7 @@
 
     pub fn is_empty(&self, now_ms: u64) -> bool {
         let has_state = !self.lots.is_empty() || !self.returns.is_empty() || !self.empty.is_empty();
-        !has_state && self.ahead(now_ms) == 0
+        !has_state && self.demand_at(now_ms) < FORGOTTEN_DEMAND_PER_S
     }
 
     /// nodes to which something goes back.
--- a/src/allotment/ledger.rs
+++ b/src/allotment/ledger.rs
@@ -55,7 +55,7 @@
         let tokens_per_ms = tokens as f64 / span_ms as f64;
         account.advance(now_ms, now_ms.saturating_sub(span_ms) / SLOT_MS, tokens_per_ms);
         for unused in ask.returns.iter().filter(|unused| unused.start == self.start) {
-            account.take_back(unused.slot, unused.tokens);
+            account.take_back(unused);
         }
         (answer.starts, answer.turns) = account.grant(slot, tokens, ask);
         if answer.starts < ask.starts || answer.turns < ask.turns {
--- a/src/door/allotment.rs
+++ b/src/door/allotment.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use flamingo_edge::timeout;
 use hyper::Response;
@@ -18,34 +19,49 @@
 use crate::schema::LedgerReply;
 use crate::schema::LedgerRequest;
 use crate::schema::LedgerView;
+use crate::workspace::Principal;
 
 /// time in which a ledger node answers a question for tokens, which waits for no disk; then the next one is asked.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// longest time that a request waits for tokens: that of two nodes without an answer.
+const MAX_WAIT: Duration = Duration::from_millis(300);
 
 /// a request that its workspace's allotment has room for.
 #[derive(Debug)]
 pub(super) struct Admitted {
     workspace: String,
+    terms: AllotmentTerms,
     /// `None` if the workspace is not limited.
     token: Option<Token>,
 }
 
 impl Admitted {
-    /// gives the token back if no replica has run the request, and never will.
-    #[expect(dead_code, reason = "the request path calls it once requests carry their workspace")]
-    pub fn settle(self, door: &Door, answer: &Result<Response<DoorBody>, Refusal>) {
-        let is_unused = answer.as_ref().is_err_and(|refusal| !refusal.may_have_run());
+    /// gives the token back if the request was sent to no replica, and never will be.
+    pub fn settle(self, door: &Door, request: &DoorRequest, answer: &Result<Response<DoorBody>, Refusal>) {
+        let is_unused = answer.as_ref().is_err_and(|refusal| !refusal.may_have_run()) && !request.was_sent();
         if is_unused
             && let Some(token) = self.token
             && let Some(mut allotments) = door.allotments()
         {
-            allotments.give_back(door.now_ms(), &self.workspace, token);
+            allotments.give_back(door.now_ms(), &self.workspace, self.terms, token);
         }
     }
 }
 
+/// the workspace whose allotment a request counts towards, and the allotment in force; `None` if nothing is counted.
+pub(super) fn allotment_of(door: &Door, principal: &Principal) -> Option<(String, AllotmentTerms)> {
+    // Nothing is counted where the settings have no bounds.
+    door.allotments()?;
+    let name = &principal.workspace()?.name;
+    let table = door.table.load();
+    let table = table.as_ref()?;
+    let allotment = table.workspaces.by_name(name)?.allotment?;
+    let terms =
+        AllotmentTerms { version: table.version, rate_per_s: allotment.rate_per_s, burst: allotment.burst };
+    Some((name.clone(), terms))
+}
+
 /// lets a request through if its workspace's allotment has room, and asks ledger nodes for that.
-#[expect(dead_code, reason = "the request path calls it once requests carry their workspace")]
 pub(super) async fn admit(
     door: &Arc<Door>,
     workspace: &str,
@@ -59,7 +75,7 @@
     if let Some(program) = program.filter(|_| token.is_some()) {
         door.recent_programs().add(door.now_ms(), program);
     }
-    Ok(Admitted { workspace: workspace.to_owned(), token })
+    Ok(Admitted { workspace: workspace.to_owned(), terms, token })
 }
 
 async fn fetch_token(
@@ -69,13 +85,16 @@
     standing: ProgramStanding,
     request: &DoorRequest,
 ) -> Result<Option<Token>, Refusal> {
-    let view = door.ledger.view();
-    let members: Vec<String> = view.members.iter().map(|member| member.name.clone()).collect();
+    let started = Instant::now();
     let mut tried = Vec::new();
+    let mut has_reloaded = false;
     loop {
+        let wait = MAX_WAIT.saturating_sub(started.elapsed()).min(request.remaining());
         if request.remaining().is_zero() {
             return Err(Refusal::TooLate);
         }
+        let view = door.ledger.view();
+        let members: Vec<String> = view.members.iter().map(|member| member.name.clone()).collect();
         let now_ms = door.now_ms();
         // A separate statement, as it holds the lock until its end.
         let admission = door
@@ -91,39 +110,70 @@
             Some(Admission::Unanswered) => return Err(Refusal::AllotmentUnsure),
             Some(Admission::Ask(question)) => question,
         };
-        let grant = ask(door, &view, &question).await;
-        if let Some(token) = handle_answer(door, &question, grant.as_ref()) {
+        let answer = match wait.is_zero() {
+            true => Answer::Stale,
+            false => ask(door, &view, &question, wait.min(ANSWER_TIMEOUT)).await,
+        };
+        let is_stale = matches!(answer, Answer::Stale);
+        if let Some(token) = handle_answer(door, &question, answer) {
             return Ok(Some(token));
         }
+        if wait.is_zero() {
+            return Err(Refusal::AllotmentUnsure);
+        }
+        // The view has been adopted; the node that has it is asked once more.
+        if is_stale && !has_reloaded {
+            has_reloaded = true;
+            continue;
+        }
         tried.push(question.member);
     }
 }
 
-fn handle_answer(door: &Door, question: &Question, grant: Option<&AllotmentGrant>) -> Option<Token> {
+/// what a ledger node says to a question for tokens.
+enum Answer {
+    Granted(AllotmentGrant),
+    /// it has not looked at the question, as it or the door follows an older view.
+    Stale,
+    /// it has not answered in time, or cannot be reached.
+    Silent,
+}
+
+fn handle_answer(door: &Door, question: &Question, answer: Answer) -> Option<Token> {
     let mut allotments = door.allotments()?;
-    match grant {
-        Some(grant) => allotments.answered(door.now_ms(), question, grant),
-        None => {
+    match answer {
+        Answer::Granted(grant) => allotments.answered(door.now_ms(), question, &grant),
+        Answer::Stale => {
+            allotments.not_taken(door.now_ms(), question);
+            None
+        }
+        Answer::Silent => {
             allotments.unanswered(door.now_ms(), question);
             None
         }
     }
 }
 
-async fn ask(door: &Door, view: &LedgerView, question: &Question) -> Option<AllotmentGrant> {
-    let member = view.member(&question.member)?;
+async fn ask(door: &Door, view: &LedgerView, question: &Question, wait: Duration) -> Answer {
+    let Some(member) = view.member(&question.member) else {
+        return Answer::Stale;
+    };
     let (sender, replies) = async_channel::unbounded();
     let request = LedgerRequest::Allotment(question.ask.clone());
-    if !door.ledger.ask(member, view.epoch, request, None, &sender) {
-        return None;
-    }
-    match timeout(ANSWER_TIMEOUT, replies.recv()).await.and_then(Result::ok)?.event {
-        AskOutcome::Reply(LedgerReply::Granted(grant)) => Some(grant),
+    let Some(id) = door.ledger.start_ask(member, view.epoch, request, None, &sender) else {
+        return Answer::Silent;
+    };
+    let Some(Ok(update)) = timeout(wait, replies.recv()).await else {
+        door.ledger.forget(id);
+        return Answer::Silent;
+    };
+    match update.event {
+        AskOutcome::Reply(LedgerReply::Granted(grant)) => Answer::Granted(grant),
         AskOutcome::Reply(LedgerReply::Stale(stale)) => {
             door.ledger.adopt(&stale.view);
-            None
+            Answer::Stale
         }
-        AskOutcome::Reply(_) | AskOutcome::ConnectionLost => None,
+        AskOutcome::Reply(_) | AskOutcome::ConnectionLost => Answer::Silent,
     }
 }
 
--- a/src/door/attempt.rs
+++ b/src/door/attempt.rs
@@ -186,7 +186,13 @@
         if request.remaining().is_zero() {
             return Err(AttemptResult::NotRun(NotRun::Expired));
         }
-        match connection.send(build_request(request, lease, last_event)).await {
+        // Before the attempt, which may be dropped while it is under way.
+        let was_sent = request.mark_sent();
+        let sent = connection.send(build_request(request, lease, last_event)).await;
+        if matches!(sent, Err(SendError::NotSent)) {
+            request.unmark_sent(was_sent);
+        }
+        match sent {
             Ok(response) => return Ok((connection, response)),
             Err(SendError::NotSent) if !is_new => is_new = true,
             Err(SendError::NotSent) => return Err(AttemptResult::NotRun(NotRun::Unreachable)),
--- a/src/door/entry.rs
+++ b/src/door/entry.rs
@@ -19,6 +19,8 @@
 use crate::clock::Deadline;
 use crate::clock::Moment;
 use crate::door::OwnDoor;
+use crate::door::allotment::admit as admit_request;
+use crate::door::allotment::allotment_of;
 use crate::door::answer::DoorBody;
 use crate::door::answer::full_body;
 use crate::door::answer::plain_text;
@@ -168,10 +170,11 @@
         needs_certain_software: route.kind == RequestKind::Streaming && route.resumable,
         is_passed_on: sender == Sender::Door,
         deadline,
+        is_sent: Arc::default(),
     };
     let answer = async {
         match sender {
-            Sender::Caller => run_request(door, &request, &route).await,
+            Sender::Caller => run_counted(door, &request, &route).await,
             Sender::Door => run_passed(door, &request, &route).await,
         }
     };
@@ -193,6 +196,23 @@
     Ok(guard.watch(answer))
 }
 
+/// runs a request of a caller as far as the allotment of its workspace has room.
+///
+/// One that another door has passed on is not counted again.
+async fn run_counted(
+    door: &Arc<Door>,
+    request: &DoorRequest,
+    route: &Arc<Route>,
+) -> Result<Response<DoorBody>, Refusal> {
+    let Some((workspace, terms)) = allotment_of(door, &request.principal) else {
+        return run_request(door, request, route).await;
+    };
+    let admitted = admit_request(door, &workspace, terms, request).await?;
+    let answer = run_request(door, request, route).await;
+    admitted.settle(door, request, &answer);
+    answer
+}
+
 async fn run_request(
     door: &Arc<Door>,
     request: &DoorRequest,
--- a/src/door/request.rs
+++ b/src/door/request.rs
@@ -1,3 +1,6 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,9 +45,26 @@
     pub is_passed_on: bool,
     /// the earlier of the caller's deadline and the route's timeout.
     pub deadline: Deadline,
+    /// whether it has been sent to a replica, which may have run it since.
+    pub is_sent: Arc<AtomicBool>,
 }
 
 impl DoorRequest {
+    /// notes that the request is about to be sent to a replica; returns whether it was before.
+    pub fn mark_sent(&self) -> bool {
+        self.is_sent.swap(true, Ordering::Relaxed)
+    }
+
+    /// notes that the attempt after `mark_sent` has sent nothing.
+    pub fn unmark_sent(&self, was_sent: bool) {
+        self.is_sent.store(was_sent, Ordering::Relaxed);
+    }
+
+    /// whether the request has been sent to a replica.
+    pub fn was_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
     /// time until the deadline; zero once it has passed.
     pub fn remaining(&self) -> Duration {
         self.deadline.remaining(&Moment::now())
--- a/src/ledger/core.rs
+++ b/src/ledger/core.rs
@@ -166,10 +166,8 @@
             && ask.epoch == self.node.view().epoch
             && self.node.is_member()
         {
-            out.extend(self.grant(now_ms, wanted).map(|grant| CoreAction::Answer {
-                to: from,
-                answer: LedgerAnswer { id: ask.id, reply: LedgerReply::Granted(grant) },
-            }));
+            let reply = LedgerReply::Granted(self.grant(now_ms, wanted));
+            out.push(CoreAction::Answer { to: from, answer: LedgerAnswer { id: ask.id, reply } });
             return;
         }
         let LedgerRequest::Report(report) = &ask.request else {
@@ -202,14 +200,24 @@
         out.push(CoreAction::Answer { to: from, answer: LedgerAnswer { id: ask.id, reply } });
     }
 
-    /// grants tokens of an allotment; none if this node may have been replaced without its knowledge.
-    fn grant(&mut self, now_ms: u64, wanted: &AllotmentAsk) -> Option<AllotmentGrant> {
+    /// grants tokens of an allotment; none, and no time to come back at, if it has no allotments, or if this node may
+    /// have been replaced without its knowledge.
+    fn grant(&mut self, now_ms: u64, wanted: &AllotmentAsk) -> AllotmentGrant {
         let member_count = self.node.view().members.len();
         let peers = self.peers.states(now_ms);
         let heard = peers.values().filter(|peer| peer.silent_ms < ALLOTMENT_CONTACT_MS).count();
         let is_in_touch = 2 * (heard + 1) > member_count;
         self.set_allotment_members(now_ms);
-        self.allotments.as_mut().filter(|_| is_in_touch).map(|allotments| allotments.grant(now_ms, wanted))
+        match &mut self.allotments {
+            Some(allotments) if is_in_touch => allotments.grant(now_ms, wanted),
+            _ => AllotmentGrant {
+                start: self.start.clone(),
+                slot: 0,
+                starts: 0,
+                turns: 0,
+                retry_after_ms: None,
+            },
+        }
     }
 
     fn set_allotment_members(&mut self, now_ms: u64) {
--- a/src/ledger_client/client.rs
+++ b/src/ledger_client/client.rs
@@ -117,7 +117,12 @@
 
 impl PendingAsk {
     /// whether the reply to this step is still due.
+    ///
+    /// Questions for tokens do not count: a node without allotments never answers them, and is not slow for that.
     fn awaits(&self, step: AwaitedStep) -> bool {
+        if self.kind == AskKind::Allotment {
+            return false;
+        }
         match step {
             AwaitedStep::Answer => !self.awaits_sync && !self.has_answered,
             AwaitedStep::Sync => self.awaits_sync || self.answers_left > 1 || self.has_answered,
@@ -299,6 +304,23 @@
         turn: Option<&str>,
         sender: &Sender<AskUpdate>,
     ) -> bool {
+        self.start_ask(member, epoch, request, turn, sender).is_some()
+    }
+
+    /// no longer waits for the answer to an ask.
+    pub fn forget(&self, id: u64) {
+        self.pending.lock().expect("pending lock poisoned").remove(&id);
+    }
+
+    /// like `ask`; returns the id of the ask.
+    pub fn start_ask(
+        &self,
+        member: &LedgerMember,
+        epoch: u64,
+        request: LedgerRequest,
+        turn: Option<&str>,
+        sender: &Sender<AskUpdate>,
+    ) -> Option<u64> {
         let answers_left = match &request {
             // The node replies with what it knows at once, and again once the reservation is on disk.
             LedgerRequest::Begin(_) => 2,
@@ -336,11 +358,11 @@
                 if let Some(pending) = self.pending.lock().expect("pending lock poisoned").get_mut(&id) {
                     pending.connection = Some(connection);
                 }
-                true
+                Some(id)
             }
             None => {
                 self.pending.lock().expect("pending lock poisoned").remove(&id);
-                false
+                None
             }
         }
     }
@@ -384,8 +406,10 @@
             _ => AwaitedStep::Answer,
         };
         pending.has_answered = true;
-        let took_ms = now_ms.saturating_sub(pending.sent_ms);
-        self.times.lock().expect("times lock poisoned").record(&pending.member, step, took_ms);
+        if pending.kind != AskKind::Allotment {
+            let took_ms = now_ms.saturating_sub(pending.sent_ms);
+            self.times.lock().expect("times lock poisoned").record(&pending.member, step, took_ms);
+        }
         let ended = pending.answers_left == 0 || matches!(answer.reply, LedgerReply::Stale(_));
         let update = AskUpdate {
             member: pending.member.clone(),
--- a/src/schema/generated.rs
+++ b/src/schema/generated.rs
@@ -98,6 +98,9 @@
     pub slot: u64,
     ///start of the node that granted them
     pub start: ::std::string::String,
+    ///how many of them were for the beginning of a program; none if absent
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub starts: ::std::option::Option<u32>,
     ///how many
     pub tokens: u32,
 }
--- a/tests/allotment_grants.rs
+++ b/tests/allotment_grants.rs
@@ -104,7 +104,7 @@
 fn tokens_come_back(start: &str, tokens: u32) -> u32 {
     let mut ledger = ledger();
     let slot = ledger.grant(SETTLED_MS, &wanted(0, 100)).slot;
-    let returns = vec![AllotmentReturn { start: start.to_owned(), slot, tokens }];
+    let returns = vec![AllotmentReturn { start: start.to_owned(), slot, tokens, starts: None }];
     ledger.grant(SETTLED_MS + 100, &AllotmentAsk { returns, ..wanted(0, 100) }).turns
 }
 
@@ -149,6 +149,72 @@
     assert_eq!(returned, u32::from(!is_good), "what has lapsed goes back");
 }
 
+/// Guards against tokens that are lost because a report found nothing of the workspace between question and answer.
+#[test_case(ProgramStanding::New, 1, 0; "of a program that begins")]
+#[test_case(ProgramStanding::UnderWay, 0, 3; "of one under way")]
+fn report_before_the_answer_loses_no_tokens(standing: ProgramStanding, starts: u32, turns: u32) {
+    let mut door = DoorAllotments::new("door", BOUNDS);
+    let asked = question(&mut door, 0, standing, &[]);
+    assert_eq!(door.take_returns(250), Vec::new());
+    let token = door.answered(300, &asked, &grant(starts, turns, None));
+    assert!(token.is_some(), "the request that asked has one");
+    let rest: u32 =
+        door.take_returns(500).iter().flat_map(|(_, ask)| &ask.returns).map(|unused| unused.tokens).sum();
+    assert_eq!(rest, starts + turns - 1, "the others go back when they have lapsed");
+}
+
+/// Guards against a token that cannot go back because the workspace was forgotten while a request had it.
+#[test_case(ProgramStanding::New, 1, Some(1); "of a program that begins")]
+#[test_case(ProgramStanding::UnderWay, 0, None; "of one under way")]
+fn token_goes_back_after_reports(standing: ProgramStanding, starts: u32, returned: Option<u32>) {
+    let mut door = DoorAllotments::new("door", BOUNDS);
+    let asked = question(&mut door, 0, standing, &[]);
+    let token = door.answered(5, &asked, &grant(starts, 1 - starts, None)).expect("a token");
+    for now_ms in (250..20_000).step_by(250) {
+        assert_eq!(door.take_returns(now_ms), Vec::new());
+    }
+    door.give_back(20_000, "team", TERMS, token);
+    let returns: Vec<AllotmentReturn> =
+        door.take_returns(20_250).into_iter().flat_map(|(_, ask)| ask.returns).collect();
+    let unused = AllotmentReturn { start: "start".to_owned(), slot: 7, tokens: 1, starts: returned };
+    assert_eq!(returns, [unused]);
+}
+
+/// Guards against returns that are lost with a question that a node of another view has not looked at.
+#[test]
+fn returns_of_a_stale_question_go_again() {
+    let mut door = DoorAllotments::new("door", BOUNDS);
+    let first = question(&mut door, 0, ProgramStanding::New, &[]);
+    let token = door.answered(5, &first, &grant(1, 0, None)).expect("a token");
+    door.give_back(10, "team", TERMS, token);
+    let stale = question(&mut door, 20, ProgramStanding::New, &[]);
+    assert_eq!(stale.ask.returns.len(), 1);
+    door.not_taken(30, &stale);
+    let again = question(&mut door, 30, ProgramStanding::New, &[]);
+    assert_eq!(again.member, stale.member, "it does not count as silent");
+    assert_eq!(again.ask.returns, stale.ask.returns);
+}
+
+/// Guards against programs that keep others from beginning though they have not begun themselves.
+#[test]
+fn beginnings_that_come_back_make_room() {
+    let mut ledger = ledger();
+    for now_ms in (SETTLED_MS..SETTLED_MS + 60_000).step_by(1_500) {
+        ledger.grant(now_ms, &wanted(1, 3));
+    }
+    let now_ms = SETTLED_MS + 70_000;
+    let begun = ledger.grant(now_ms, &wanted(100, 0));
+    assert_eq!(ledger.grant(now_ms + 10, &wanted(1, 0)).starts, 0, "no more may begin");
+    let unused = AllotmentReturn {
+        start: "start".to_owned(),
+        slot: begun.slot,
+        tokens: begun.starts,
+        starts: Some(begun.starts),
+    };
+    let again = ledger.grant(now_ms + 20, &AllotmentAsk { returns: vec![unused], ..wanted(100, 0) });
+    assert_eq!(again.starts, begun.starts);
+}
+
 /// Guards against a door that asks a node again which has said when it has tokens, and against a wrong time.
 #[test]
 fn refused_until_the_first_node_has_room() {
--- a/tests/allotment_histories.rs
+++ b/tests/allotment_histories.rs
@@ -3,6 +3,8 @@
 
 mod allotment_world;
 
+use std::ops::Range;
+
 use allotment_world::Troubles;
 use allotment_world::World;
 use test_case::test_case;
@@ -57,11 +59,12 @@
 }
 
 /// Guards against allotments that lie idle at some doors while others refuse.
-#[test]
-fn scarce_allotments_are_used() {
+#[test_case(3.0..6.0; "far above")]
+#[test_case(1.5..5.0; "above")]
+fn scarce_allotments_are_used(multiple: Range<f64>) {
     let mut failed = Vec::new();
     for seed in seeds() {
-        let mut world = World::scarce(seed);
+        let mut world = World::scarce(seed, multiple.clone());
         world.play();
         let share = world.used_share();
         if share < MIN_USED_SHARE {
--- a/tests/allotment_world/mod.rs
+++ b/tests/allotment_world/mod.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
+use std::ops::Range;
 
 use flamingostand::allotment::Admission;
 use flamingostand::allotment::AllotmentBounds;
@@ -144,11 +145,12 @@
         Self::with(random, troubles, door_count, demand, DURATION_MS)
     }
 
-    /// a calm world in which each workspace asks for more than its allotment, at as many doors as there are tokens.
-    pub fn scarce(seed: u64) -> Self {
+    /// a calm world in which each workspace asks for a multiple of its allotment, at as many doors as there are
+    /// tokens.
+    pub fn scarce(seed: u64, multiple: Range<f64>) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
         let door_count = random.random_range(20..68);
-        let demand = [(); WORKSPACES].map(|()| random.random_range(3.0..6.0));
+        let demand = [(); WORKSPACES].map(|()| random.random_range(multiple.clone()));
         Self::with(random, Troubles::default(), door_count, demand, DURATION_MS)
     }
 
@@ -300,7 +302,9 @@
             Admission::Granted(token) => {
                 let is_unused = self.random.random_ratio(1, 20);
                 match token.filter(|_| is_unused) {
-                    Some(token) => self.doors[request.door].allotments.give_back(self.now_ms, &named, token),
+                    Some(token) => {
+                        self.doors[request.door].allotments.give_back(self.now_ms, &named, terms, token)
+                    }
                     None => self.pass(&request),
                 }
             }
