--- a/src/door/reporter.rs
+++ b/src/door/reporter.rs
@@ -8,6 +8,7 @@
 use slog::info;
 use slog::warn;
 
+use crate::door::allotment::give_back_tokens;
 use crate::door::door::Door;
 use crate::door::door::LeavingSource;
 use crate::door::follow;
@@ -108,6 +109,7 @@
             // An unreachable node is detected by its missing answers.
             door.ledger.ask(member, view.epoch, LedgerRequest::Report(report.clone()), None, &sender);
         }
+        give_back_tokens(&door);
         door.ledger.expire();
         door.replicas().expire(door.now_ms());
         door.expire_poison();
