--- a/src/workspace/allotment.rs
+++ b/src/workspace/allotment.rs
@@ -1,4 +1,4 @@
-/// how many requests of a workspace the fleet is to let through, over all doors together; not applied yet.
+/// how many requests of a workspace the fleet is to let through, over all doors together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allotment {
     /// lasting rate; above 0.
