--- a/tests/poison_bystanders.rs
+++ b/tests/poison_bystanders.rs
@@ -26,6 +26,9 @@
 const REFUSED_RETURN: usize = 50;
 /// runs that begin in a history.
 const RUNS: usize = 800;
+/// histories, and runs in each, of the check that no bystander at all is refused.
+const STRICT_SEEDS: u64 = 1_000;
+const STRICT_RUNS: usize = 2_000;
 /// share of the runs that are deadly, in thousandths.
 const DEADLY_PERMILLE: u32 = 30;
 
@@ -61,6 +64,8 @@
     /// requests that were refused although they end no replica, and could be told from the deadly ones: some end of a
     /// replica was under a deadly request and not under theirs.
     wrongly_refused: Vec<usize>,
+    /// refusals of requests that end no replica.
+    refused_count: usize,
     /// ends of replicas, by the start of the process.
     ended: BTreeSet<String>,
     retries: Vec<Run>,
@@ -79,6 +84,7 @@
             starts: [0; REPLICAS],
             ends: 0,
             wrongly_refused: Vec::new(),
+            refused_count: 0,
             ended: BTreeSet::new(),
             retries: Vec::new(),
             refused: Vec::new(),
@@ -86,8 +92,8 @@
         }
     }
 
-    fn play(&mut self) {
-        while self.begun < RUNS {
+    fn play(&mut self, runs: usize) {
+        while self.begun < runs {
             if self.begun.is_multiple_of(REFUSED_RETURN) {
                 self.retries.append(&mut self.refused);
             }
@@ -120,6 +126,7 @@
                 self.wrongly_refused.push(run.request);
             }
             if !run.is_deadly {
+                self.refused_count += 1;
                 self.refused.push(run);
             }
             return;
@@ -185,7 +192,7 @@
     let mut failed = Vec::new();
     for seed in 0..SEEDS {
         let mut history = History::new(seed, shared);
-        history.play();
+        history.play(RUNS);
         if history.ends > MAX_ENDS || !history.wrongly_refused.is_empty() {
             failed.push(format!("seed {seed}: {} ends, refused {:?}", history.ends, history.wrongly_refused));
         }
@@ -197,3 +204,23 @@
         &failed[..failed.len().min(10)]
     );
 }
+
+/// Guards against refusing any request that ends no replica, also one that was at the same replicas as the deadly ones.
+#[test_case(Shared::Input; "input")]
+#[test_case(Shared::Path; "path")]
+fn no_bystander_is_refused(shared: Shared) {
+    let mut failed = Vec::new();
+    for seed in 0..STRICT_SEEDS {
+        let mut history = History::new(seed, shared);
+        history.play(STRICT_RUNS);
+        if history.refused_count > 0 {
+            failed.push(format!("seed {seed}: {} ends, {} refused", history.ends, history.refused_count));
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {STRICT_SEEDS} histories: {:#?}",
+        failed.len(),
+        &failed[..failed.len().min(10)]
+    );
+}
