--- a/review/9/case.py
+++ b/review/9/case.py
@@ -6,14 +6,11 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "../lib-2"))
-from fleet import TROUBLE, Replica, main, route, send
+from fleet import TROUBLE, MemoryLimit, Replica, main, resident_mb, route, send
 
 # The site's store machines: "130 MB".
 MEMORY_MB = 130
-# How long the platform takes to start a process again that has used more: "restarted after a short delay".
-RESTART_S = 0.5
 RECOVERY_S = 12
-CONTACT_S = 3
 ROUNDS = 4
 ROUND_S = 20
 TURNS = 1_850
@@ -24,44 +21,10 @@
 MACHINES, ENDS = 2, 3
 
 
-def resident_mb(node):
-    try:
-        with open(f"/proc/{node.process.pid}/status", encoding="ascii") as status:
-            for line in status:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0
-
-
 def log_mb(node):
     return round(sum(entry.stat().st_size for entry in os.scandir(node.data)) / 1_000_000)
 
 
-class Limit:
-    """the platform's limit of memory: "A process that uses more than `memory_mb` is killed"."""
-
-    def __init__(self, fleet):
-        self.fleet, self.ends, self.peaks, self.stopped_at = fleet, {}, {}, {}
-
-    async def watch(self, node):
-        while True:
-            await asyncio.sleep(0.02)
-            used = resident_mb(node)
-            self.peaks[node.name] = max(used, self.peaks.get(node.name, 0))
-            if used <= MEMORY_MB or node.process.poll() is not None:
-                continue
-            # Counted only if the last planned stop of this machine is long over.
-            if self.fleet.record.now() > self.stopped_at.get(node.name, 0) + CONTACT_S:
-                self.ends[node.name] = self.ends.get(node.name, 0) + 1
-            self.fleet.record.line(f"{node.name} uses {used:.0f} MB of {MEMORY_MB} MB, with {log_mb(node)} MB on its "
-                                   f"disk, and is killed")
-            node.kill()
-            await asyncio.sleep(RESTART_S)
-            node.start()
-
-
 async def case(fleet):
     record = fleet.record
     replicas = [Replica(fleet, f"model-{number}", "models", f"zone-{'abc'[number % 3]}", events=2, work_s=0.01,
@@ -69,7 +32,7 @@
     routes = [route("draft", "streaming", "models", retained=True, retention_s=1.0)]
     await fleet.start(2, replicas, routes)
     await asyncio.sleep(1)
-    limit, places = Limit(fleet), asyncio.Semaphore(12)
+    limit, places = MemoryLimit(fleet, MEMORY_MB), asyncio.Semaphore(12)
     watches = [asyncio.ensure_future(limit.watch(node)) for node in fleet.ledgers]
 
     async def turn(name, number):
@@ -97,7 +60,7 @@
     for watch in watches:
         watch.cancel()
     record.say(f"{sum(answer.is_served for answer in last)} of 20 turns served {RECOVERY_S} s after the last restart; ends "
-               f"by memory {limit.ends}, peaks in MB { {name: round(peak) for name, peak in limit.peaks.items()} }")
+               f"by memory {limit.ends}, peaks in MB {limit.peaks}")
     return sum(ends >= ENDS for ends in limit.ends.values()) >= MACHINES
 
 
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -52,18 +53,20 @@
 
 
 def free_port(pair=False):
-    """a free port; with `pair` the next one is free as well (a door takes passed requests there)."""
-    for _ in range(200):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+    """a free port; with `pair` the next one is free as well (a door takes passed requests there).
+
+    Below the ports that the system gives to outgoing connections, so that none of these takes it before its process
+    listens.
+    """
+    for _ in range(500):
+        port = random.randrange(20_000, 32_000)
         ports = [port, port + 1] if pair else [port]
-        if _given.intersection(ports) or port > 65000:
+        if _given.intersection(ports):
             continue
         try:
-            for other in ports[1:]:
+            for wanted in ports:
                 with socket.socket() as probe:
-                    probe.bind(("127.0.0.1", other))
+                    probe.bind(("127.0.0.1", wanted))
         except OSError:
             continue
         _given.update(ports)
@@ -179,6 +182,43 @@
             return False
 
 
+def resident_mb(node):
+    """memory that a process of this test uses; 0 if it has ended."""
+    try:
+        with open(f"/proc/{node.process.pid}/status", encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0
+
+
+class MemoryLimit:
+    """the platform's limit: "A process that uses more than `memory_mb` is killed", and "restarted after a short delay"."""
+
+    CONTACT_S = 3
+    RESTART_S = 0.5
+
+    def __init__(self, fleet, memory_mb):
+        self.fleet, self.memory_mb, self.ends, self.peaks, self.stopped_at = fleet, memory_mb, {}, {}, {}
+
+    async def watch(self, node):
+        while True:
+            await asyncio.sleep(0.01)
+            used = resident_mb(node)
+            self.peaks[node.name] = max(round(used), self.peaks.get(node.name, 0))
+            if used <= self.memory_mb or node.process.poll() is not None:
+                continue
+            # Counted only if the last planned stop of this machine is long over.
+            if self.fleet.record.now() > self.stopped_at.get(node.name, -self.CONTACT_S) + self.CONTACT_S:
+                self.ends[node.name] = self.ends.get(node.name, 0) + 1
+            self.fleet.record.line(f"{node.name} uses {used:.0f} MB of {self.memory_mb} MB and is killed")
+            node.kill()
+            await asyncio.sleep(self.RESTART_S)
+            node.start()
+
+
 class Run:
     """one run of a request at a replica."""
 
